Lay out the workspace, its types, messages and interfaces

The crates follow the reasons to change: decisions, wire, configuration, daemons, stand-ins and system tests. Types that all of them share come first, so that the parts can be built side by side.

--- /dev/null
+++ b/crates/sesamehaven-config/src/lib.rs
@@ -0,0 +1,1 @@
+//! sesamehaven-config
--- /dev/null
+++ b/crates/sesamehaven-standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! sesamehaven-standins
--- /dev/null
+++ b/crates/sesamehaven-system-tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! sesamehaven-system-tests
--- /dev/null
+++ b/crates/sesamehaven-wire/src/codec.rs
@@ -0,0 +1,80 @@
+//! Framing of messages: a length of four bytes, then postcard.
+
+use bytes::{Buf, BufMut, BytesMut};
+use tokio_util::codec::{Decoder, Encoder};
+
+use crate::error::{Error, Result};
+use crate::message::Frame;
+
+/// The length of the prefix that gives a frame's length, in bytes.
+const PREFIX_BYTES: usize = 4;
+
+/// Encodes and decodes the frames of a link.
+#[derive(Debug, Clone)]
+pub struct FrameCodec {
+    max_bytes: usize,
+}
+
+impl FrameCodec {
+    /// Builds a codec that refuses frames longer than `max_bytes`.
+    pub fn new(max_bytes: usize) -> Self {
+        FrameCodec { max_bytes }
+    }
+
+    fn check(&self, len: usize) -> Result<()> {
+        if len <= self.max_bytes {
+            return Ok(());
+        }
+        Err(Error::Oversized {
+            len,
+            max: self.max_bytes,
+        })
+    }
+}
+
+impl Encoder<&Frame> for FrameCodec {
+    type Error = Error;
+
+    fn encode(&mut self, frame: &Frame, buf: &mut BytesMut) -> Result<()> {
+        let start = buf.len();
+        buf.put_u32_le(0);
+        let body = postcard::to_extend(frame, Extender(buf));
+        let len = match body {
+            Ok(Extender(buf)) => buf.len() - start - PREFIX_BYTES,
+            Err(err) => return Err(err.into()),
+        };
+        self.check(len)?;
+        let prefix = u32::try_from(len).unwrap_or(u32::MAX).to_le_bytes();
+        buf[start..start + PREFIX_BYTES].copy_from_slice(&prefix);
+        Ok(())
+    }
+}
+
+impl Decoder for FrameCodec {
+    type Item = Frame;
+    type Error = Error;
+
+    fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<Frame>> {
+        let Some(mut prefix) = buf.get(..PREFIX_BYTES) else {
+            return Ok(None);
+        };
+        let len = prefix.get_u32_le() as usize;
+        self.check(len)?;
+        if buf.len() < PREFIX_BYTES + len {
+            buf.reserve(PREFIX_BYTES + len - buf.len());
+            return Ok(None);
+        }
+        buf.advance(PREFIX_BYTES);
+        let body = buf.split_to(len);
+        Ok(Some(postcard::from_bytes(&body)?))
+    }
+}
+
+/// Lets postcard append to a buffer without a copy in between.
+struct Extender<'a>(&'a mut BytesMut);
+
+impl Extend<u8> for Extender<'_> {
+    fn extend<I: IntoIterator<Item = u8>>(&mut self, bytes: I) {
+        self.0.extend(bytes);
+    }
+}
--- /dev/null
+++ b/crates/sesamehaven-wire/src/error.rs
@@ -0,0 +1,49 @@
+//! The error of links and codecs.
+
+use quick_error::quick_error;
+
+/// The result of link operations.
+pub type Result<T> = std::result::Result<T, Error>;
+
+quick_error! {
+    /// Why a link could not be used or a message not be read.
+    #[derive(Debug)]
+    #[allow(missing_docs)] // quick-error takes no doc comments on fields.
+    pub enum Error {
+        /// The transport failed.
+        Io(err: std::io::Error) {
+            from()
+            source(err)
+            display("link failed: {err}")
+        }
+        /// The bytes are not a message of this protocol.
+        Malformed(err: postcard::Error) {
+            from()
+            source(err)
+            display("message is malformed: {err}")
+        }
+        /// A frame is longer than both sides agreed to.
+        Oversized { len: usize, max: usize } {
+            display("frame of {len} bytes is over the limit of {max}")
+        }
+        /// The peer speaks a version that this process does not.
+        Version { theirs: u16 } {
+            display("peer speaks version {theirs} of the protocol")
+        }
+        /// The peer did not prove that it holds the pre-shared key.
+        Unproved {
+            display("peer did not prove that it holds the pre-shared key")
+        }
+        /// The peer sent nothing within the heartbeat's limit.
+        Silent {
+            display("peer has gone silent")
+        }
+    }
+}
+
+impl Error {
+    /// Returns whether the peer broke the protocol, as opposed to the network.
+    pub fn is_protocol(&self) -> bool {
+        !matches!(self, Error::Io(_) | Error::Silent)
+    }
+}
--- /dev/null
+++ b/crates/sesamehaven/src/lib.rs
@@ -0,0 +1,19 @@
+//! Decisions of the sesamehaven request scheduler, as pure state machines.
+//!
+//! Everything here is a function of state, event and time: no module reads a
+//! clock, opens a socket or starts a task. The daemons call the same code as
+//! the differential tests and the measurements, and other programs can embed
+//! the parts one by one.
+//!
+//! The design is described in
+//! [`docs/ARCHITECTURE.md`](../../../docs/ARCHITECTURE.md).
+
+pub mod config;
+pub mod error;
+pub mod id;
+pub mod outcome;
+pub mod tier;
+pub mod unit;
+
+pub use crate::error::{Error, Result};
+pub use crate::tier::Tier;
--- /dev/null
+++ b/crates/sesamehaven/src/tier.rs
@@ -0,0 +1,99 @@
+//! The rank of a request, which decides what is served and what is shed first.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, Result};
+
+/// The rank of a request; zero is the most urgent.
+///
+/// A tier comes from the configuration of the organisation and its work class,
+/// never from the caller's word. The ordering puts urgent tiers first, so the
+/// greatest tier is the one that is shed first.
+///
+/// # Example
+///
+/// ```
+/// use sesamehaven::Tier;
+///
+/// let brief: Tier = "0".parse()?;
+/// let roundup: Tier = "3".parse()?;
+/// assert!(brief.outranks(roundup));
+/// # Ok::<(), sesamehaven::Error>(())
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "u8", into = "u8")]
+pub struct Tier(u8);
+
+impl Tier {
+    /// The number of tiers that the system tells apart.
+    pub const COUNT: usize = 8;
+    /// The tier that is served first and shed last.
+    pub const MOST_URGENT: Tier = Tier(0);
+    /// The tier that is served last and shed first.
+    pub const LEAST_URGENT: Tier = Tier(Self::COUNT as u8 - 1);
+
+    /// Builds a tier from its rank.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the rank is not below [`Tier::COUNT`].
+    pub fn new(rank: u8) -> Result<Self> {
+        if usize::from(rank) < Self::COUNT {
+            return Ok(Tier(rank));
+        }
+        Err(Error::out_of_range(
+            "tier",
+            &rank.to_string(),
+            "use a whole number from 0 (most urgent) to 7",
+        ))
+    }
+
+    /// Returns the rank as an index into per-tier tables.
+    pub fn index(self) -> usize {
+        usize::from(self.0)
+    }
+
+    /// Returns whether this tier is served before `other`.
+    pub fn outranks(self, other: Tier) -> bool {
+        self.0 < other.0
+    }
+
+    /// Lists all tiers, the most urgent first.
+    pub fn all() -> impl DoubleEndedIterator<Item = Tier> + ExactSizeIterator {
+        (0..Self::COUNT as u8).map(Tier)
+    }
+}
+
+impl fmt::Display for Tier {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Tier {
+    type Err = Error;
+
+    fn from_str(s: &str) -> Result<Self> {
+        let rank = s
+            .parse()
+            .map_err(|_| Error::malformed("tier", s, "use a whole number from 0 to 7"))?;
+        Tier::new(rank)
+    }
+}
+
+impl TryFrom<u8> for Tier {
+    type Error = Error;
+
+    fn try_from(rank: u8) -> Result<Self> {
+        Tier::new(rank)
+    }
+}
+
+impl From<Tier> for u8 {
+    fn from(tier: Tier) -> Self {
+        tier.0
+    }
+}
--- /dev/null
+++ b/crates/sesamehaven/src/unit.rs
@@ -0,0 +1,185 @@
+//! Sizes, durations and rates that carry their unit in the text.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::error::{Error, Result};
+
+/// A point in time, in milliseconds since an origin that the caller chooses.
+///
+/// Decisions take the time as an argument; the daemons pass a monotonic clock.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
+)]
+pub struct Instant(pub u64);
+
+impl Instant {
+    /// Returns the time `span` later.
+    pub fn after(self, span: Millis) -> Self {
+        Instant(self.0.saturating_add(span.0))
+    }
+
+    /// Returns the time that passed since `earlier`, zero when it lies ahead.
+    pub fn since(self, earlier: Instant) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+/// A span of time in milliseconds, written as `250 ms`, `3 s`, `5 min` or `2 h`.
+///
+/// # Example
+///
+/// ```
+/// use sesamehaven::unit::Millis;
+///
+/// let timeout: Millis = "3 s".parse()?;
+/// assert_eq!(timeout, Millis(3_000));
+/// assert_eq!(timeout.to_string(), "3 s");
+/// # Ok::<(), sesamehaven::Error>(())
+/// ```
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
+)]
+#[serde(try_from = "SmolStr", into = "SmolStr")]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// Returns the span as the standard library's type.
+    pub fn duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+
+    /// Returns the span in whole seconds, rounded up, at least one.
+    pub fn whole_secs(self) -> u64 {
+        self.0.div_ceil(1_000).max(1)
+    }
+}
+
+const MILLIS_UNITS: [(&str, u64); 4] = [("h", 3_600_000), ("min", 60_000), ("s", 1_000), ("ms", 1)];
+const MILLIS_REMEDY: &str = "write a number and a unit, such as `250 ms`, `3 s`, `5 min` or `2 h`";
+
+/// An amount of memory or of data, written as `512 B`, `64 KiB` or `2 MiB`.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
+)]
+#[serde(try_from = "SmolStr", into = "SmolStr")]
+pub struct Bytes(pub u64);
+
+impl Bytes {
+    /// Returns the amount as a length in memory.
+    pub fn len(self) -> usize {
+        usize::try_from(self.0).unwrap_or(usize::MAX)
+    }
+
+    /// Returns whether the amount is zero.
+    pub fn is_empty(self) -> bool {
+        self.0 == 0
+    }
+}
+
+const BYTES_UNITS: [(&str, u64); 4] = [
+    ("GiB", 1 << 30),
+    ("MiB", 1 << 20),
+    ("KiB", 1 << 10),
+    ("B", 1),
+];
+const BYTES_REMEDY: &str = "write a number and a unit, such as `512 B`, `64 KiB` or `2 MiB`";
+
+fn parse(what: &'static str, s: &str, units: &[(&str, u64)], remedy: &'static str) -> Result<u64> {
+    let digits = s.bytes().take_while(u8::is_ascii_digit).count();
+    let (number, unit) = s.split_at(digits);
+    let unit = unit.trim();
+    let Some((_, factor)) = units.iter().find(|(name, _)| *name == unit) else {
+        return Err(Error::malformed(what, s, remedy));
+    };
+    let Ok(number) = number.parse::<u64>() else {
+        return Err(Error::malformed(what, s, remedy));
+    };
+    number
+        .checked_mul(*factor)
+        .ok_or_else(|| Error::out_of_range(what, s, remedy))
+}
+
+fn show(f: &mut fmt::Formatter<'_>, number: u64, units: &[(&str, u64)]) -> fmt::Result {
+    let fits = |factor: u64| number != 0 && number.is_multiple_of(factor);
+    let found = units.iter().find(|(_, factor)| fits(*factor));
+    let (unit, factor) = found.unwrap_or(&units[units.len() - 1]);
+    write!(f, "{} {unit}", number / factor)
+}
+
+macro_rules! measures {
+    ($($name:ident, $what:literal, $units:ident, $remedy:ident;)*) => {$(
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                show(f, self.0, &$units)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(s: &str) -> Result<Self> {
+                parse($what, s, &$units, $remedy).map($name)
+            }
+        }
+
+        impl TryFrom<SmolStr> for $name {
+            type Error = Error;
+
+            fn try_from(s: SmolStr) -> Result<Self> {
+                s.parse()
+            }
+        }
+
+        impl From<$name> for SmolStr {
+            fn from(value: $name) -> Self {
+                smol_str::format_smolstr!("{value}")
+            }
+        }
+    )*};
+}
+
+measures! {
+    Millis, "duration", MILLIS_UNITS, MILLIS_REMEDY;
+    Bytes, "size", BYTES_UNITS, BYTES_REMEDY;
+}
+
+/// An amount of model work, counted in tokens.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
+)]
+#[serde(transparent)]
+pub struct Tokens(pub u64);
+
+impl fmt::Display for Tokens {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} tokens", self.0)
+    }
+}
+
+/// The speed of model work, in tokens a second.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize, Default)]
+#[serde(transparent)]
+pub struct TokenRate(pub f64);
+
+impl TokenRate {
+    /// Returns how long `tokens` take at this rate, in milliseconds.
+    ///
+    /// A rate of zero gives infinity, which no deadline allows.
+    pub fn millis_for(self, tokens: f64) -> f64 {
+        if tokens <= 0.0 {
+            return 0.0;
+        }
+        tokens * 1_000.0 / self.0
+    }
+}
+
+impl fmt::Display for TokenRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.1} tokens/s", self.0)
+    }
+}
