Add the life of a request, its buffered answer, and the daemons' plumbing

A flight decides who may be offered a request next, as a pure function of state, event and time; an answer keeps numbered parts within a bound.

--- /dev/null
+++ b/crates/sesamehaven-daemons/src/logs.rs
@@ -0,0 +1,48 @@
+//! Log lines, which tell of changes of state only; all else is counted.
+
+use std::sync::Arc;
+
+use spdlog::formatter::{Formatter, FullFormatter, JsonFormatter};
+use spdlog::sink::{Sink, StdStream, StdStreamSink};
+use spdlog::{Level, LevelFilter, Logger};
+
+use crate::settings::{Log, LogFormat, LogLevel};
+
+/// Makes the process log to standard error as the settings say.
+///
+/// # Errors
+///
+/// Fails when the sink cannot be built.
+pub fn init(cfg: &Log) -> spdlog::Result<()> {
+    let sink: Arc<dyn Sink> = match cfg.format {
+        LogFormat::Text => stderr(FullFormatter::new())?,
+        LogFormat::Json => stderr(JsonFormatter::new())?,
+    };
+    let logger = Logger::builder().sink(sink).build()?;
+    logger.set_level_filter(filter(cfg.level));
+    logger.set_flush_level_filter(LevelFilter::All);
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
+
+/// Changes the least grave level that is written, at run time.
+pub fn set_level(level: LogLevel) {
+    spdlog::default_logger().set_level_filter(filter(level));
+}
+
+fn stderr(formatter: impl Formatter + 'static) -> spdlog::Result<Arc<StdStreamSink>> {
+    let sink = StdStreamSink::builder()
+        .std_stream(StdStream::Stderr)
+        .formatter(formatter)
+        .build()?;
+    Ok(Arc::new(sink))
+}
+
+fn filter(level: LogLevel) -> LevelFilter {
+    LevelFilter::MoreSevereEqual(match level {
+        LogLevel::Error => Level::Error,
+        LogLevel::Warn => Level::Warn,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+    })
+}
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -8,8 +8,10 @@
 //! The design is described in
 //! [`docs/ARCHITECTURE.md`](../../../docs/ARCHITECTURE.md).
 
+pub mod answer;
 pub mod config;
 pub mod error;
+pub mod flight;
 pub mod id;
 pub mod outcome;
 pub mod tier;
