Read the platform, and follow the configuration in parts

Cause: nothing reads the platform yet, and one value cannot hold the configuration of 42,000 organisations. A write whose answer was lost is an error of its own kind, since it may have taken effect; a connection that closes before the answer is reported by awc as a failed connect, so that case is told apart by its variant.

--- a/crates/sesamehaven-daemons/src/lib.rs
+++ b/crates/sesamehaven-daemons/src/lib.rs
@@ -1,1 +1,4 @@
 //! sesamehaven-daemons
+
+pub mod feed;
+pub mod platform;
--- /dev/null
+++ b/crates/sesamehaven-daemons/src/platform.rs
@@ -0,0 +1,459 @@
+//! The client of the platform's object API.
+//!
+//! Every call is counted as `platform_calls_total` by kind and outcome, since
+//! the platform counts them too. A write whose answer was lost is told apart
+//! from one that was refused: it may have taken effect, and the caller has to
+//! read back. The interface is described in
+//! [`docs/INTERFACES.md`](../../../docs/INTERFACES.md).
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use awc::error::{ConnectError, SendRequestError};
+use awc::http::{Method, StatusCode, header};
+use awc::{Client, ClientRequest};
+use bytes::Bytes;
+use metrics::counter;
+use quick_error::quick_error;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use sesamehaven::id::DataCentreName;
+use sesamehaven::unit::Millis;
+
+const VERSION_HEADER: &str = "Object-Version";
+const CONDITION_HEADER: &str = "If-Version";
+/// The largest answer that is read, in bytes.
+const ANSWER_MAX_BYTES: usize = 16 << 20;
+const DEFAULT_RETRY_AFTER: Millis = Millis(1_000);
+
+/// The result of calls of the platform.
+pub type Result<T> = std::result::Result<T, Error>;
+
+quick_error! {
+    /// Why a call of the platform did not give a result.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    #[allow(missing_docs)] // quick-error takes no doc comments on fields.
+    pub enum Error {
+        /// The object has another version than the condition asks for.
+        Conflict { path: SmolStr, version: Version } {
+            display("object {path} has version {version}")
+        }
+        /// The call took no effect, as the platform is down or cannot be reached.
+        Unavailable { path: SmolStr, reason: SmolStr } {
+            display("platform is unavailable for {path}: {reason}")
+        }
+        /// The write was sent and may have taken effect.
+        AnswerLost { path: SmolStr, reason: SmolStr } {
+            display("answer of the platform for {path} was lost: {reason}")
+        }
+        /// The platform refused the call, and would refuse it again.
+        Refused { path: SmolStr, status: u16 } {
+            display("platform refused the call for {path} with status {status}")
+        }
+        /// The answer does not have the form of the interface.
+        Malformed { path: SmolStr, reason: SmolStr } {
+            display("answer of the platform for {path} is malformed: {reason}")
+        }
+    }
+}
+
+impl Error {
+    /// Returns whether somebody else's write came first.
+    pub fn is_conflict(&self) -> bool {
+        matches!(self, Error::Conflict { .. })
+    }
+
+    /// Returns whether the call took no effect and may succeed later.
+    pub fn is_unavailable(&self) -> bool {
+        matches!(self, Error::Unavailable { .. })
+    }
+
+    /// Returns whether a write may have taken effect, so that one has to read back.
+    pub fn is_answer_lost(&self) -> bool {
+        matches!(self, Error::AnswerLost { .. })
+    }
+
+    fn code(&self) -> &'static str {
+        match self {
+            Error::Conflict { .. } => "conflict",
+            Error::Unavailable { .. } => "unavailable",
+            Error::AnswerLost { .. } => "answer_lost",
+            Error::Refused { .. } => "refused",
+            Error::Malformed { .. } => "malformed",
+        }
+    }
+}
+
+/// The version of an object, which grows with each write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Version(pub u64);
+
+impl Version {
+    /// The version that stands for an object that does not exist.
+    pub const ABSENT: Version = Version(0);
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Version {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(s: &str) -> std::result::Result<Self, Self::Err> {
+        s.parse().map(Version)
+    }
+}
+
+/// A value with its version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Object {
+    /// The version.
+    pub version: Version,
+    /// The value.
+    pub value: Bytes,
+}
+
+/// What a write asks of the object that it replaces.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Condition {
+    /// Nothing.
+    Always,
+    /// The object has this version; [`Version::ABSENT`] asks that there is none.
+    Version(Version),
+}
+
+/// An object as a listing shows it.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Listed {
+    /// The path.
+    pub path: SmolStr,
+    /// The version.
+    version: u64,
+}
+
+impl Listed {
+    /// Returns the version that the object had.
+    pub fn version(&self) -> Version {
+        Version(self.version)
+    }
+}
+
+/// A VM in the platform's list, which lags.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vm {
+    /// The name.
+    pub name: SmolStr,
+    /// The data centre.
+    pub data_centre: DataCentreName,
+    /// What the VM is for.
+    pub role: SmolStr,
+    /// Its IP number, with a port where the platform knows one.
+    pub address: SmolStr,
+    /// Whether it is live.
+    pub state: VmState,
+}
+
+/// What the platform last knew about a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// The VM runs.
+    Live,
+    /// The VM will be taken away.
+    Leaving,
+    /// The VM is no more.
+    Gone,
+}
+
+/// The weight store's answer to a fetch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fetch {
+    /// The fetch may begin.
+    Granted,
+    /// The rate is used up.
+    Wait {
+        /// When to ask again.
+        retry_after: Millis,
+    },
+}
+
+/// A client of the platform, cheap to clone within one thread.
+#[derive(Clone)]
+pub struct Platform {
+    client: Client,
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+impl fmt::Debug for Platform {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut f = f.debug_struct("Platform");
+        f.field("address", &self.address).finish_non_exhaustive()
+    }
+}
+
+impl Platform {
+    /// Builds a client that waits at most `timeout` for each answer.
+    pub fn new(address: SocketAddr, timeout: Millis) -> Self {
+        Platform {
+            client: Client::builder().disable_redirects().finish(),
+            address,
+            timeout: timeout.duration(),
+        }
+    }
+
+    /// Reads an object; [`None`] when there is none.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform is unavailable or its answer malformed.
+    pub async fn get(&self, path: &str) -> Result<Option<Object>> {
+        let req = self.request(Method::GET, &format!("/objects/{path}"));
+        counted("get", self.read_object(path, req, Duration::ZERO).await)
+    }
+
+    /// Waits up to `wait` for an object to have a version above `after`.
+    ///
+    /// [`None`] says that the time passed first.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform is unavailable or its answer malformed.
+    pub async fn watch(&self, path: &str, after: Version, wait: Millis) -> Result<Option<Object>> {
+        let url = format!("/watch/{path}?after={after}&wait_ms={}", wait.0);
+        let req = self.request(Method::GET, &url);
+        counted("watch", self.read_object(path, req, wait.duration()).await)
+    }
+
+    /// Writes an object and returns its new version.
+    ///
+    /// # Errors
+    ///
+    /// Fails with a conflict when the condition does not hold, and otherwise
+    /// as reads do. [`Error::is_answer_lost`] tells when it may have taken effect.
+    pub async fn put(&self, path: &str, value: Bytes, condition: Condition) -> Result<Version> {
+        let req = self.request(Method::PUT, &format!("/objects/{path}"));
+        let req = condition.apply(req);
+        counted("put", self.write(path, req, value).await)
+            .and_then(|(_, version)| version.ok_or_else(|| no_version(path)))
+    }
+
+    /// Deletes an object and returns whether there was one.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Platform::put`] does.
+    pub async fn delete(&self, path: &str, condition: Condition) -> Result<bool> {
+        let req = self.request(Method::DELETE, &format!("/objects/{path}"));
+        let req = condition.apply(req);
+        let (status, _) = counted("delete", self.write(path, req, Bytes::new()).await)?;
+        Ok(status != StatusCode::NOT_FOUND)
+    }
+
+    /// Lists the objects whose paths begin with `prefix`, ordered by path.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform is unavailable or its answer malformed.
+    pub async fn list(&self, prefix: &str) -> Result<Vec<Listed>> {
+        let req = self.request(Method::GET, "/objects");
+        let req = req
+            .query(&[("prefix", prefix)])
+            .map_err(|err| malformed(prefix, err))?;
+        counted("list", self.read_json(prefix, req).await)
+    }
+
+    /// Reads the list of VMs, which lags behind the truth.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform is unavailable or its answer malformed.
+    pub async fn vms(&self) -> Result<Vec<Vm>> {
+        let req = self.request(Method::GET, "/vms");
+        counted("vms", self.read_json("vms", req).await)
+    }
+
+    /// Asks the weight store for leave to fetch a model or an adapter.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform is unavailable.
+    pub async fn weights(&self, name: &str) -> Result<Fetch> {
+        let req = self.request(Method::POST, &format!("/weights/{name}"));
+        counted("weights", self.fetch_weights(name, req).await)
+    }
+
+    fn request(&self, method: Method, path_and_query: &str) -> ClientRequest {
+        let url = format!("http://{}{path_and_query}", self.address);
+        self.client.request(method, url).timeout(self.timeout)
+    }
+
+    async fn read_object(
+        &self,
+        path: &str,
+        req: ClientRequest,
+        wait: Duration,
+    ) -> Result<Option<Object>> {
+        let answer = self.read(path, req, wait).await?;
+        match answer.status {
+            StatusCode::OK => {
+                let version = answer.version.ok_or_else(|| no_version(path))?;
+                let value = answer.body;
+                Ok(Some(Object { version, value }))
+            }
+            StatusCode::NOT_FOUND | StatusCode::NO_CONTENT => Ok(None),
+            status => Err(refused(path, status)),
+        }
+    }
+
+    async fn read_json<T: DeserializeOwned>(&self, path: &str, req: ClientRequest) -> Result<T> {
+        let answer = self.read(path, req, Duration::ZERO).await?;
+        if answer.status != StatusCode::OK {
+            return Err(refused(path, answer.status));
+        }
+        serde_json::from_slice(&answer.body).map_err(|err| malformed(path, err))
+    }
+
+    async fn fetch_weights(&self, name: &str, req: ClientRequest) -> Result<Fetch> {
+        let answer = self.read(name, req, Duration::ZERO).await?;
+        match answer.status {
+            StatusCode::OK => Ok(Fetch::Granted),
+            StatusCode::TOO_MANY_REQUESTS => Ok(Fetch::Wait {
+                retry_after: answer.retry_after.unwrap_or(DEFAULT_RETRY_AFTER),
+            }),
+            status => Err(refused(name, status)),
+        }
+    }
+
+    /// Sends a request that may be repeated, and reads the answer whole.
+    async fn read(&self, path: &str, req: ClientRequest, wait: Duration) -> Result<Answer> {
+        let sent = req.timeout(self.timeout + wait).send().await;
+        let res = sent.map_err(|err| unavailable(path, err))?;
+        let mut res = res.timeout(self.timeout);
+        let head = Answer::new(res.status(), res.headers());
+        if is_outage(head.status) {
+            return Err(unavailable(path, head.status));
+        }
+        let body = res.body().limit(ANSWER_MAX_BYTES).await;
+        let body = body.map_err(|err| unavailable(path, err))?;
+        Ok(Answer { body, ..head })
+    }
+
+    async fn write(
+        &self,
+        path: &str,
+        req: ClientRequest,
+        value: Bytes,
+    ) -> Result<(StatusCode, Option<Version>)> {
+        let res = match req.send_body(value).await {
+            Ok(res) => res,
+            Err(err) if never_sent(&err) => return Err(unavailable(path, err)),
+            Err(err) => return Err(answer_lost(path, err)),
+        };
+        let answer = Answer::new(res.status(), res.headers());
+        match answer.status {
+            StatusCode::CONFLICT => Err(Error::Conflict {
+                path: path.into(),
+                version: answer.version.unwrap_or_default(),
+            }),
+            StatusCode::SERVICE_UNAVAILABLE => Err(unavailable(path, answer.status)),
+            status if status.is_server_error() => Err(answer_lost(path, status)),
+            status if status.is_success() => Ok((status, answer.version)),
+            StatusCode::NOT_FOUND => Ok((answer.status, None)),
+            status => Err(refused(path, status)),
+        }
+    }
+}
+
+impl Condition {
+    fn apply(self, req: ClientRequest) -> ClientRequest {
+        match self {
+            Condition::Always => req,
+            Condition::Version(version) => {
+                req.insert_header((CONDITION_HEADER, version.to_string()))
+            }
+        }
+    }
+}
+
+/// What is kept of an answer.
+struct Answer {
+    status: StatusCode,
+    version: Option<Version>,
+    retry_after: Option<Millis>,
+    body: Bytes,
+}
+
+impl Answer {
+    fn new(status: StatusCode, headers: &header::HeaderMap) -> Self {
+        let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
+        let secs = text("Retry-After").and_then(|v| v.parse::<u64>().ok());
+        Answer {
+            status,
+            version: text(VERSION_HEADER).and_then(|v| v.parse().ok()),
+            retry_after: secs.map(|s| Millis(s.saturating_mul(1_000))),
+            body: Bytes::new(),
+        }
+    }
+}
+
+fn is_outage(status: StatusCode) -> bool {
+    status.is_server_error()
+}
+
+/// Returns whether a request failed before a byte of it was sent.
+///
+/// A connection that closes before the answer is reported as
+/// [`ConnectError::Disconnected`], so that one does not count.
+fn never_sent(err: &SendRequestError) -> bool {
+    match err {
+        SendRequestError::Url(_) => true,
+        SendRequestError::Connect(err) => !matches!(err, ConnectError::Disconnected),
+        _ => false,
+    }
+}
+
+fn counted<T>(call: &'static str, result: Result<T>) -> Result<T> {
+    let outcome = result.as_ref().err().map_or("ok", Error::code);
+    counter!("platform_calls_total", "call" => call, "outcome" => outcome).increment(1);
+    result
+}
+
+fn unavailable(path: &str, reason: impl fmt::Display) -> Error {
+    Error::Unavailable {
+        path: path.into(),
+        reason: smol_str::format_smolstr!("{reason}"),
+    }
+}
+
+fn answer_lost(path: &str, reason: impl fmt::Display) -> Error {
+    Error::AnswerLost {
+        path: path.into(),
+        reason: smol_str::format_smolstr!("{reason}"),
+    }
+}
+
+fn malformed(path: &str, reason: impl fmt::Display) -> Error {
+    Error::Malformed {
+        path: path.into(),
+        reason: smol_str::format_smolstr!("{reason}"),
+    }
+}
+
+fn no_version(path: &str) -> Error {
+    malformed(path, "no Object-Version")
+}
+
+fn refused(path: &str, status: StatusCode) -> Error {
+    Error::Refused {
+        path: path.into(),
+        status: status.as_u16(),
+    }
+}
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod error;
 pub mod id;
 pub mod outcome;
+pub mod parts;
 pub mod tier;
 pub mod unit;
 
