--- a/crates/sesamehaven-daemons/src/lib.rs
+++ b/crates/sesamehaven-daemons/src/lib.rs
@@ -9,3 +9,7 @@
 pub mod logs;
 pub mod ports;
 pub mod settings;
+//! sesamehaven-daemons
+
+pub mod feed;
+pub mod platform;
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod flight;
 pub mod id;
 pub mod outcome;
+pub mod parts;
 pub mod tier;
 pub mod unit;
 
