Add stand-ins of the platform, a model engine and a plain service

Tests and measurements need the outer interfaces answered by processes that keep records. The engine computes its whole batch in one step every few milliseconds, since a timer for each token would cost more than the daemons under test. A call with a lost answer closes its connection before the head is sent, by a body that fails at once; an ordinary error answer would have told the caller what happened.

--- a/crates/sesamehaven-standins/src/lib.rs
+++ b/crates/sesamehaven-standins/src/lib.rs
@@ -1,1 +1,22 @@
-//! sesamehaven-standins
+//! Stand-ins and tools for tests, demonstrations and measurements.
+//!
+//! The stand-ins take the place of what sesamehaven meets at its edges: the
+//! platform, model engines and plain services. They answer as in
+//! [`docs/INTERFACES.md`](../../../docs/INTERFACES.md), keep records of what
+//! they did and fail on demand. They are described in
+//! [`docs/STANDINS.md`](../../../docs/STANDINS.md). No product crate depends
+//! on this one.
+
+pub mod abort;
+pub mod batch;
+pub mod completion;
+pub mod engine;
+pub mod engine_routes;
+pub mod error;
+pub mod objects;
+pub mod platform;
+pub mod record;
+pub mod server;
+pub mod service;
+
+pub use crate::error::{Error, Result};
