--- /dev/null
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -0,0 +1,759 @@
+//! The agent: the only gate to the endpoints of its VM.
+//!
+//! One actor holds all requests of the agent. It asks the gate of each endpoint
+//! what to accept and what to dispatch, runs the calls, and lets entries read
+//! the answers.
+
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use actix::prelude::*;
+use awc::Client;
+use metrics::{counter, gauge};
+use serde_json::json;
+use spdlog::{info, warn};
+use tokio::sync::{mpsc, oneshot};
+
+use sesamehaven::config::{Endpoint, Index, PoolKind, Repeat};
+use sesamehaven::fair::OrganisationDigest;
+use sesamehaven::gate::{Ended, Gate, GateConfig, Step, Verdict, Withdrawal, Work};
+use sesamehaven::id::{EndpointName, Generation, Incarnation, PoolName, RequestId};
+use sesamehaven::outcome::{Refusal, Refused};
+use sesamehaven::unit::{Instant, Millis};
+use sesamehaven_wire::link::{Link, LinkConfig, Sender};
+use sesamehaven_wire::message::{End, Frame, Load, Offer, Report, ToAgent, ToEntry};
+
+use crate::admin::Status;
+use crate::call::{Call, CallEnd, CallEvent, Progress};
+use crate::clock;
+use crate::peer::{self, LinkEvent, LinkId};
+use crate::run::{Reader, Run};
+use crate::settings::AgentSettings;
+
+/// How often gates are polled although nothing happened.
+const TICK: Duration = Duration::from_millis(10);
+/// How often the status and the retention of answers are looked after.
+const SWEEP: Duration = Duration::from_millis(250);
+/// How long work goes on for an entry whose link was lost.
+const ORPHAN_GRACE: Millis = Millis(5_000);
+/// How long a refused resumption is remembered, so that a late offer is refused as well.
+const TOMBSTONE_RETENTION: Millis = Millis(600_000);
+/// When to come back to an endpoint that is not there.
+const ABSENT_RETRY_AFTER: Millis = Millis(1_000);
+/// The pause between two tries to connect to an endpoint that does not answer.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// One endpoint with its gate.
+struct Door {
+    endpoint: Endpoint,
+    pool: PoolName,
+    kind: PoolKind,
+    gate: Gate,
+    healthy: bool,
+}
+
+/// The actor that holds the agent's state.
+pub struct Agent {
+    settings: Arc<AgentSettings>,
+    incarnation: Incarnation,
+    links_cfg: LinkConfig,
+    client: Client,
+    status: Status,
+    reports: mpsc::Sender<Report>,
+    index: Arc<Index>,
+    doors: BTreeMap<EndpointName, Door>,
+    runs: HashMap<RequestId, Run>,
+    links: HashMap<LinkId, Sender>,
+    tombstones: HashMap<RequestId, Instant>,
+    next_link: u64,
+    report_seq: u64,
+    leaving: bool,
+    link_address: std::net::SocketAddr,
+}
+
+/// A link that an entry has opened.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct LinkUp(pub Link);
+
+/// A configuration that is to be in force from now on.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Reconfigure(pub Arc<Index>);
+
+/// An endpoint that answered a probe after it had been found unhealthy.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct Recovered(EndpointName);
+
+/// Asks the agent to refuse new work and hand back what is queued.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Leave;
+
+/// Asks whether anything is still in flight.
+#[derive(Message)]
+#[rtype(result = "usize")]
+pub struct InFlight;
+
+impl Agent {
+    /// Builds an agent without a configuration.
+    pub fn new(
+        settings: Arc<AgentSettings>,
+        links_cfg: LinkConfig,
+        link_address: std::net::SocketAddr,
+        client: Client,
+        status: Status,
+        reports: mpsc::Sender<Report>,
+    ) -> Self {
+        Agent {
+            incarnation: links_cfg.me.incarnation,
+            settings,
+            links_cfg,
+            client,
+            status,
+            reports,
+            index: Arc::default(),
+            doors: BTreeMap::new(),
+            runs: HashMap::new(),
+            links: HashMap::new(),
+            tombstones: HashMap::new(),
+            next_link: 0,
+            report_seq: 0,
+            leaving: false,
+            link_address,
+        }
+    }
+
+    fn on_frame(&mut self, link: LinkId, frame: Frame, cx: &mut Context<Self>) {
+        let Frame::Request(id, msg) = frame else {
+            return;
+        };
+        let now = clock::now();
+        match msg {
+            ToAgent::Offer(offer) => self.on_offer(link, id, offer, now, cx),
+            ToAgent::Withdraw => self.on_withdraw(link, id, now),
+            ToAgent::Cancel => self.on_cancel(link, id, now),
+            ToAgent::Credit { acked, upto } => self.on_credit(link, id, acked, upto),
+            ToAgent::Resume { next, upto } => self.on_resume(link, id, next, upto, now),
+        }
+    }
+
+    fn on_offer(
+        &mut self,
+        link: LinkId,
+        id: RequestId,
+        offer: Box<Offer>,
+        now: Instant,
+        cx: &mut Context<Self>,
+    ) {
+        counter!("agent_offers_total").increment(1);
+        let Some(tx) = self.links.get(&link).cloned() else {
+            return;
+        };
+        if self.tombstones.contains_key(&id) {
+            return self.reply(link, id, ToEntry::Unheard);
+        }
+        let upto = offer.upto;
+        if self.runs.contains_key(&id) {
+            return self.on_resume(link, id, 0, upto, now);
+        }
+        let Some(door) = self.doors.get_mut(&offer.endpoint) else {
+            let refused = absent(Refusal::Unavailable);
+            return self.reply(link, id, ToEntry::Refused(refused));
+        };
+        let class = self.index.class(&offer.class);
+        let repeat = class.map_or(Repeat::AtMostOnce, |class| class.repeat);
+        let work = work_of(id, &offer, repeat, now);
+        let name = door.endpoint.name.clone();
+        let verdict = door.gate.offer(work, now);
+        let kind = door.kind;
+        let (first_token, evicted) = match verdict {
+            Verdict::Accepted {
+                first_token,
+                evicted,
+            } => (first_token, evicted),
+            Verdict::Refused(refused) => {
+                count_refusal(refused.reason);
+                return self.reply(link, id, ToEntry::Refused(refused));
+            }
+        };
+        let reader = Reader::new(link, tx, 0, upto);
+        let max_bytes = self.settings.limits.answer_buffer.len();
+        let mut run = Run::new(offer, kind, max_bytes, reader);
+        run.runs_on = kind == PoolKind::Service && repeat != Repeat::Idempotent;
+        run.tell(id, &ToEntry::Accepted { first_token });
+        self.runs.insert(id, run);
+        for (evicted, refused) in evicted {
+            counter!("agent_evictions_total").increment(1);
+            self.hand_back(evicted, refused);
+        }
+        self.poll(&name, now, cx);
+    }
+
+    fn on_withdraw(&mut self, link: LinkId, id: RequestId, now: Instant) {
+        let reply = match self.withdraw(id, now) {
+            Withdrawal::Withdrawn => ToEntry::Withdrawn,
+            Withdrawal::AlreadyDispatched => ToEntry::AlreadyDispatched,
+            Withdrawal::Unknown => {
+                self.tombstones.insert(id, now);
+                ToEntry::Unheard
+            }
+        };
+        self.reply(link, id, reply);
+    }
+
+    /// Takes a request out of its queue, and forgets it if that succeeded.
+    fn withdraw(&mut self, id: RequestId, now: Instant) -> Withdrawal {
+        let Some(run) = self.runs.get(&id) else {
+            return Withdrawal::Unknown;
+        };
+        if run.is_dispatched() {
+            return Withdrawal::AlreadyDispatched;
+        }
+        if let Some(door) = self.doors.get_mut(&run.endpoint) {
+            door.gate.withdraw(id, now);
+        }
+        self.runs.remove(&id);
+        self.tombstones.insert(id, now);
+        Withdrawal::Withdrawn
+    }
+
+    fn on_cancel(&mut self, link: LinkId, id: RequestId, now: Instant) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        run.detach(link);
+        if !run.is_unread() {
+            return;
+        }
+        if run.is_dispatched() {
+            run.give_up_at = Some(now.after(self.settings.limits.cancel_grace));
+            return;
+        }
+        count_refusal(Refusal::Abandoned);
+        self.withdraw(id, now);
+    }
+
+    fn on_credit(&mut self, link: LinkId, id: RequestId, acked: u64, upto: u64) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        run.credit(link, acked, upto);
+        run.pump(id);
+        if run.is_delivered() && run.key.is_none() {
+            self.runs.remove(&id);
+        }
+    }
+
+    fn on_resume(&mut self, link: LinkId, id: RequestId, next: u64, upto: u64, now: Instant) {
+        counter!("agent_resumes_total").increment(1);
+        let Some(tx) = self.links.get(&link).cloned() else {
+            return;
+        };
+        let Some(run) = self.runs.get_mut(&id) else {
+            self.tombstones.insert(id, now);
+            return self.reply(link, id, ToEntry::Unheard);
+        };
+        run.attach(Reader::new(link, tx, next, upto));
+        let reply = match run.is_dispatched() {
+            true => ToEntry::AlreadyDispatched,
+            false => ToEntry::Accepted {
+                first_token: Millis(0),
+            },
+        };
+        run.pump(id);
+        self.reply(link, id, reply);
+    }
+
+    /// Gives an undispatched request back to its entry.
+    fn hand_back(&mut self, id: RequestId, refused: Refused) {
+        count_refusal(refused.reason);
+        if let Some(run) = self.runs.remove(&id) {
+            run.tell(id, &ToEntry::Refused(refused));
+        }
+    }
+
+    fn reply(&self, link: LinkId, id: RequestId, reply: ToEntry) {
+        let Some(tx) = self.links.get(&link) else {
+            return;
+        };
+        if tx.try_send(Frame::Reply(id, reply)).is_err() {
+            counter!("agent_replies_lost_total").increment(1);
+        }
+    }
+
+    /// Does what the gate of an endpoint asks for.
+    fn poll(&mut self, name: &EndpointName, now: Instant, cx: &mut Context<Self>) {
+        loop {
+            let Some(door) = self.doors.get_mut(name) else {
+                return;
+            };
+            let steps = door.gate.poll(now);
+            if steps.is_empty() {
+                return;
+            }
+            for step in steps {
+                match step {
+                    Step::Dispatch(id) => self.dispatch(id, now, cx),
+                    Step::Refuse(id, refused) => self.hand_back(id, refused),
+                    Step::Cancel(id) => self.cancel(id),
+                }
+            }
+        }
+    }
+
+    fn dispatch(&mut self, id: RequestId, now: Instant, cx: &mut Context<Self>) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return self.end_in_gate_of_none(id, now);
+        };
+        let Some(door) = self.doors.get(&run.endpoint) else {
+            return;
+        };
+        let Some(offer) = run.offer.take() else {
+            return;
+        };
+        counter!("agent_dispatches_total").increment(1);
+        run.set_dispatched();
+        run.tell(id, &ToEntry::Dispatched { endpoint: run.endpoint.clone() });
+        let class = self.index.class(&offer.class);
+        let (tx, rx) = oneshot::channel();
+        run.cancel = Some(tx);
+        let call = Call {
+            id,
+            endpoint: door.endpoint.clone(),
+            idle: class.map_or(Millis(30_000), |class| class.idle),
+            offer,
+            pace: Rc::clone(&run.pace),
+            cancel: rx,
+        };
+        actix_rt::spawn(call.run(self.client.clone(), cx.address()));
+    }
+
+    /// Settles a gate that still counts a request which is not held any more.
+    fn end_in_gate_of_none(&mut self, id: RequestId, now: Instant) {
+        for door in self.doors.values_mut() {
+            door.gate.on_end(id, Ended::Cancelled, now);
+        }
+    }
+
+    fn cancel(&mut self, id: RequestId) {
+        counter!("agent_cancels_total").increment(1);
+        let cancel = self.runs.get_mut(&id).and_then(|run| run.cancel.take());
+        if let Some(cancel) = cancel {
+            // A call that is over has nobody left to tell.
+            let _ = cancel.send(());
+        }
+    }
+
+    fn on_progress(&mut self, id: RequestId, what: Progress, cx: &mut Context<Self>) {
+        let now = clock::now();
+        match what {
+            Progress::Head(head, events) => {
+                let Some(run) = self.runs.get_mut(&id) else {
+                    return;
+                };
+                run.events = events;
+                run.set_head(head);
+                run.pump(id);
+            }
+            Progress::Piece(piece) => self.on_piece(id, piece, now),
+            Progress::Ended(end) => self.on_call_end(id, end, now, cx),
+        }
+    }
+
+    fn on_piece(&mut self, id: RequestId, piece: bytes::Bytes, now: Instant) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        if let (true, Some(door)) = (run.events, self.doors.get_mut(&run.endpoint)) {
+            let tokens = count_events(&piece);
+            if !run.begun {
+                door.gate.on_first_token(id, now);
+            }
+            door.gate.on_tokens(id, tokens, now);
+            counter!("agent_tokens_total").increment(u64::from(tokens));
+        }
+        run.push(piece);
+        run.pump(id);
+    }
+
+    fn on_call_end(&mut self, id: RequestId, end: CallEnd, now: Instant, cx: &mut Context<Self>) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return self.end_in_gate_of_none(id, now);
+        };
+        let name = run.endpoint.clone();
+        let (ended, told) = match end {
+            CallEnd::Whole => (Ended::Whole, End::Whole),
+            CallEnd::Broken | CallEnd::NotSent => (Ended::Broken, End::Broken),
+            CallEnd::Stalled => (Ended::Stalled, End::Stalled),
+            CallEnd::Cancelled => (Ended::Cancelled, End::Cancelled),
+        };
+        counter!("agent_calls_total", "end" => end_label(told)).increment(1);
+        if let Some(door) = self.doors.get_mut(&name) {
+            door.gate.on_end(id, ended, now);
+        }
+        if end == CallEnd::NotSent {
+            self.hand_back(id, absent(Refusal::Unavailable));
+            self.set_unhealthy(&name, cx);
+        } else {
+            run.set_end(told, now);
+            run.pump(id);
+            if run.is_delivered() && run.key.is_none() {
+                self.runs.remove(&id);
+            }
+        }
+        self.poll(&name, now, cx);
+    }
+
+    /// Refuses work for an endpoint until it can be connected to again.
+    fn set_unhealthy(&mut self, name: &EndpointName, cx: &mut Context<Self>) {
+        let Some(door) = self.doors.get_mut(name) else {
+            return;
+        };
+        if !door.healthy {
+            return;
+        }
+        door.healthy = false;
+        door.gate.set_health(false);
+        counter!("agent_endpoint_losses_total").increment(1);
+        warn!("endpoint {name} does not answer");
+        let address = door.endpoint.address;
+        let agent = cx.address();
+        let name = name.clone();
+        actix_rt::spawn(async move {
+            loop {
+                tokio::time::sleep(PROBE_INTERVAL).await;
+                if tokio::net::TcpStream::connect(address).await.is_ok() {
+                    return agent.do_send(Recovered(name));
+                }
+            }
+        });
+    }
+
+    fn on_link_lost(&mut self, link: LinkId) {
+        self.links.remove(&link);
+        let now = clock::now();
+        for run in self.runs.values_mut() {
+            let was_last = run.detach(link);
+            // A keyed answer may still be asked for by the same caller elsewhere.
+            let awaited = run.key.is_some() && run.is_dispatched();
+            if was_last && !awaited {
+                run.give_up_at = Some(now.after(ORPHAN_GRACE));
+            }
+        }
+    }
+
+    fn tick(&mut self, cx: &mut Context<Self>) {
+        let now = clock::now();
+        let names: Vec<_> = self.doors.keys().cloned().collect();
+        for name in names {
+            self.poll(&name, now, cx);
+        }
+    }
+
+    /// Forgets answers and tombstones that nobody will ask for, and ends orphans.
+    fn sweep(&mut self) {
+        let now = clock::now();
+        let retention = self.settings.limits.answer_retention;
+        self.runs.retain(|_, run| match run.ended {
+            Some(ended) if run.key.is_some() => now.since(ended) < retention,
+            Some(ended) => now.since(ended) < ORPHAN_GRACE,
+            None => true,
+        });
+        self.tombstones
+            .retain(|_, since| now.since(*since) < TOMBSTONE_RETENTION);
+        self.forget_over_bound();
+        for id in self.orphans(now) {
+            match self.withdraw(id, now) {
+                Withdrawal::AlreadyDispatched => self.cancel(id),
+                Withdrawal::Withdrawn => count_refusal(Refusal::Abandoned),
+                Withdrawal::Unknown => {}
+            }
+        }
+        // A link whose queue was full when something was due is tried again.
+        for (id, run) in &mut self.runs {
+            run.pump(*id);
+        }
+        self.show_status(now);
+    }
+
+    /// Forgets the oldest finished answers when all of them hold too much.
+    fn forget_over_bound(&mut self) {
+        let bound = self.settings.limits.all_answers.len();
+        let mut held: usize = self.runs.values().map(Run::held_bytes).sum();
+        gauge!("agent_answer_bytes").set(held as f64);
+        if held <= bound {
+            return;
+        }
+        let finished = self.runs.iter().filter(|(_, run)| run.is_delivered());
+        let mut finished: Vec<_> = finished.map(|(id, run)| (run.ended, *id)).collect();
+        finished.sort();
+        for (_, id) in finished {
+            if held <= bound {
+                return;
+            }
+            let Some(run) = self.runs.remove(&id) else {
+                continue;
+            };
+            held -= run.held_bytes();
+            counter!("agent_answers_forgotten_total").increment(1);
+        }
+    }
+
+    fn orphans(&self, now: Instant) -> Vec<RequestId> {
+        let is_orphan = |run: &Run| {
+            let due = run.give_up_at.is_some_and(|at| now >= at);
+            due && run.ended.is_none() && !run.runs_on
+        };
+        let orphans = self.runs.iter().filter(|(_, run)| is_orphan(run));
+        orphans.map(|(id, _)| *id).collect()
+    }
+
+    fn show_status(&self, now: Instant) {
+        let doors = self.doors.values().map(|door| {
+            let load = door.gate.load(now);
+            json!({
+                "endpoint": door.endpoint.name,
+                "pool": door.pool,
+                "healthy": door.healthy,
+                "running": load.running,
+                "queued": door.gate.queued(),
+                "limit": load.limit,
+                "prefill_rate": load.prefill_rate,
+                "decode_rate": load.decode_rate,
+            })
+        });
+        self.status.set_report(json!({
+            "role": "agent",
+            "name": self.settings.name,
+            "incarnation": self.incarnation,
+            "generation": self.index.generation,
+            "leaving": self.leaving,
+            "links": self.links.len(),
+            "requests": self.runs.len(),
+            "endpoints": doors.collect::<Vec<_>>(),
+        }));
+    }
+
+    fn report(&mut self) {
+        let now = clock::now();
+        let endpoints = self.doors.values().map(|door| load_of(door, now)).collect();
+        self.report_seq += 1;
+        let report = Report {
+            agent: self.settings.name.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            incarnation: self.incarnation,
+            seq: self.report_seq,
+            address: self.link_address,
+            generation: self.index.generation,
+            leaving: self.leaving,
+            endpoints,
+        };
+        if self.reports.try_send(report).is_err() {
+            counter!("agent_reports_skipped_total").increment(1);
+        }
+    }
+
+    fn reconfigure(&mut self, index: Arc<Index>) {
+        let now = clock::now();
+        let mut doors = BTreeMap::new();
+        for endpoint in index.endpoints_of(&self.settings.name) {
+            let Some(pool) = index.pool(&endpoint.pool) else {
+                continue;
+            };
+            let cfg = GateConfig::new(pool, endpoint);
+            let mut door = match self.doors.remove(&endpoint.name) {
+                Some(door) if door.pool == pool.name => door,
+                _ => Door {
+                    endpoint: endpoint.clone(),
+                    pool: pool.name.clone(),
+                    kind: pool.kind,
+                    gate: Gate::new(cfg.clone()),
+                    healthy: true,
+                },
+            };
+            door.gate.set_config(cfg);
+            door.endpoint = endpoint.clone();
+            doors.insert(endpoint.name.clone(), door);
+        }
+        let removed = std::mem::replace(&mut self.doors, doors);
+        for (_, mut door) in removed {
+            for (id, refused) in door.gate.leave(now) {
+                self.hand_back(id, refused);
+            }
+        }
+        let Generation(generation) = index.generation;
+        self.links_cfg.generation.store(generation, Ordering::Relaxed);
+        info!("configuration {generation} is in force");
+        self.index = index;
+        if !self.leaving {
+            self.status.set_ready();
+        }
+    }
+}
+
+fn work_of(id: RequestId, offer: &Offer, repeat: Repeat, now: Instant) -> Work {
+    Work {
+        id,
+        tier: offer.tier,
+        organisation: OrganisationDigest::of(&offer.organisation),
+        weight: offer.weight,
+        prompt: offer.prompt,
+        output: offer.output,
+        deadline: now.after(offer.remaining),
+        repeat,
+        fingerprint: offer.fingerprint,
+        suspect: false,
+    }
+}
+
+fn load_of(door: &Door, now: Instant) -> Load {
+    let load = door.gate.load(now);
+    Load {
+        endpoint: door.endpoint.name.clone(),
+        pool: door.pool.clone(),
+        healthy: door.healthy,
+        running: load.running,
+        queued: load.queued,
+        admits: load.admits,
+        prefill_rate: load.prefill_rate.0 as f32,
+        decode_rate: load.decode_rate.0 as f32,
+        limit: load.limit,
+        prefixes: bytes::Bytes::new(),
+    }
+}
+
+fn absent(reason: Refusal) -> Refused {
+    Refused {
+        reason,
+        retry_after: ABSENT_RETRY_AFTER,
+        admits: None,
+    }
+}
+
+fn count_refusal(reason: Refusal) {
+    counter!("agent_refusals_total", "reason" => reason.code()).increment(1);
+}
+
+fn end_label(end: End) -> &'static str {
+    match end {
+        End::Whole => "whole",
+        End::Broken => "broken",
+        End::Stalled => "stalled",
+        End::Cancelled => "cancelled",
+        End::Forgotten => "forgotten",
+    }
+}
+
+/// Counts the server-sent events that end in a part of a stream.
+fn count_events(piece: &[u8]) -> u32 {
+    let ends = piece.windows(2).filter(|pair| *pair == b"\n\n").count();
+    u32::try_from(ends).unwrap_or(u32::MAX)
+}
+
+impl Actor for Agent {
+    type Context = Context<Self>;
+
+    fn started(&mut self, cx: &mut Context<Self>) {
+        cx.set_mailbox_capacity(1 << 16);
+        cx.run_interval(TICK, |agent, cx| agent.tick(cx));
+        cx.run_interval(SWEEP, |agent, _| agent.sweep());
+        let interval = self.settings.limits.report_interval.duration();
+        cx.run_interval(interval, |agent, _| agent.report());
+    }
+}
+
+impl StreamHandler<LinkEvent> for Agent {
+    fn handle(&mut self, event: LinkEvent, cx: &mut Context<Self>) {
+        match event {
+            LinkEvent::Frame(link, frame) => self.on_frame(link, frame, cx),
+            LinkEvent::Lost(link) => self.on_link_lost(link),
+        }
+    }
+
+    // The agent outlives its links, which the provided method would not allow.
+    fn finished(&mut self, _: &mut Context<Self>) {}
+}
+
+impl Handler<LinkUp> for Agent {
+    type Result = ();
+
+    fn handle(&mut self, LinkUp(link): LinkUp, cx: &mut Context<Self>) {
+        self.next_link += 1;
+        let id = LinkId(self.next_link);
+        counter!("agent_links_total").increment(1);
+        if self.leaving {
+            // A link that does not take the word is closed, which says the same.
+            let _ = link.tx.try_send(Frame::Leaving);
+        }
+        self.links.insert(id, link.tx);
+        cx.add_stream(peer::events(id, link.rx));
+    }
+}
+
+impl Handler<CallEvent> for Agent {
+    type Result = ();
+
+    fn handle(&mut self, msg: CallEvent, cx: &mut Context<Self>) {
+        self.on_progress(msg.id, msg.what, cx);
+    }
+}
+
+impl Handler<Reconfigure> for Agent {
+    type Result = ();
+
+    fn handle(&mut self, Reconfigure(index): Reconfigure, _: &mut Context<Self>) {
+        self.reconfigure(index);
+    }
+}
+
+impl Handler<Recovered> for Agent {
+    type Result = ();
+
+    fn handle(&mut self, Recovered(name): Recovered, _: &mut Context<Self>) {
+        let Some(door) = self.doors.get_mut(&name) else {
+            return;
+        };
+        door.healthy = true;
+        door.gate.set_health(true);
+        info!("endpoint {name} answers again");
+    }
+}
+
+impl Handler<Leave> for Agent {
+    type Result = ();
+
+    fn handle(&mut self, _: Leave, _: &mut Context<Self>) {
+        let now = clock::now();
+        if !self.leaving {
+            info!("leaving: no new work is taken");
+        }
+        self.leaving = true;
+        self.status.set_unready("leaving");
+        let mut handed_back = Vec::new();
+        for door in self.doors.values_mut() {
+            handed_back.extend(door.gate.leave(now));
+        }
+        for (id, refused) in handed_back {
+            self.hand_back(id, refused);
+        }
+        for tx in self.links.values() {
+            // Reports and refusals say the same to an entry that misses this.
+            let _ = tx.try_send(Frame::Leaving);
+        }
+        self.report();
+    }
+}
+
+impl Handler<InFlight> for Agent {
+    type Result = usize;
+
+    fn handle(&mut self, _: InFlight, _: &mut Context<Self>) -> usize {
+        let waiting = |run: &&Run| !run.is_delivered() && (run.ended.is_none() || !run.is_unread());
+        self.runs.values().filter(waiting).count()
+    }
+}
--- /dev/null
+++ b/crates/sesamehaven-daemons/src/agent_main.rs
@@ -0,0 +1,167 @@
+//! Starts an agent, keeps it fed, and drains it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::{Actor, Addr};
+use metrics::counter;
+use spdlog::{info, warn};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+use sesamehaven_wire::link::{self, LinkConfig};
+use sesamehaven_wire::message::{Report, Role};
+use sesamehaven_wire::report::ReportSender;
+
+use crate::admin::{self, Status};
+use crate::agent::{Agent, InFlight, Leave, LinkUp, Reconfigure};
+use crate::call;
+use crate::clock;
+use crate::drain;
+use crate::feed::{Feed, FeedConfig};
+use crate::logs;
+use crate::peer;
+use crate::platform::{PLATFORM_TIMEOUT, Platform, Vm, VmState, WATCH_PAUSE, WATCH_WAIT};
+use crate::ports::Ports;
+use crate::settings::AgentSettings;
+
+/// How often the platform's list of VMs is read.
+const VMS_INTERVAL: Duration = Duration::from_secs(5);
+/// The reports that may wait to be sent.
+const REPORTS_QUEUED: usize = 4;
+
+/// Runs an agent until it has been told to stop and is drained.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound.
+pub fn run(settings: AgentSettings) -> io::Result<()> {
+    actix::System::new().block_on(serve(Arc::new(settings)))
+}
+
+async fn serve(settings: Arc<AgentSettings>) -> io::Result<()> {
+    logs::init(&settings.log).map_err(io::Error::other)?;
+    let status = Status::new("no configuration yet");
+    let recorder = admin::install_recorder()?;
+    let listener = TcpListener::bind(settings.link).await?;
+    let bound = listener.local_addr()?;
+    let (admin_addr, admin_server) = admin::serve(settings.admin, status.clone(), recorder)?;
+    actix_rt::spawn(admin_server);
+
+    let links_cfg = peer::link_config(
+        Role::Agent,
+        &settings.name,
+        &settings.data_centre,
+        clock::incarnation(),
+        settings.link_key,
+    );
+    let platform = Platform::new(settings.platform, PLATFORM_TIMEOUT);
+    let (reports, reports_rx) = mpsc::channel(REPORTS_QUEUED);
+    let sender = ReportSender::bind(local_udp(bound), links_cfg.psk.as_ref())
+        .await
+        .map_err(io::Error::other)?;
+    actix_rt::spawn(send_reports(sender, reports_rx, Arc::clone(&settings), platform.clone()));
+
+    let advertised = settings.advertise.unwrap_or(bound);
+    let agent = Agent::new(
+        Arc::clone(&settings),
+        links_cfg.clone(),
+        advertised,
+        call::client(settings.limits.connect_timeout),
+        status,
+        reports,
+    );
+    let agent = agent.start();
+    actix_rt::spawn(accept_links(listener, links_cfg, agent.clone()));
+    actix_rt::spawn(follow_configuration(platform, agent.clone()));
+    let ports = Ports {
+        admin: Some(admin_addr),
+        link: Some(bound),
+        ..Ports::default()
+    };
+    if let Some(path) = &settings.ports_file {
+        ports.write(path)?;
+    }
+    info!("agent {} accepts links on {bound}", settings.name);
+
+    drain::stop_requested().await?;
+    agent.do_send(Leave);
+    let in_flight = || async { agent.send(InFlight).await.unwrap_or(0) };
+    drain::wait_until_idle(settings.drain.longest, in_flight).await;
+    Ok(())
+}
+
+/// Picks a local address for reports that can reach what links can.
+fn local_udp(bound: SocketAddr) -> SocketAddr {
+    SocketAddr::new(bound.ip(), 0)
+}
+
+async fn accept_links(listener: TcpListener, cfg: LinkConfig, agent: Addr<Agent>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            counter!("agent_accept_failures_total").increment(1);
+            continue;
+        };
+        let cfg = cfg.clone();
+        let agent = agent.clone();
+        actix_rt::spawn(async move {
+            // The link counts the refusals of its handshake itself.
+            if let Ok(link) = link::accept(stream, &cfg).await {
+                agent.do_send(LinkUp(link));
+            }
+        });
+    }
+}
+
+async fn follow_configuration(platform: Platform, agent: Addr<Agent>) {
+    let mut rx = Feed::spawn(FeedConfig {
+        platform,
+        wait: WATCH_WAIT,
+        pause: WATCH_PAUSE,
+    });
+    while rx.changed().await.is_ok() {
+        let index = rx.borrow_and_update().clone();
+        if let Some(index) = index {
+            agent.do_send(Reconfigure(index));
+        }
+    }
+}
+
+/// Sends reports to the entries that the settings and the platform's list name.
+async fn send_reports(
+    mut sender: ReportSender,
+    mut rx: mpsc::Receiver<Report>,
+    settings: Arc<AgentSettings>,
+    platform: Platform,
+) {
+    let (listed_tx, mut listed) = tokio::sync::watch::channel(Vec::new());
+    actix_rt::spawn(async move {
+        loop {
+            // During an outage the entries that are known go on being told.
+            if let Ok(vms) = platform.vms().await {
+                listed_tx.send_replace(entries_of(&vms));
+            }
+            tokio::time::sleep(VMS_INTERVAL).await;
+        }
+    });
+    let mut peers = settings.entries.clone();
+    while let Some(mut report) = rx.recv().await {
+        if listed.has_changed().unwrap_or(false) {
+            peers.clone_from(&settings.entries);
+            peers.extend(listed.borrow_and_update().iter());
+            peers.sort();
+            peers.dedup();
+        }
+        if let Err(err) = sender.send(&mut report, &peers).await {
+            counter!("agent_report_failures_total").increment(1);
+            warn!("a report could not be sent: {err}");
+        }
+    }
+}
+
+fn entries_of(vms: &[Vm]) -> Vec<SocketAddr> {
+    let entries = vms.iter().filter(|vm| vm.role == "entry" && vm.state != VmState::Gone);
+    entries.filter_map(|vm| vm.address.parse().ok()).collect()
+}
--- /dev/null
+++ b/crates/sesamehaven-daemons/src/call.rs
@@ -0,0 +1,210 @@
+//! One call of an endpoint over HTTP, from dispatch to the end of the answer.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::{Addr, Message};
+use actix_web::http::Method;
+use awc::error::SendRequestError;
+use awc::{Client, Connector};
+use bytes::Bytes;
+use futures_util::StreamExt;
+use smol_str::{SmolStr, format_smolstr};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::timeout;
+
+use sesamehaven::config::Endpoint;
+use sesamehaven::id::RequestId;
+use sesamehaven::unit::Millis;
+use sesamehaven_wire::message::{Head, Offer};
+
+use crate::agent::Agent;
+use crate::header;
+
+/// How long an idle connection to an endpoint may be used again.
+///
+/// Short, so that a connection that went silent is seldom met by a new call.
+const KEEP_ALIVE: Duration = Duration::from_millis(1_000);
+/// The longest wait for an endpoint's answer to a cancellation.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// What ends a whole stream of server-sent events.
+const DONE: &[u8] = b"data: [DONE]";
+/// How much of the end of a stream is searched for [`DONE`], in bytes.
+const TAIL_BYTES: usize = 32;
+
+/// What a call tells the agent.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct CallEvent {
+    /// The request.
+    pub id: RequestId,
+    /// What happened.
+    pub what: Progress,
+}
+
+/// The progress of a call.
+#[derive(Debug)]
+pub enum Progress {
+    /// The head of the answer, and whether it is a stream of events.
+    Head(Head, bool),
+    /// The next part of the answer.
+    Piece(Bytes),
+    /// The call is over.
+    Ended(CallEnd),
+}
+
+/// How a call ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallEnd {
+    /// The answer is whole.
+    Whole,
+    /// The endpoint could not be connected to, so it saw nothing of the call.
+    NotSent,
+    /// The endpoint broke off.
+    Broken,
+    /// The endpoint sent nothing for longer than the class allows.
+    Stalled,
+    /// The agent cancelled the call.
+    Cancelled,
+}
+
+/// Holds a call back while its answer waits for readers.
+#[derive(Debug, Default)]
+pub struct Pace {
+    full: Cell<bool>,
+    room: Notify,
+}
+
+impl Pace {
+    /// Says whether there is room for more of the answer.
+    pub fn set_full(&self, full: bool) {
+        self.full.set(full);
+        if !full {
+            self.room.notify_one();
+        }
+    }
+
+    async fn wait(&self) {
+        while self.full.get() {
+            self.room.notified().await;
+        }
+    }
+}
+
+/// Builds the HTTP client for endpoints.
+pub fn client(connect_timeout: Millis) -> Client {
+    let connector = Connector::new()
+        .limit(0)
+        .timeout(connect_timeout.duration())
+        .conn_keep_alive(KEEP_ALIVE);
+    Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .finish()
+}
+
+/// A call that is about to start.
+pub struct Call {
+    /// The request.
+    pub id: RequestId,
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// What is sent.
+    pub offer: Box<Offer>,
+    /// The longest silence of the endpoint.
+    pub idle: Millis,
+    /// Holds the call back.
+    pub pace: Rc<Pace>,
+    /// Ends the call when the other half is used or dropped.
+    pub cancel: oneshot::Receiver<()>,
+}
+
+impl Call {
+    /// Runs the call and tells the agent of its progress, the end included.
+    pub async fn run(mut self, client: Client, agent: Addr<Agent>) {
+        let (_tx, never) = oneshot::channel();
+        let mut cancel = std::mem::replace(&mut self.cancel, never);
+        let id = self.id;
+        let address = self.endpoint.address;
+        let end = tokio::select! {
+            biased;
+            end = self.converse(&client, &agent) => end,
+            _ = &mut cancel => CallEnd::Cancelled,
+        };
+        let what = Progress::Ended(end);
+        agent.do_send(CallEvent { id, what });
+        if matches!(end, CallEnd::Cancelled | CallEnd::Stalled) {
+            let url = format_smolstr!("http://{address}/cancel/{id}");
+            let cancelled = client.post(url.as_str()).timeout(CANCEL_TIMEOUT).send();
+            // The endpoint also notices the closed connection, so the answer does not matter.
+            drop(cancelled.await);
+        }
+    }
+
+    async fn converse(&mut self, client: &Client, agent: &Addr<Agent>) -> CallEnd {
+        let idle = self.idle.duration();
+        let id = self.id;
+        let Some(sent) = self.send(client) else {
+            return CallEnd::NotSent;
+        };
+        let mut res = match timeout(idle, sent).await {
+            Ok(Ok(res)) => res,
+            Ok(Err(SendRequestError::Connect(_))) => return CallEnd::NotSent,
+            Ok(Err(_)) => return CallEnd::Broken,
+            Err(_) => return CallEnd::Stalled,
+        };
+        let events = header::is_event_stream(res.headers());
+        let head = Head {
+            status: res.status().as_u16(),
+            headers: header::to_wire(res.headers()),
+        };
+        let what = Progress::Head(head, events);
+        agent.do_send(CallEvent { id, what });
+        let mut tail = Tail::default();
+        loop {
+            self.pace.wait().await;
+            let piece = match timeout(idle, res.next()).await {
+                Ok(Some(Ok(piece))) => piece,
+                Ok(Some(Err(_))) => return CallEnd::Broken,
+                Ok(None) if events && !tail.is_done() => return CallEnd::Broken,
+                Ok(None) => return CallEnd::Whole,
+                Err(_) => return CallEnd::Stalled,
+            };
+            tail.push(&piece);
+            let what = Progress::Piece(piece);
+            agent.do_send(CallEvent { id, what });
+        }
+    }
+
+    /// Begins to send; [`None`] when the offer cannot be put into HTTP.
+    fn send(&mut self, client: &Client) -> Option<awc::SendClientRequest> {
+        let method = Method::from_bytes(self.offer.method.as_bytes()).ok()?;
+        let url: SmolStr =
+            format_smolstr!("http://{}{}", self.endpoint.address, self.offer.path);
+        let mut req = client.request(method, url.as_str());
+        for (name, value) in &self.offer.headers {
+            req = req.append_header((name.as_str(), value.as_ref()));
+        }
+        req = req.insert_header(("request-id", self.id.to_string()));
+        Some(req.send_body(std::mem::take(&mut self.offer.body)))
+    }
+}
+
+/// The end of a stream, to tell whether it was ended or cut.
+#[derive(Debug, Default)]
+struct Tail(Vec<u8>);
+
+impl Tail {
+    fn push(&mut self, piece: &[u8]) {
+        let keep = piece.len().min(TAIL_BYTES);
+        self.0.extend_from_slice(&piece[piece.len() - keep..]);
+        let excess = self.0.len().saturating_sub(TAIL_BYTES);
+        self.0.drain(..excess);
+    }
+
+    fn is_done(&self) -> bool {
+        self.0.windows(DONE.len()).any(|window| window == DONE)
+    }
+}
--- /dev/null
+++ b/crates/sesamehaven-daemons/src/entry_main.rs
@@ -0,0 +1,115 @@
+//! Starts an entry, keeps it fed, and drains it.
+
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+
+use actix::{Actor, Addr};
+use metrics::counter;
+use spdlog::info;
+
+use sesamehaven_wire::message::Role;
+use sesamehaven_wire::report::ReportReceiver;
+
+use crate::admin::{self, Status};
+use crate::clock;
+use crate::drain;
+use crate::entry::{Entry, InFlight, Leave, Reconfigure, Reported};
+use crate::feed::{Feed, FeedConfig};
+use crate::front::{self, Front};
+use crate::logs;
+use crate::peer;
+use crate::platform::{PLATFORM_TIMEOUT, Platform, WATCH_PAUSE, WATCH_WAIT};
+use crate::ports::Ports;
+use crate::settings::EntrySettings;
+
+/// Runs an entry until it has been told to stop and is drained.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound.
+pub fn run(settings: EntrySettings) -> io::Result<()> {
+    actix::System::new().block_on(serve(Arc::new(settings)))
+}
+
+async fn serve(settings: Arc<EntrySettings>) -> io::Result<()> {
+    logs::init(&settings.log).map_err(io::Error::other)?;
+    let status = Status::new("no configuration yet");
+    let recorder = admin::install_recorder()?;
+    let listener = TcpListener::bind(settings.listen)?;
+    let bound = listener.local_addr()?;
+    let (admin_addr, admin_server) = admin::serve(settings.admin, status.clone(), recorder)?;
+    actix_rt::spawn(admin_server);
+
+    let incarnation = clock::incarnation();
+    let links_cfg = peer::link_config(
+        Role::Entry,
+        &settings.name,
+        &settings.data_centre,
+        incarnation,
+        settings.link_key,
+    );
+    let reports = ReportReceiver::bind(settings.reports, links_cfg.psk.as_ref())
+        .await
+        .map_err(io::Error::other)?;
+    let udp = reports.local_addr().map_err(io::Error::other)?;
+    let entry = Entry::new(Arc::clone(&settings), links_cfg, status).start();
+    actix_rt::spawn(receive_reports(reports, entry.clone()));
+    let index = Feed::spawn(FeedConfig {
+        platform: Platform::new(settings.platform, PLATFORM_TIMEOUT),
+        wait: WATCH_WAIT,
+        pause: WATCH_PAUSE,
+    });
+    let mut changes = index.clone();
+    let follower = entry.clone();
+    actix_rt::spawn(async move {
+        while changes.changed().await.is_ok() {
+            let index = changes.borrow_and_update().clone();
+            if let Some(index) = index {
+                follower.do_send(Reconfigure(index));
+            }
+        }
+    });
+    let front = Front {
+        entry: entry.clone(),
+        index,
+        limits: settings.limits.clone(),
+        incarnation,
+        salt: rand::random(),
+        count: AtomicU32::new(0),
+    };
+    let server = front::serve(listener, Arc::new(front))?;
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    let ports = Ports {
+        http: Some(bound),
+        admin: Some(admin_addr),
+        udp: Some(udp),
+        ..Ports::default()
+    };
+    if let Some(path) = &settings.ports_file {
+        ports.write(path)?;
+    }
+    info!("entry {} serves callers on {bound}", settings.name);
+
+    drain::stop_requested().await?;
+    entry.do_send(Leave);
+    tokio::time::sleep(settings.drain.grace.duration()).await;
+    // Stops to accept at once; connections with requests in flight go on.
+    let stopping = actix_rt::spawn(handle.stop(true));
+    let in_flight = || async { entry.send(InFlight).await.unwrap_or(0) };
+    drain::wait_until_idle(settings.drain.longest, in_flight).await;
+    // Lets the last bytes of answers reach their callers.
+    drop(stopping.await);
+    Ok(())
+}
+
+async fn receive_reports(mut reports: ReportReceiver, entry: Addr<Entry>) {
+    loop {
+        match reports.recv().await {
+            Ok(report) => entry.do_send(Reported(report)),
+            Err(_) => counter!("entry_report_failures_total").increment(1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamehaven-daemons/src/header.rs
@@ -0,0 +1,42 @@
+//! Which HTTP headers pass between callers and endpoints.
+
+use actix_web::http::header::{CONTENT_TYPE, HeaderMap, HeaderName};
+use bytes::Bytes;
+
+use sesamehaven_wire::message::Headers;
+
+/// Headers that belong to one connection or to this system, not to the request.
+const NOT_PASSED: [&str; 14] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "content-length",
+    "authorization",
+    "expect",
+    "date",
+    "request-id",
+];
+
+/// Collects the headers that are passed on.
+pub fn to_wire(headers: &HeaderMap) -> Headers {
+    let passed = headers.iter().filter(|(name, _)| is_passed(name));
+    passed
+        .map(|(name, value)| (name.as_str().into(), Bytes::copy_from_slice(value.as_bytes())))
+        .collect()
+}
+
+/// Returns whether an answer is a stream of server-sent events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(CONTENT_TYPE);
+    content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+}
+
+fn is_passed(name: &HeaderName) -> bool {
+    !NOT_PASSED.contains(&name.as_str())
+}
--- /dev/null
+++ b/crates/sesamehaven-daemons/src/intake.rs
@@ -0,0 +1,320 @@
+//! What a caller asks for, read from HTTP and checked against the configuration.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use actix_web::HttpRequest;
+use actix_web::http::StatusCode;
+use actix_web::http::header::AUTHORIZATION;
+use actix_web::web::Payload;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use serde::Deserialize;
+use serde::de::IgnoredAny;
+use smol_str::{SmolStr, format_smolstr};
+
+use sesamehaven::config::{Class, Contract, Index, Organisation, Pool, PoolKind};
+use sesamehaven::id::{ClassName, Digest, KeyDigest, PoolName};
+use sesamehaven::unit::{Millis, Tokens};
+
+use crate::caller::Job;
+use crate::clock;
+use crate::header;
+use crate::reply::BadRequest;
+
+/// The result of reading a request.
+pub type Result<T> = std::result::Result<T, BadRequest>;
+
+/// The longest time that a caller may ask for.
+const TIMEOUT_MAX: Millis = Millis(24 * 3_600_000);
+/// The longest idempotency key, in characters.
+const KEY_MAX_CHARS: usize = 255;
+/// The bytes of prompt text that are counted as one token.
+const BYTES_PER_TOKEN: u64 = 5;
+
+/// The part of a completions request that routing needs.
+#[derive(Debug, Deserialize)]
+struct Completion {
+    model: SmolStr,
+    #[serde(default)]
+    messages: Option<Vec<ChatMessage>>,
+    #[serde(default)]
+    prompt: Option<Text>,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    #[allow(dead_code)] // Read for its type only; the endpoint acts on it.
+    stream: Option<bool>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatMessage {
+    #[serde(default)]
+    content: Option<Text>,
+}
+
+/// Text, or a list of parts that hold text.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Text {
+    Plain(String),
+    Parts(Vec<Part>),
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Part {
+    Plain(String),
+    Typed { text: String },
+    Other(IgnoredAny),
+}
+
+impl Text {
+    fn len(&self) -> usize {
+        match self {
+            Text::Plain(text) => text.len(),
+            Text::Parts(parts) => parts.iter().map(Part::len).sum(),
+        }
+    }
+}
+
+impl Part {
+    fn len(&self) -> usize {
+        match self {
+            Part::Plain(text) | Part::Typed { text } => text.len(),
+            Part::Other(IgnoredAny) => 0,
+        }
+    }
+}
+
+/// The caller, as its key and its words name it.
+struct Party<'a> {
+    organisation: &'a Organisation,
+    contract: &'a Contract,
+    class: &'a Class,
+}
+
+/// Reads the body of a request within its bounds.
+///
+/// # Errors
+///
+/// Fails when the body is larger than `max_bytes`, or does not arrive in time.
+pub async fn read_body(mut payload: Payload, max_bytes: usize, limit: Duration) -> Result<Bytes> {
+    let read = async {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = payload.next().await {
+            let Ok(chunk) = chunk else {
+                return Err(BadRequest::new("body_broken", "the body broke off; send it whole"));
+            };
+            if body.len() + chunk.len() > max_bytes {
+                return Err(too_large(max_bytes));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    };
+    match tokio::time::timeout(limit, read).await {
+        Ok(body) => body,
+        Err(_) => {
+            let message = format_smolstr!("the body did not arrive within {limit:?}; send it faster");
+            Err(BadRequest::new("body_timeout", message).with_status(StatusCode::REQUEST_TIMEOUT))
+        }
+    }
+}
+
+fn too_large(max_bytes: usize) -> BadRequest {
+    let message = format_smolstr!("the body is over the limit of {max_bytes} bytes; send less");
+    BadRequest::new("body_too_large", message).with_status(StatusCode::PAYLOAD_TOO_LARGE)
+}
+
+/// Builds the job of a completions request.
+///
+/// # Errors
+///
+/// Fails with one message that names the field and the remedy.
+pub fn completion(index: &Index, req: &HttpRequest, body: Bytes) -> Result<Job> {
+    let party = party(index, req)?;
+    let completion: Completion = serde_json::from_slice(&body)
+        .map_err(|err| BadRequest::new("invalid_body", format_smolstr!("the body is not a completions request: {err}")))?;
+    let pool = pool(index, party.contract, &completion.model, PoolKind::Model)?;
+    let (prompt, field) = match (&completion.messages, &completion.prompt) {
+        (Some(messages), _) => (messages.iter().filter_map(|m| m.content.as_ref()).map(Text::len).sum(), "messages"),
+        (None, Some(prompt)) => (prompt.len(), "prompt"),
+        (None, None) => (0, "messages"),
+    };
+    if prompt == 0 {
+        let message = format_smolstr!("`{field}` is empty or missing; send the text to complete");
+        return Err(BadRequest::new("invalid_body", message));
+    }
+    let output = match completion.max_tokens {
+        Some(0) => return Err(BadRequest::new("invalid_body", "`max_tokens` is 0; ask for 1 or more")),
+        Some(max) => Tokens(max.min(party.class.expected_output.0)),
+        None => party.class.expected_output,
+    };
+    let prompt = Tokens((prompt as u64).div_ceil(BYTES_PER_TOKEN));
+    job(&party, pool, req, req.uri().path(), prompt, output, body)
+}
+
+/// Builds the job of a plain service's call.
+///
+/// # Errors
+///
+/// Fails with one message that names the field and the remedy.
+pub fn service(index: &Index, req: &HttpRequest, name: &str, tail: &str, body: Bytes) -> Result<Job> {
+    let party = party(index, req)?;
+    let pool = pool(index, party.contract, name, PoolKind::Service)?;
+    let query = req.uri().query();
+    let path = match query {
+        Some(query) => format!("/{tail}?{query}"),
+        None => format!("/{tail}"),
+    };
+    let work = Tokens(1);
+    job(&party, pool, req, &path, work, work, body)
+}
+
+/// Lists the models that the caller may use.
+///
+/// # Errors
+///
+/// Fails when the caller is not known.
+pub fn models(index: &Index, req: &HttpRequest) -> Result<Vec<PoolName>> {
+    let party = party(index, req)?;
+    let pools = party.contract.pools.iter().filter_map(|name| index.pool(name));
+    let models = pools.filter(|pool| pool.kind == PoolKind::Model);
+    Ok(models.map(|pool| pool.name.clone()).collect())
+}
+
+fn party<'a>(index: &'a Index, req: &HttpRequest) -> Result<Party<'a>> {
+    let key = bearer(req)?;
+    let Some(organisation) = index.organisation_by_key(key) else {
+        return Err(unauthorized("the API key is not known; check `Authorization`"));
+    };
+    let Some(contract) = index.contract(&organisation.contract) else {
+        return Err(unauthorized("the organisation has no contract"));
+    };
+    let class = class(index, contract, req)?;
+    Ok(Party {
+        organisation,
+        contract,
+        class,
+    })
+}
+
+fn bearer(req: &HttpRequest) -> Result<&str> {
+    let value = req.headers().get(AUTHORIZATION);
+    let value = value.and_then(|value| value.to_str().ok());
+    let key = value.and_then(|value| value.strip_prefix("Bearer "));
+    key.ok_or_else(|| unauthorized("send `Authorization: Bearer` and the API key"))
+}
+
+fn unauthorized(message: &'static str) -> BadRequest {
+    BadRequest::new("unauthorized", message).with_status(StatusCode::UNAUTHORIZED)
+}
+
+fn class<'a>(index: &'a Index, contract: &'a Contract, req: &HttpRequest) -> Result<&'a Class> {
+    let asked = text_header(req, "work-class")?;
+    let granted = |name: &str| contract.classes.iter().find(|c| c.as_str() == name);
+    let name: Option<&ClassName> = match asked {
+        Some(asked) => granted(asked),
+        None => contract.classes.first(),
+    };
+    let class = name.and_then(|name| index.class(name));
+    class.ok_or_else(|| {
+        let classes: Vec<_> = contract.classes.iter().map(ClassName::as_str).collect();
+        let message = format_smolstr!("`Work-Class` is none of the contract's; use one of: {}", classes.join(", "));
+        BadRequest::new("unknown_class", message)
+    })
+}
+
+fn pool<'a>(index: &'a Index, contract: &Contract, name: &str, kind: PoolKind) -> Result<&'a Pool> {
+    let parsed = PoolName::from_str(name).ok();
+    let granted = parsed.filter(|name| contract.pools.contains(name));
+    let pool = granted.and_then(|name| index.pool(&name));
+    pool.filter(|pool| pool.kind == kind).ok_or_else(|| {
+        let (code, message) = match kind {
+            PoolKind::Model => ("unknown_model", format_smolstr!("`model` {name:?} is not granted; ask `GET /v1/models`")),
+            PoolKind::Service => ("unknown_service", format_smolstr!("the service {name:?} is not granted; check the path")),
+        };
+        BadRequest::new(code, message).with_status(StatusCode::NOT_FOUND)
+    })
+}
+
+fn job(
+    party: &Party<'_>,
+    pool: &Pool,
+    req: &HttpRequest,
+    path: &str,
+    prompt: Tokens,
+    output: Tokens,
+    body: Bytes,
+) -> Result<Job> {
+    let now = clock::now();
+    let class = party.class;
+    let remaining = timeout(req)?.unwrap_or(class.deadline).min(TIMEOUT_MAX);
+    let organisation = party.organisation.name.clone();
+    let key = idempotency_key(req)?.map(|key| KeyDigest::new(&organisation, key));
+    Ok(Job {
+        pool: pool.name.clone(),
+        class: class.name.clone(),
+        tier: class.tier,
+        repeat: class.repeat,
+        key,
+        deadline: now.after(remaining),
+        received: now,
+        prompt,
+        output,
+        prefixes: Default::default(),
+        weight: party.contract.limits.weight.unwrap_or(1),
+        fingerprint: fingerprint(organisation.as_str(), pool.name.as_str(), &body),
+        organisation,
+        method: req.method().as_str().into(),
+        path: path.into(),
+        headers: header::to_wire(req.headers()),
+        body,
+    })
+}
+
+fn fingerprint(organisation: &str, pool: &str, body: &[u8]) -> u64 {
+    let head = Digest::of(&[organisation.as_bytes(), b"\0", pool.as_bytes(), b"\0", body].concat());
+    let mut first = [0; 8];
+    first.copy_from_slice(&head.0[..8]);
+    u64::from_le_bytes(first)
+}
+
+fn timeout(req: &HttpRequest) -> Result<Option<Millis>> {
+    let Some(text) = text_header(req, "request-timeout")? else {
+        return Ok(None);
+    };
+    match text.parse::<f64>() {
+        Ok(secs) if secs.is_finite() && secs > 0.0 => Ok(Some(Millis((secs * 1_000.0).ceil() as u64))),
+        _ => {
+            let message = format_smolstr!("`Request-Timeout` is {text:?}; use seconds over zero, such as 2.5");
+            Err(BadRequest::new("invalid_timeout", message))
+        }
+    }
+}
+
+fn idempotency_key(req: &HttpRequest) -> Result<Option<&str>> {
+    let Some(value) = req.headers().get("idempotency-key") else {
+        return Ok(None);
+    };
+    let visible = value.as_bytes().iter().all(u8::is_ascii_graphic);
+    let key = value.to_str().ok().filter(|key| visible && !key.is_empty() && key.len() <= KEY_MAX_CHARS);
+    match key {
+        Some(key) => Ok(Some(key)),
+        None => Err(BadRequest::new("invalid_key", "`Idempotency-Key` must have 1 to 255 visible characters")),
+    }
+}
+
+fn text_header<'a>(req: &'a HttpRequest, name: &str) -> Result<Option<&'a str>> {
+    let Some(value) = req.headers().get(name) else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(text) => Ok(Some(text)),
+        Err(_) => {
+            let message = format_smolstr!("`{name}` is not text; use visible ASCII characters");
+            Err(BadRequest::new("invalid_header", message))
+        }
+    }
+}
--- a/crates/sesamehaven-daemons/src/lib.rs
+++ b/crates/sesamehaven-daemons/src/lib.rs
@@ -5,11 +5,24 @@
 //! [`agent`] stands before endpoints.
 
 pub mod admin;
+pub mod agent;
+pub mod agent_main;
+pub mod call;
+pub mod caller;
+pub mod cli;
 pub mod clock;
+pub mod drain;
+pub mod entry;
+pub mod entry_main;
+pub mod feed;
+pub mod front;
+pub mod header;
+pub mod intake;
 pub mod logs;
+pub mod peer;
+pub mod platform;
 pub mod ports;
+pub mod reply;
+pub mod run;
 pub mod settings;
-//! sesamehaven-daemons
-
-pub mod feed;
-pub mod platform;
+pub mod trace;
--- a/crates/sesamehaven-daemons/src/settings.rs
+++ b/crates/sesamehaven-daemons/src/settings.rs
@@ -11,7 +11,6 @@
 use quick_error::quick_error;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
-use smol_str::SmolStr;
 
 use sesamehaven::id::{DaemonName, DataCentreName, Digest};
 use sesamehaven::unit::{Bytes, Millis};
@@ -50,8 +49,8 @@
     pub admin: SocketAddr,
     /// Where agents' reports are received.
     pub reports: SocketAddr,
-    /// Where the platform's object API is, as `http://IP:PORT`.
-    pub platform: SmolStr,
+    /// Where the platform's object API is.
+    pub platform: SocketAddr,
     /// The pre-shared key of links and reports, as 64 hexadecimal digits.
     pub link_key: Digest,
     /// How much callers may use.
@@ -136,8 +135,8 @@
     /// Where entries receive reports; the platform's list adds to these.
     #[serde(default)]
     pub entries: Vec<SocketAddr>,
-    /// Where the platform's object API is, as `http://IP:PORT`.
-    pub platform: SmolStr,
+    /// Where the platform's object API is.
+    pub platform: SocketAddr,
     /// The pre-shared key of links and reports, as 64 hexadecimal digits.
     pub link_key: Digest,
     /// How much runs may use.
--- /dev/null
+++ b/crates/sesamehaven-daemons/src/trace.rs
@@ -0,0 +1,45 @@
+//! The trace id that a request carries from its caller to its endpoint.
+
+use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
+use bytes::Bytes;
+use smol_str::{SmolStr, format_smolstr};
+
+use sesamehaven::id::RequestId;
+use sesamehaven_wire::message::Headers;
+
+const TRACEPARENT: &str = "traceparent";
+
+/// Returns the caller's trace context, or adds a new one to the headers.
+pub fn ensure(headers: &mut Headers) -> SmolStr {
+    let given = headers.iter().position(|(name, _)| name == TRACEPARENT);
+    if let Some(i) = given {
+        let text = std::str::from_utf8(&headers[i].1).unwrap_or_default();
+        if is_valid(text) {
+            return text.into();
+        }
+        headers.remove(i);
+    }
+    let trace: u128 = rand::random::<u128>().max(1);
+    let span: u64 = rand::random::<u64>().max(1);
+    let made = format_smolstr!("00-{trace:032x}-{span:016x}-01");
+    headers.push((TRACEPARENT.into(), Bytes::copy_from_slice(made.as_bytes())));
+    made
+}
+
+/// Puts the trace context and the request's number on an answer.
+pub fn mark(headers: &mut HeaderMap, traceparent: &str, id: RequestId) {
+    if let Ok(value) = HeaderValue::from_str(traceparent) {
+        headers.insert(HeaderName::from_static(TRACEPARENT), value);
+    }
+    if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
+        headers.insert(HeaderName::from_static("request-id"), value);
+    }
+}
+
+fn is_valid(text: &str) -> bool {
+    let mut fields = text.split('-');
+    let hex = |field: Option<&str>, len: usize| {
+        field.is_some_and(|f| f.len() == len && f.bytes().all(|b| b.is_ascii_hexdigit()))
+    };
+    hex(fields.next(), 2) && hex(fields.next(), 32) && hex(fields.next(), 16) && hex(fields.next(), 2)
+}
