Decide at the gate of an endpoint and choose routes on stale reports

The daemons need the decisions before they are tuned, so this gives the gate (queue, fair shares, limit, estimates) and the route their interfaces with a first set of rules. A refusal for lack of room carries a promise: for 150 ms the gate queues nothing less urgent, so that an entry may refuse on the strength of several agents' answers without a reversal.

Ruled out: a time of validity inside the refusal, which would change the message between processes, and a level that applies to all tiers at once, which less urgent offers could prolong without end.

--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -10,8 +10,19 @@
 
 pub mod config;
 pub mod error;
+pub mod estimate;
+pub mod fair;
+pub mod forecast;
+pub mod gate;
 pub mod id;
+pub mod limit;
+pub mod offer;
 pub mod outcome;
+pub mod prefix;
+pub mod queue;
+mod replica;
+pub mod route;
+pub mod running;
 pub mod tier;
 pub mod unit;
 
--- /dev/null
+++ b/crates/sesamehaven/tests/gate.rs
@@ -0,0 +1,181 @@
+//! The gate before one endpoint, event by event.
+
+use rstest::rstest;
+
+use sesamehaven::Tier;
+use sesamehaven::config::{Objective, PoolKind, Repeat};
+use sesamehaven::fair::OrganisationDigest;
+use sesamehaven::gate::{Ended, Gate, GateConfig, PROMISE, Step, Verdict, Withdrawal, Work};
+use sesamehaven::id::RequestId;
+use sesamehaven::outcome::{Refusal, Refused};
+use sesamehaven::unit::{Instant, Millis, Tokens};
+
+fn config() -> GateConfig {
+    GateConfig {
+        kind: PoolKind::Model,
+        queue_requests: 4,
+        concurrency: 2,
+        reserve_percent: 0,
+        preempt: false,
+        urgent: Tier::MOST_URGENT,
+        objective: Objective::default(),
+    }
+}
+
+fn work(id: u128, tier: u8) -> Work {
+    Work {
+        id: RequestId(id),
+        tier: Tier::new(tier).expect("tests name tiers that exist"),
+        organisation: OrganisationDigest(1),
+        weight: 1,
+        prompt: Tokens(100),
+        output: Tokens(20),
+        deadline: Instant(1_000_000),
+        repeat: Repeat::Idempotent,
+        fingerprint: 0,
+        suspect: false,
+    }
+}
+
+fn accept(gate: &mut Gate, id: u128, tier: u8, now: Instant) -> Vec<(RequestId, Refused)> {
+    match gate.offer(work(id, tier), now) {
+        Verdict::Accepted { evicted, .. } => evicted.to_vec(),
+        Verdict::Refused(refused) => panic!("{id} was refused: {refused:?}"),
+    }
+}
+
+fn refuse(gate: &mut Gate, work: Work, now: Instant) -> Refused {
+    match gate.offer(work, now) {
+        Verdict::Refused(refused) => refused,
+        Verdict::Accepted { .. } => panic!("{} was accepted", work.id),
+    }
+}
+
+fn dispatched(gate: &mut Gate, now: Instant) -> Vec<u128> {
+    let ids = gate.poll(now).into_iter().filter_map(|step| match step {
+        Step::Dispatch(id) => Some(id.0),
+        _ => None,
+    });
+    ids.collect()
+}
+
+/// A gate whose endpoint is busy and whose queue is full of `tiers`, as 10, 11, ….
+fn busy(cfg: GateConfig, tiers: [u8; 4], now: Instant) -> Gate {
+    let mut gate = Gate::new(cfg);
+    accept(&mut gate, 1, 0, now);
+    accept(&mut gate, 2, 0, now);
+    assert_eq!(dispatched(&mut gate, now), [1, 2]);
+    for (id, tier) in (10..).zip(tiers) {
+        accept(&mut gate, id, tier, now);
+    }
+    gate
+}
+
+#[rstest]
+fn urgent_work_overtakes_what_is_queued() {
+    let now = Instant(1_000);
+    let mut gate = busy(config(), [3, 2, 0, 1], now);
+    let mut order = Vec::new();
+    let mut last = 1;
+    for _ in 0..4 {
+        gate.on_first_token(RequestId(last), now);
+        gate.on_end(RequestId(last), Ended::Whole, now);
+        let next = dispatched(&mut gate, now);
+        assert_eq!(next.len(), 1);
+        last = next[0];
+        order.push(last);
+    }
+    assert_eq!(order, [12, 13, 11, 10]);
+}
+
+#[rstest]
+fn a_full_queue_evicts_its_lowest_tier_before_it_refuses() {
+    let now = Instant(1_000);
+    let mut gate = busy(config(), [3, 2, 2, 1], now);
+    let evicted = accept(&mut gate, 20, 1, now);
+    assert_eq!(evicted[0].0, RequestId(10));
+    assert_eq!(evicted[0].1.reason, Refusal::Evicted);
+    let refused = refuse(&mut gate, work(21, 2), now);
+    assert_eq!(refused.reason, Refusal::Full);
+    assert_eq!(refused.admits, Some(Tier::new(1).unwrap()));
+}
+
+#[rstest]
+fn a_refusal_for_load_promises_that_nothing_lower_is_queued() {
+    let now = Instant(1_000);
+    let mut gate = busy(config(), [1, 1, 1, 1], now);
+    assert_eq!(refuse(&mut gate, work(20, 1), now).reason, Refusal::Full);
+    assert_eq!(gate.withdraw(RequestId(10), now), Withdrawal::Withdrawn);
+    let within = Instant(now.0 + PROMISE.0 - 1);
+    let refused = refuse(&mut gate, work(21, 2), within);
+    assert_eq!(refused.reason, Refusal::Full);
+    assert_eq!(refused.admits, Some(Tier::new(1).unwrap()));
+    accept(&mut gate, 22, 1, within);
+    gate.withdraw(RequestId(22), within);
+    accept(&mut gate, 23, 2, now.after(PROMISE));
+}
+
+#[rstest]
+fn withdrawal_tells_queued_from_dispatched_work() {
+    let now = Instant(1_000);
+    let mut gate = busy(config(), [0, 0, 0, 0], now);
+    assert_eq!(gate.withdraw(RequestId(10), now), Withdrawal::Withdrawn);
+    assert_eq!(gate.withdraw(RequestId(10), now), Withdrawal::Unknown);
+    assert_eq!(
+        gate.withdraw(RequestId(1), now),
+        Withdrawal::AlreadyDispatched
+    );
+}
+
+#[rstest]
+fn a_leaving_gate_hands_back_and_takes_nothing() {
+    let now = Instant(1_000);
+    let mut gate = busy(config(), [0, 1, 2, 3], now);
+    let handed_back = gate.leave(now);
+    assert_eq!(handed_back.len(), 4);
+    assert!(
+        handed_back
+            .iter()
+            .all(|(_, r)| r.reason == Refusal::Leaving)
+    );
+    assert_eq!(refuse(&mut gate, work(30, 0), now).reason, Refusal::Leaving);
+    assert_eq!(gate.running(), 2);
+}
+
+#[rstest]
+#[case::allowed(true)]
+#[case::not_allowed(false)]
+fn running_work_is_cancelled_only_as_a_setting(#[case] preempt: bool) {
+    let now = Instant(1_000);
+    let mut cfg = config();
+    cfg.preempt = preempt;
+    let mut gate = Gate::new(cfg);
+    accept(&mut gate, 1, 3, now);
+    accept(&mut gate, 2, 2, now);
+    assert_eq!(dispatched(&mut gate, now).len(), 2);
+    accept(&mut gate, 3, 0, now);
+    let steps = gate.poll(now);
+    assert_eq!(steps.contains(&Step::Cancel(RequestId(1))), preempt);
+    gate.on_end(RequestId(1), Ended::Cancelled, now);
+    assert_eq!(dispatched(&mut gate, now), [3]);
+}
+
+#[rstest]
+fn doomed_work_leaves_the_queue_undispatched() {
+    let now = Instant(1_000);
+    let mut gate = busy(config(), [1, 1, 1, 1], now);
+    gate.withdraw(RequestId(10), now);
+    let mut late = work(20, 0);
+    late.deadline = Instant(1_500);
+    assert!(matches!(gate.offer(late, now), Verdict::Accepted { .. }));
+    let steps = gate.poll(Instant(1_501));
+    let refused = steps.iter().find_map(|step| match step {
+        Step::Refuse(id, refused) if id.0 == 20 => Some(refused.reason),
+        _ => None,
+    });
+    assert_eq!(refused, Some(Refusal::Doomed));
+    assert!(
+        gate.next_wake(now)
+            .is_some_and(|at| at > now.after(Millis(1)))
+    );
+}
