Open links with proof and heartbeat, and send reports by UDP

Entries and agents need one connection for many requests that notices a silent peer, in either direction, within 3 s. A ping that stays without its pong counts as silence just as a peer that says nothing does, so one-way silence is found at both ends. Many queued frames go into one write. Reports that outgrow a datagram are split and count when whole.

--- a/crates/sesamehaven-wire/src/codec.rs
+++ b/crates/sesamehaven-wire/src/codec.rs
@@ -1,13 +1,17 @@
 //! Framing of messages: a length of four bytes, then postcard.
 
 use bytes::{Buf, BufMut, BytesMut};
+use postcard::ser_flavors::{Flavor, Size};
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::error::{Error, Result};
-use crate::message::Frame;
+use crate::message::{Frame, ToEntry};
 
 /// The length of the prefix that gives a frame's length, in bytes.
-const PREFIX_BYTES: usize = 4;
+pub(crate) const PREFIX_BYTES: usize = 4;
+
+/// The most that a chunk's frame adds to its data, in bytes.
+const CHUNK_OVERHEAD_BYTES: usize = 48;
 
 /// Encodes and decodes the frames of a link.
 #[derive(Debug, Clone)]
@@ -38,11 +42,8 @@
     fn encode(&mut self, frame: &Frame, buf: &mut BytesMut) -> Result<()> {
         let start = buf.len();
         buf.put_u32_le(0);
-        let body = postcard::to_extend(frame, Extender(buf));
-        let len = match body {
-            Ok(Extender(buf)) => buf.len() - start - PREFIX_BYTES,
-            Err(err) => return Err(err.into()),
-        };
+        postcard::serialize_with_flavor(frame, Appender(&mut *buf))?;
+        let len = buf.len() - start - PREFIX_BYTES;
         self.check(len)?;
         let prefix = u32::try_from(len).unwrap_or(u32::MAX).to_le_bytes();
         buf[start..start + PREFIX_BYTES].copy_from_slice(&prefix);
@@ -70,11 +71,35 @@
     }
 }
 
+/// Returns the length of a frame's body, or a little more.
+///
+/// # Errors
+///
+/// Returns an error when the frame cannot be encoded.
+pub fn encoded_len(frame: &Frame) -> Result<usize> {
+    if let Frame::Reply(_, ToEntry::Chunk { data, .. }) = frame {
+        return Ok(CHUNK_OVERHEAD_BYTES + data.len());
+    }
+    Ok(postcard::serialize_with_flavor(frame, Size::default())?)
+}
+
 /// Lets postcard append to a buffer without a copy in between.
-struct Extender<'a>(&'a mut BytesMut);
+struct Appender<'a>(&'a mut BytesMut);
+
+impl Flavor for Appender<'_> {
+    type Output = ();
 
-impl Extend<u8> for Extender<'_> {
-    fn extend<I: IntoIterator<Item = u8>>(&mut self, bytes: I) {
-        self.0.extend(bytes);
+    fn try_push(&mut self, data: u8) -> postcard::Result<()> {
+        self.0.put_u8(data);
+        Ok(())
+    }
+
+    fn try_extend(&mut self, data: &[u8]) -> postcard::Result<()> {
+        self.0.extend_from_slice(data);
+        Ok(())
+    }
+
+    fn finalize(self) -> postcard::Result<()> {
+        Ok(())
     }
 }
--- a/crates/sesamehaven-wire/src/error.rs
+++ b/crates/sesamehaven-wire/src/error.rs
@@ -38,12 +38,57 @@
         Silent {
             display("peer has gone silent")
         }
+        /// The peer sent a message that has no place at this point.
+        Unexpected {
+            display("peer sent a message out of turn")
+        }
+        /// The bytes of a frame are not those that the peer sent.
+        Forged {
+            display("frame or datagram does not carry the keyed hash of its sender")
+        }
+        /// This process left arrived frames unread for longer than the silence that a link allows.
+        Unread {
+            display("arrived frames were left unread")
+        }
+        /// The peer closed the link.
+        Closed {
+            display("peer closed the link")
+        }
+        /// This process closed the link.
+        Dropped {
+            display("this process closed the link")
+        }
     }
 }
 
 impl Error {
     /// Returns whether the peer broke the protocol, as opposed to the network.
     pub fn is_protocol(&self) -> bool {
-        !matches!(self, Error::Io(_) | Error::Silent)
+        match self {
+            Error::Malformed(_)
+            | Error::Oversized { .. }
+            | Error::Version { .. }
+            | Error::Unproved
+            | Error::Unexpected
+            | Error::Forged => true,
+            Error::Io(_) | Error::Silent | Error::Unread | Error::Closed | Error::Dropped => false,
+        }
+    }
+
+    /// Returns the word that stands for the error in counters and status pages.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Error::Io(_) => "io",
+            Error::Malformed(_) => "malformed",
+            Error::Oversized { .. } => "oversized",
+            Error::Version { .. } => "version",
+            Error::Unproved => "unproved",
+            Error::Silent => "silent",
+            Error::Unexpected => "unexpected",
+            Error::Forged => "forged",
+            Error::Unread => "unread",
+            Error::Closed => "closed",
+            Error::Dropped => "dropped",
+        }
     }
 }
--- /dev/null
+++ b/crates/sesamehaven-wire/src/handshake.rs
@@ -0,0 +1,99 @@
+//! The exchange of hellos and proofs that opens a link.
+
+use bytes::{Buf, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_util::codec::{Decoder, Encoder};
+
+use crate::auth::{self, Psk, Side};
+use crate::codec::{FrameCodec, PREFIX_BYTES};
+use crate::error::{Error, Result};
+use crate::message::{Frame, Hello, VERSION};
+
+/// The longest frame that is read from a peer before its proof, in bytes.
+const HANDSHAKE_MAX_BYTES: usize = 1_024;
+
+/// The place of `Hello` among the variants of [`Frame`] in every version.
+const HELLO_VARIANT: u32 = 0;
+
+/// Exchanges hellos and proofs; returns the peer's hello.
+///
+/// Both sides speak without waiting for the other, so a peer of another
+/// version reads this side's hello before it is refused. `buf` keeps what the
+/// peer sent after its proof.
+pub(crate) async fn exchange(
+    stream: &mut TcpStream,
+    buf: &mut BytesMut,
+    side: Side,
+    mine: &Hello,
+    psk: &Psk,
+) -> Result<Hello> {
+    send(stream, &Frame::Hello(mine.clone())).await?;
+    let hello = read_hello(stream, buf).await?;
+    // A peer that repeats this side's nonce could only reflect this side's messages.
+    if hello.nonce == mine.nonce {
+        return Err(Error::Unproved);
+    }
+    let proof = auth::prove(psk, side, mine, &hello)?;
+    send(stream, &Frame::Proof(proof)).await?;
+    let Frame::Proof(proof) = read(stream, buf).await? else {
+        return Err(Error::Unexpected);
+    };
+    auth::verify(psk, side.other(), &hello, mine, proof)?;
+    Ok(hello)
+}
+
+async fn send(stream: &mut TcpStream, frame: &Frame) -> Result<()> {
+    let mut buf = BytesMut::new();
+    FrameCodec::new(HANDSHAKE_MAX_BYTES).encode(frame, &mut buf)?;
+    stream.write_all(&buf).await?;
+    Ok(())
+}
+
+async fn read(stream: &mut TcpStream, buf: &mut BytesMut) -> Result<Frame> {
+    let mut codec = FrameCodec::new(HANDSHAKE_MAX_BYTES);
+    loop {
+        if let Some(frame) = codec.decode(buf)? {
+            return Ok(frame);
+        }
+        fill(stream, buf).await?;
+    }
+}
+
+async fn read_hello(stream: &mut TcpStream, buf: &mut BytesMut) -> Result<Hello> {
+    loop {
+        check_version(buf)?;
+        if let Some(frame) = FrameCodec::new(HANDSHAKE_MAX_BYTES).decode(buf)? {
+            let Frame::Hello(hello) = frame else {
+                return Err(Error::Unexpected);
+            };
+            return Ok(hello);
+        }
+        fill(stream, buf).await?;
+    }
+}
+
+/// Checks the version before the rest, whose layout other versions may change.
+fn check_version(buf: &[u8]) -> Result<()> {
+    let Some(mut prefix) = buf.get(..PREFIX_BYTES) else {
+        return Ok(());
+    };
+    let len = prefix.get_u32_le() as usize;
+    let Some(body) = buf.get(PREFIX_BYTES..PREFIX_BYTES + len.min(HANDSHAKE_MAX_BYTES)) else {
+        return Ok(());
+    };
+    let Ok(((variant, theirs), _)) = postcard::take_from_bytes::<(u32, u16)>(body) else {
+        return Ok(());
+    };
+    if variant == HELLO_VARIANT && theirs != VERSION {
+        return Err(Error::Version { theirs });
+    }
+    Ok(())
+}
+
+async fn fill(stream: &mut TcpStream, buf: &mut BytesMut) -> Result<()> {
+    match stream.read_buf(buf).await? {
+        0 => Err(Error::Closed),
+        _ => Ok(()),
+    }
+}
--- a/crates/sesamehaven-wire/src/lib.rs
+++ b/crates/sesamehaven-wire/src/lib.rs
@@ -5,8 +5,17 @@
 //! [`Report`](message::Report)s over UDP. The link is described in
 //! [`docs/LINK.md`](../../../docs/LINK.md).
 
+pub mod auth;
 pub mod codec;
+pub mod counter;
 pub mod error;
+mod handshake;
+pub mod link;
 pub mod message;
+mod pump;
+pub mod report;
 
+pub use crate::auth::Psk;
 pub use crate::error::{Error, Result};
+pub use crate::link::{Identity, Link, LinkConfig, Sender, accept, connect};
+pub use crate::report::{ReportReceiver, ReportSender};
