Check configurations whole, and decide their delivery in one state machine

Cause: a dangling name or an empty pool was found by the first request that met it, and each daemon followed the platform by itself, which costs calls by the number of daemons. The links get two frames for it, added at the end. Ruled out: a check in the daemons as well, since two builds could then disagree about what is in force.

--- /dev/null
+++ b/crates/sesamehaven-daemons/src/feed_shelf.rs
@@ -0,0 +1,104 @@
+//! The configuration in hand, in the form in which peers ask for it.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+
+use bytes::Bytes;
+
+use sesamehaven::delivery::Mark;
+use sesamehaven::id::{Digest, Generation};
+use sesamehaven::parts::Head;
+
+/// How many former generations are remembered, so that peers get only changes.
+const FORMER_MAX: usize = 16;
+/// How many bytes of parts go into one answer to a peer, unless one part is larger.
+const ANSWER_BYTES: usize = 256 * 1024;
+
+/// A configuration with all its parts in hand, which may be served or not.
+#[derive(Debug, Clone)]
+pub(crate) struct Candidate {
+    pub(crate) head: Head,
+    pub(crate) raw: Bytes,
+    pub(crate) parts: Vec<Bytes>,
+}
+
+impl Candidate {
+    pub(crate) fn mark(&self) -> Mark {
+        mark_of(&self.head)
+    }
+}
+
+/// Returns what tells a head from others.
+pub(crate) fn mark_of(head: &Head) -> Mark {
+    Mark {
+        generation: head.generation,
+        digest: head.digest,
+    }
+}
+
+/// One message that answers a peer.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct Answer {
+    pub(crate) head: Bytes,
+    pub(crate) parts: Vec<Bytes>,
+}
+
+/// The parts in force, and the digests of those that were.
+#[derive(Debug, Default)]
+pub(crate) struct Shelf {
+    raw: Bytes,
+    order: Vec<Digest>,
+    parts: HashMap<Digest, Bytes>,
+    former: VecDeque<(Generation, HashSet<Digest>)>,
+}
+
+impl Shelf {
+    /// Replaces the configuration in force.
+    pub(crate) fn replace(&mut self, candidate: Candidate) {
+        let Candidate { head, raw, parts } = candidate;
+        if self.former.len() == FORMER_MAX {
+            self.former.pop_front();
+        }
+        let digests = head.parts.iter().copied().collect();
+        self.former.push_back((head.generation, digests));
+        self.parts = head.parts.iter().copied().zip(parts).collect();
+        self.order = head.parts;
+        self.raw = raw;
+    }
+
+    /// Returns the bytes of a part of the configuration in force.
+    pub(crate) fn part(&self, digest: &Digest) -> Option<&Bytes> {
+        self.parts.get(digest)
+    }
+
+    /// Builds the messages for a peer that serves `generation`.
+    ///
+    /// Nothing comes of it as long as no configuration is in force.
+    pub(crate) fn answers(&self, generation: Generation) -> Vec<Answer> {
+        if self.raw.is_empty() {
+            return Vec::new();
+        }
+        let known = self.former.iter().find(|(g, _)| *g == generation);
+        let lacks = |d: &&Digest| known.is_none_or(|(_, digests)| !digests.contains(*d));
+        let lacking = self.order.iter().filter(lacks);
+        let mut answers = vec![self.answer()];
+        let mut len = 0;
+        for bytes in lacking.filter_map(|d| self.parts.get(d)) {
+            if len > 0 && len + bytes.len() > ANSWER_BYTES {
+                answers.push(self.answer());
+                len = 0;
+            }
+            len += bytes.len();
+            if let Some(answer) = answers.last_mut() {
+                answer.parts.push(bytes.clone());
+            }
+        }
+        answers
+    }
+
+    fn answer(&self) -> Answer {
+        Answer {
+            head: self.raw.clone(),
+            parts: Vec::new(),
+        }
+    }
+}
--- a/crates/sesamehaven-daemons/src/lib.rs
+++ b/crates/sesamehaven-daemons/src/lib.rs
@@ -1,4 +1,5 @@
 //! sesamehaven-daemons
 
 pub mod feed;
+mod feed_shelf;
 pub mod platform;
--- a/crates/sesamehaven-wire/src/message.rs
+++ b/crates/sesamehaven-wire/src/message.rs
@@ -79,6 +79,18 @@
     Reply(RequestId, ToEntry),
     /// The sender accepts no further offers on this link.
     Leaving,
+    /// Asks for the configuration that the receiver serves.
+    FetchConfig {
+        /// The generation that the sender serves, zero for none.
+        generation: Generation,
+    },
+    /// Answers a [`Frame::FetchConfig`]; several of them together hold what the asker lacks.
+    Config {
+        /// The head, as it is stored.
+        head: Bytes,
+        /// Some of the parts that the head names, as they are stored.
+        parts: Vec<Bytes>,
+    },
 }
 
 /// What an entry says to an agent about a request.
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -8,7 +8,10 @@
 //! The design is described in
 //! [`docs/ARCHITECTURE.md`](../../../docs/ARCHITECTURE.md).
 
+pub mod check;
+mod check_grants;
 pub mod config;
+pub mod delivery;
 pub mod error;
 pub mod id;
 pub mod outcome;
