--- a/crates/sesamehaven-daemons/src/lib.rs
+++ b/crates/sesamehaven-daemons/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod intake;
 pub mod logs;
 pub mod peer;
+mod feed_shelf;
 pub mod platform;
 pub mod ports;
 pub mod reply;
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -9,7 +9,10 @@
 //! [`docs/ARCHITECTURE.md`](../../../docs/ARCHITECTURE.md).
 
 pub mod answer;
+pub mod check;
+mod check_grants;
 pub mod config;
+pub mod delivery;
 pub mod error;
 pub mod flight;
 pub mod estimate;
