Serve a request from end to end as separate processes

Caller, entry, postcard link, agent, stand-in engine and back, streamed and not, and a plain service.

--- a/crates/sesamehaven-daemons/src/agent.rs
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -318,7 +318,12 @@
         };
         counter!("agent_dispatches_total").increment(1);
         run.set_dispatched();
-        run.tell(id, &ToEntry::Dispatched { endpoint: run.endpoint.clone() });
+        run.tell(
+            id,
+            &ToEntry::Dispatched {
+                endpoint: run.endpoint.clone(),
+            },
+        );
         let class = self.index.class(&offer.class);
         let (tx, rx) = oneshot::channel();
         run.cancel = Some(tx);
@@ -587,7 +592,9 @@
             }
         }
         let Generation(generation) = index.generation;
-        self.links_cfg.generation.store(generation, Ordering::Relaxed);
+        self.links_cfg
+            .generation
+            .store(generation, Ordering::Relaxed);
         info!("configuration {generation} is in force");
         self.index = index;
         if !self.leaving {
--- a/crates/sesamehaven-daemons/src/agent_main.rs
+++ b/crates/sesamehaven-daemons/src/agent_main.rs
@@ -11,6 +11,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
+use sesamehaven::delivery::Policy;
+use sesamehaven::id::DaemonName;
 use sesamehaven_wire::link::{self, LinkConfig};
 use sesamehaven_wire::message::{Report, Role};
 use sesamehaven_wire::report::ReportSender;
@@ -23,7 +25,7 @@
 use crate::feed::{Feed, FeedConfig};
 use crate::logs;
 use crate::peer;
-use crate::platform::{PLATFORM_TIMEOUT, Platform, Vm, VmState, WATCH_PAUSE, WATCH_WAIT};
+use crate::platform::{PLATFORM_TIMEOUT, Platform, Vm, VmState};
 use crate::ports::Ports;
 use crate::settings::AgentSettings;
 
@@ -62,7 +64,12 @@
     let sender = ReportSender::bind(local_udp(bound), links_cfg.psk.as_ref())
         .await
         .map_err(io::Error::other)?;
-    actix_rt::spawn(send_reports(sender, reports_rx, Arc::clone(&settings), platform.clone()));
+    actix_rt::spawn(send_reports(
+        sender,
+        reports_rx,
+        Arc::clone(&settings),
+        platform.clone(),
+    ));
 
     let advertised = settings.advertise.unwrap_or(bound);
     let agent = Agent::new(
@@ -75,7 +82,11 @@
     );
     let agent = agent.start();
     actix_rt::spawn(accept_links(listener, links_cfg, agent.clone()));
-    actix_rt::spawn(follow_configuration(platform, agent.clone()));
+    actix_rt::spawn(follow_configuration(
+        settings.name.clone(),
+        platform,
+        agent.clone(),
+    ));
     let ports = Ports {
         admin: Some(admin_addr),
         link: Some(bound),
@@ -115,11 +126,11 @@
     }
 }
 
-async fn follow_configuration(platform: Platform, agent: Addr<Agent>) {
+async fn follow_configuration(me: DaemonName, platform: Platform, agent: Addr<Agent>) {
     let mut rx = Feed::spawn(FeedConfig {
+        me,
         platform,
-        wait: WATCH_WAIT,
-        pause: WATCH_PAUSE,
+        policy: Policy::default(),
     });
     while rx.changed().await.is_ok() {
         let index = rx.borrow_and_update().clone();
@@ -162,6 +173,8 @@
 }
 
 fn entries_of(vms: &[Vm]) -> Vec<SocketAddr> {
-    let entries = vms.iter().filter(|vm| vm.role == "entry" && vm.state != VmState::Gone);
+    let entries = vms
+        .iter()
+        .filter(|vm| vm.role == "entry" && vm.state != VmState::Gone);
     entries.filter_map(|vm| vm.address.parse().ok()).collect()
 }
--- a/crates/sesamehaven-daemons/src/call.rs
+++ b/crates/sesamehaven-daemons/src/call.rs
@@ -181,8 +181,7 @@
     /// Begins to send; [`None`] when the offer cannot be put into HTTP.
     fn send(&mut self, client: &Client) -> Option<awc::SendClientRequest> {
         let method = Method::from_bytes(self.offer.method.as_bytes()).ok()?;
-        let url: SmolStr =
-            format_smolstr!("http://{}{}", self.endpoint.address, self.offer.path);
+        let url: SmolStr = format_smolstr!("http://{}{}", self.endpoint.address, self.offer.path);
         let mut req = client.request(method, url.as_str());
         for (name, value) in &self.offer.headers {
             req = req.append_header((name.as_str(), value.as_ref()));
--- a/crates/sesamehaven-daemons/src/entry.rs
+++ b/crates/sesamehaven-daemons/src/entry.rs
@@ -21,9 +21,9 @@
 use sesamehaven::flight::{Event, Flight, Step, Terms};
 use sesamehaven::gate::{Ended, LoadView};
 use sesamehaven::id::{DaemonName, EndpointName, Generation, Incarnation, PoolName, RequestId};
-use sesamehaven::outcome::Refused;
+use sesamehaven::outcome::{Refusal, Refused};
 use sesamehaven::route::{self, Choice, Route};
-use sesamehaven::unit::{Instant, TokenRate};
+use sesamehaven::unit::{Instant, Millis, TokenRate};
 use sesamehaven_wire::link::{self, Link, LinkConfig, Sender};
 use sesamehaven_wire::message::{End, Frame, Load, Offer, Report, ToAgent, ToEntry};
 
@@ -40,7 +40,9 @@
 /// The pause between two tries to open a link.
 const CONNECT_PAUSE: Duration = Duration::from_millis(100);
 /// How long an agent may send no report before its link is not renewed.
-const REPORT_SILENCE: sesamehaven::unit::Millis = sesamehaven::unit::Millis(10_000);
+const REPORT_SILENCE: Millis = Millis(10_000);
+/// When to come back to a pool that has no endpoint.
+const NOWHERE_RETRY_AFTER: Millis = Millis(1_000);
 
 /// Where a request is offered.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -204,7 +206,7 @@
         let route = self.routes.get(&active.job.pool);
         let choice = match route {
             Some(route) => route.choose(&active.route_job(), rand::random(), now),
-            None => Choice::Refuse(Route::new(1.0).nowhere()),
+            None => Choice::Refuse(nowhere()),
         };
         let event = match choice {
             Choice::Refuse(refused) => Event::Unroutable(refused),
@@ -213,7 +215,7 @@
                     agent: agent.clone(),
                     endpoint,
                 }),
-                None => Event::Unroutable(Route::new(1.0).nowhere()),
+                None => Event::Unroutable(nowhere()),
             },
         };
         self.drive(id, event);
@@ -543,7 +545,10 @@
 
     fn tick(&mut self) {
         let now = clock::now();
-        let due = self.active.iter().filter(|(_, a)| a.flight.wake_at() <= now);
+        let due = self
+            .active
+            .iter()
+            .filter(|(_, a)| a.flight.wake_at() <= now);
         let due: Vec<_> = due.map(|(id, _)| *id).collect();
         for id in due {
             self.drive(id, Event::Tick);
@@ -575,6 +580,7 @@
             "generation": self.index.generation,
             "leaving": self.leaving,
             "requests": self.active.len(),
+            "endpoints": self.agents_of.len(),
             "agents": agents.collect::<Vec<_>>(),
         }));
     }
@@ -617,6 +623,15 @@
     }
 }
 
+/// Refuses a request whose pool has no endpoint that this entry knows of.
+fn nowhere() -> Refused {
+    Refused {
+        reason: Refusal::Unavailable,
+        retry_after: NOWHERE_RETRY_AFTER,
+        admits: None,
+    }
+}
+
 fn view_of(load: &Load) -> LoadView {
     LoadView {
         healthy: load.healthy,
@@ -715,7 +730,9 @@
 
     fn handle(&mut self, Reconfigure(index): Reconfigure, _: &mut Context<Self>) {
         let Generation(generation) = index.generation;
-        self.links_cfg.generation.store(generation, Ordering::Relaxed);
+        self.links_cfg
+            .generation
+            .store(generation, Ordering::Relaxed);
         self.routes.retain(|pool, _| index.pool(pool).is_some());
         info!("configuration {generation} is in force");
         self.index = index;
--- a/crates/sesamehaven-daemons/src/entry_main.rs
+++ b/crates/sesamehaven-daemons/src/entry_main.rs
@@ -9,6 +9,7 @@
 use metrics::counter;
 use spdlog::info;
 
+use sesamehaven::delivery::Policy;
 use sesamehaven_wire::message::Role;
 use sesamehaven_wire::report::ReportReceiver;
 
@@ -20,7 +21,7 @@
 use crate::front::{self, Front};
 use crate::logs;
 use crate::peer;
-use crate::platform::{PLATFORM_TIMEOUT, Platform, WATCH_PAUSE, WATCH_WAIT};
+use crate::platform::{PLATFORM_TIMEOUT, Platform};
 use crate::ports::Ports;
 use crate::settings::EntrySettings;
 
@@ -57,9 +58,9 @@
     let entry = Entry::new(Arc::clone(&settings), links_cfg, status).start();
     actix_rt::spawn(receive_reports(reports, entry.clone()));
     let index = Feed::spawn(FeedConfig {
+        me: settings.name.clone(),
         platform: Platform::new(settings.platform, PLATFORM_TIMEOUT),
-        wait: WATCH_WAIT,
-        pause: WATCH_PAUSE,
+        policy: Policy::default(),
     });
     let mut changes = index.clone();
     let follower = entry.clone();
--- a/crates/sesamehaven-daemons/src/front.rs
+++ b/crates/sesamehaven-daemons/src/front.rs
@@ -95,7 +95,8 @@
 async fn service(req: HttpRequest, payload: Payload, front: Data<Front>) -> HttpResponse {
     let name = req.match_info().query("name").to_owned();
     let tail = req.match_info().query("tail").to_owned();
-    let read = |index: &Index, req: &HttpRequest, body| intake::service(index, req, &name, &tail, body);
+    let read =
+        |index: &Index, req: &HttpRequest, body| intake::service(index, req, &name, &tail, body);
     handle(&req, payload, &front, read).await
 }
 
@@ -105,7 +106,9 @@
     };
     match intake::models(&index, &req) {
         Ok(models) => {
-            let data = models.iter().map(|name| json!({ "id": name, "object": "model" }));
+            let data = models
+                .iter()
+                .map(|name| json!({ "id": name, "object": "model" }));
             let data: Vec<_> = data.collect();
             HttpResponse::Ok().json(json!({ "object": "list", "data": data }))
         }
@@ -127,7 +130,8 @@
         return unready();
     };
     let limits = &front.limits;
-    let body = intake::read_body(payload, limits.body.len(), limits.header_timeout.duration()).await;
+    let body =
+        intake::read_body(payload, limits.body.len(), limits.header_timeout.duration()).await;
     let job = body.and_then(|body| read(&index, req, body));
     let mut job = match job {
         Ok(job) => job,
--- a/crates/sesamehaven-daemons/src/header.rs
+++ b/crates/sesamehaven-daemons/src/header.rs
@@ -27,7 +27,12 @@
 pub fn to_wire(headers: &HeaderMap) -> Headers {
     let passed = headers.iter().filter(|(name, _)| is_passed(name));
     passed
-        .map(|(name, value)| (name.as_str().into(), Bytes::copy_from_slice(value.as_bytes())))
+        .map(|(name, value)| {
+            (
+                name.as_str().into(),
+                Bytes::copy_from_slice(value.as_bytes()),
+            )
+        })
         .collect()
 }
 
--- a/crates/sesamehaven-daemons/src/intake.rs
+++ b/crates/sesamehaven-daemons/src/intake.rs
@@ -104,7 +104,10 @@
         let mut body = BytesMut::new();
         while let Some(chunk) = payload.next().await {
             let Ok(chunk) = chunk else {
-                return Err(BadRequest::new("body_broken", "the body broke off; send it whole"));
+                return Err(BadRequest::new(
+                    "body_broken",
+                    "the body broke off; send it whole",
+                ));
             };
             if body.len() + chunk.len() > max_bytes {
                 return Err(too_large(max_bytes));
@@ -116,7 +119,8 @@
     match tokio::time::timeout(limit, read).await {
         Ok(body) => body,
         Err(_) => {
-            let message = format_smolstr!("the body did not arrive within {limit:?}; send it faster");
+            let message =
+                format_smolstr!("the body did not arrive within {limit:?}; send it faster");
             Err(BadRequest::new("body_timeout", message).with_status(StatusCode::REQUEST_TIMEOUT))
         }
     }
@@ -134,11 +138,22 @@
 /// Fails with one message that names the field and the remedy.
 pub fn completion(index: &Index, req: &HttpRequest, body: Bytes) -> Result<Job> {
     let party = party(index, req)?;
-    let completion: Completion = serde_json::from_slice(&body)
-        .map_err(|err| BadRequest::new("invalid_body", format_smolstr!("the body is not a completions request: {err}")))?;
+    let completion: Completion = serde_json::from_slice(&body).map_err(|err| {
+        BadRequest::new(
+            "invalid_body",
+            format_smolstr!("the body is not a completions request: {err}"),
+        )
+    })?;
     let pool = pool(index, party.contract, &completion.model, PoolKind::Model)?;
     let (prompt, field) = match (&completion.messages, &completion.prompt) {
-        (Some(messages), _) => (messages.iter().filter_map(|m| m.content.as_ref()).map(Text::len).sum(), "messages"),
+        (Some(messages), _) => (
+            messages
+                .iter()
+                .filter_map(|m| m.content.as_ref())
+                .map(Text::len)
+                .sum(),
+            "messages",
+        ),
         (None, Some(prompt)) => (prompt.len(), "prompt"),
         (None, None) => (0, "messages"),
     };
@@ -147,7 +162,12 @@
         return Err(BadRequest::new("invalid_body", message));
     }
     let output = match completion.max_tokens {
-        Some(0) => return Err(BadRequest::new("invalid_body", "`max_tokens` is 0; ask for 1 or more")),
+        Some(0) => {
+            return Err(BadRequest::new(
+                "invalid_body",
+                "`max_tokens` is 0; ask for 1 or more",
+            ));
+        }
         Some(max) => Tokens(max.min(party.class.expected_output.0)),
         None => party.class.expected_output,
     };
@@ -160,7 +180,13 @@
 /// # Errors
 ///
 /// Fails with one message that names the field and the remedy.
-pub fn service(index: &Index, req: &HttpRequest, name: &str, tail: &str, body: Bytes) -> Result<Job> {
+pub fn service(
+    index: &Index,
+    req: &HttpRequest,
+    name: &str,
+    tail: &str,
+    body: Bytes,
+) -> Result<Job> {
     let party = party(index, req)?;
     let pool = pool(index, party.contract, name, PoolKind::Service)?;
     let query = req.uri().query();
@@ -179,7 +205,11 @@
 /// Fails when the caller is not known.
 pub fn models(index: &Index, req: &HttpRequest) -> Result<Vec<PoolName>> {
     let party = party(index, req)?;
-    let pools = party.contract.pools.iter().filter_map(|name| index.pool(name));
+    let pools = party
+        .contract
+        .pools
+        .iter()
+        .filter_map(|name| index.pool(name));
     let models = pools.filter(|pool| pool.kind == PoolKind::Model);
     Ok(models.map(|pool| pool.name.clone()).collect())
 }
@@ -187,7 +217,9 @@
 fn party<'a>(index: &'a Index, req: &HttpRequest) -> Result<Party<'a>> {
     let key = bearer(req)?;
     let Some(organisation) = index.organisation_by_key(key) else {
-        return Err(unauthorized("the API key is not known; check `Authorization`"));
+        return Err(unauthorized(
+            "the API key is not known; check `Authorization`",
+        ));
     };
     let Some(contract) = index.contract(&organisation.contract) else {
         return Err(unauthorized("the organisation has no contract"));
@@ -221,7 +253,10 @@
     let class = name.and_then(|name| index.class(name));
     class.ok_or_else(|| {
         let classes: Vec<_> = contract.classes.iter().map(ClassName::as_str).collect();
-        let message = format_smolstr!("`Work-Class` is none of the contract's; use one of: {}", classes.join(", "));
+        let message = format_smolstr!(
+            "`Work-Class` is none of the contract's; use one of: {}",
+            classes.join(", ")
+        );
         BadRequest::new("unknown_class", message)
     })
 }
@@ -232,8 +267,14 @@
     let pool = granted.and_then(|name| index.pool(&name));
     pool.filter(|pool| pool.kind == kind).ok_or_else(|| {
         let (code, message) = match kind {
-            PoolKind::Model => ("unknown_model", format_smolstr!("`model` {name:?} is not granted; ask `GET /v1/models`")),
-            PoolKind::Service => ("unknown_service", format_smolstr!("the service {name:?} is not granted; check the path")),
+            PoolKind::Model => (
+                "unknown_model",
+                format_smolstr!("`model` {name:?} is not granted; ask `GET /v1/models`"),
+            ),
+            PoolKind::Service => (
+                "unknown_service",
+                format_smolstr!("the service {name:?} is not granted; check the path"),
+            ),
         };
         BadRequest::new(code, message).with_status(StatusCode::NOT_FOUND)
     })
@@ -286,9 +327,13 @@
         return Ok(None);
     };
     match text.parse::<f64>() {
-        Ok(secs) if secs.is_finite() && secs > 0.0 => Ok(Some(Millis((secs * 1_000.0).ceil() as u64))),
+        Ok(secs) if secs.is_finite() && secs > 0.0 => {
+            Ok(Some(Millis((secs * 1_000.0).ceil() as u64)))
+        }
         _ => {
-            let message = format_smolstr!("`Request-Timeout` is {text:?}; use seconds over zero, such as 2.5");
+            let message = format_smolstr!(
+                "`Request-Timeout` is {text:?}; use seconds over zero, such as 2.5"
+            );
             Err(BadRequest::new("invalid_timeout", message))
         }
     }
@@ -299,10 +344,16 @@
         return Ok(None);
     };
     let visible = value.as_bytes().iter().all(u8::is_ascii_graphic);
-    let key = value.to_str().ok().filter(|key| visible && !key.is_empty() && key.len() <= KEY_MAX_CHARS);
+    let key = value
+        .to_str()
+        .ok()
+        .filter(|key| visible && !key.is_empty() && key.len() <= KEY_MAX_CHARS);
     match key {
         Some(key) => Ok(Some(key)),
-        None => Err(BadRequest::new("invalid_key", "`Idempotency-Key` must have 1 to 255 visible characters")),
+        None => Err(BadRequest::new(
+            "invalid_key",
+            "`Idempotency-Key` must have 1 to 255 visible characters",
+        )),
     }
 }
 
--- a/crates/sesamehaven-daemons/src/platform.rs
+++ b/crates/sesamehaven-daemons/src/platform.rs
@@ -32,10 +32,6 @@
 
 /// The longest wait for the platform's answer.
 pub const PLATFORM_TIMEOUT: Millis = Millis(3_000);
-/// How long one watch of the configuration waits.
-pub const WATCH_WAIT: Millis = Millis(20_000);
-/// The pause after the platform failed to answer.
-pub const WATCH_PAUSE: Millis = Millis(200);
 
 /// The result of calls of the platform.
 pub type Result<T> = std::result::Result<T, Error>;
--- a/crates/sesamehaven-daemons/src/reply.rs
+++ b/crates/sesamehaven-daemons/src/reply.rs
@@ -71,7 +71,13 @@
         false => StatusCode::BAD_GATEWAY,
     };
     let message = message_of(doubt);
-    error_response(status, doubt.code(), &message, "unknown", Some(UNKNOWN_RETRY_AFTER))
+    error_response(
+        status,
+        doubt.code(),
+        &message,
+        "unknown",
+        Some(UNKNOWN_RETRY_AFTER),
+    )
 }
 
 /// Builds the last event of a stream that broke off.
--- a/crates/sesamehaven-daemons/src/trace.rs
+++ b/crates/sesamehaven-daemons/src/trace.rs
@@ -41,5 +41,8 @@
     let hex = |field: Option<&str>, len: usize| {
         field.is_some_and(|f| f.len() == len && f.bytes().all(|b| b.is_ascii_hexdigit()))
     };
-    hex(fields.next(), 2) && hex(fields.next(), 32) && hex(fields.next(), 16) && hex(fields.next(), 2)
+    hex(fields.next(), 2)
+        && hex(fields.next(), 32)
+        && hex(fields.next(), 16)
+        && hex(fields.next(), 2)
 }
--- a/crates/sesamehaven-system-tests/src/fleet.rs
+++ b/crates/sesamehaven-system-tests/src/fleet.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use serde_json::Value;
 use smol_str::SmolStr;
 
 use sesamehaven::config::{Configuration, PoolKind};
@@ -317,6 +318,21 @@
         }
     }
 
+    /// Waits until an entry can offer work to as many endpoints.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that takes too long.
+    pub async fn serving(&self, entry: &str, endpoints: u64) -> Result<()> {
+        let admin = self.daemon(entry).admin();
+        wait::until("an entry with all endpoints", || async {
+            let status = self.http.get_json::<Value>(admin, "/status").await;
+            let known = status.ok()?["endpoints"].as_u64()?;
+            (known == endpoints).then_some(())
+        })
+        .await
+    }
+
     /// Waits until `/readyz` of each started daemon answers 200.
     ///
     /// # Errors
--- a/crates/sesamehaven-system-tests/src/settings.rs
+++ b/crates/sesamehaven-system-tests/src/settings.rs
@@ -85,7 +85,7 @@
     format!(
         "name: {name}\n\
          data_centre: {data_centre}\n\
-         platform: \"http://{platform}\"\n\
+         platform: \"{platform}\"\n\
          link_key: \"{key}\"\n\
          ports_file: \"{ports_file}\"\n\
          {extra}\n"
--- /dev/null
+++ b/crates/sesamehaven-system-tests/tests/path.rs
@@ -0,0 +1,73 @@
+//! The whole path: caller, entry, agent, endpoint and back.
+
+use serde_json::{Value, json};
+
+use sesamehaven_system_tests::{Fleet, Result};
+
+const AUTHORIZATION: (&str, &str) = ("authorization", "Bearer key-of-org-1");
+
+/// Starts an entry before two unlike engines and a plain service.
+async fn fleet() -> Result<Fleet> {
+    let mut fleet = Fleet::new().await?;
+    let engines = [("engine-1", "agent-1"), ("engine-2", "agent-2")];
+    for (engine, agent) in engines {
+        fleet.add_engine(engine, "model-a", agent, &[]).await?;
+    }
+    fleet
+        .add_service("service-1", "booking", "agent-1", &[])
+        .await?;
+    fleet.configure_entries(&["entry-1"]);
+    fleet.apply().await?;
+    fleet.start_entry("entry-1", "").await?;
+    fleet.start_agent("agent-1", "").await?;
+    fleet.start_agent("agent-2", "").await?;
+    fleet.ready().await?;
+    fleet.serving("entry-1", 3).await?;
+    Ok(fleet)
+}
+
+#[actix_rt::test]
+async fn requests_are_served_from_end_to_end() {
+    let fleet = fleet().await.unwrap();
+    let entry = fleet.daemon("entry-1").address();
+
+    let url = format!("http://{entry}/v1/chat/completions");
+    let messages = json!([{ "role": "user", "content": "inspect the vent" }]);
+    let body = json!({ "model": "model-a", "messages": messages, "max_tokens": 4 });
+    let reply = fleet
+        .http
+        .send("POST", &url, &[AUTHORIZATION], body.to_string())
+        .await
+        .unwrap();
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    let answer: Value = reply.json().unwrap();
+    assert!(
+        answer["choices"][0]["message"]["content"].is_string(),
+        "{answer}"
+    );
+    assert!(reply.header("traceparent").is_some());
+
+    let body = json!({ "model": "model-a", "prompt": "inspect the vent", "max_tokens": 4, "stream": true });
+    let url = format!("http://{entry}/v1/completions");
+    let reply = fleet
+        .http
+        .send("POST", &url, &[AUTHORIZATION], body.to_string())
+        .await
+        .unwrap();
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert!(
+        reply.text().ends_with("data: [DONE]\n\n"),
+        "{}",
+        reply.text()
+    );
+
+    let url = format!("http://{entry}/services/booking/visits?day=3");
+    let reply = fleet
+        .http
+        .send("PUT", &url, &[AUTHORIZATION], "a visit")
+        .await
+        .unwrap();
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    let echo: Value = reply.json().unwrap();
+    assert_eq!(echo["path"], "/visits?day=3", "{echo}");
+}
