Let a stopping entry finish its streams, and prove draining

Cause: the HTTP server of a stopping entry gave its connections one second, whatever the settings' longest wait, so streams that ran longer were cut. Ruled out: the link to the agent, which stayed up, and the flight, which was not done.

--- a/crates/sesamehaven-daemons/src/entry_main.rs
+++ b/crates/sesamehaven-daemons/src/entry_main.rs
@@ -80,7 +80,7 @@
         salt: rand::random(),
         count: AtomicU32::new(0),
     };
-    let server = front::serve(listener, Arc::new(front))?;
+    let server = front::serve(listener, Arc::new(front), settings.drain.longest)?;
     let handle = server.handle();
     actix_rt::spawn(server);
     let ports = Ports {
--- a/crates/sesamehaven-daemons/src/front.rs
+++ b/crates/sesamehaven-daemons/src/front.rs
@@ -60,12 +60,12 @@
     }
 }
 
-/// Serves callers on a bound address.
+/// Serves callers on a bound address; a stop waits `longest` for what is in flight.
 ///
 /// # Errors
 ///
 /// Fails when the listener cannot be used.
-pub fn serve(listener: TcpListener, front: Arc<Front>) -> io::Result<Server> {
+pub fn serve(listener: TcpListener, front: Arc<Front>, longest: Millis) -> io::Result<Server> {
     let limits = front.limits.clone();
     let front = Data::from(front);
     let server = HttpServer::new(move || {
@@ -83,7 +83,7 @@
     .client_request_timeout(limits.header_timeout.duration())
     .keep_alive(limits.idle_timeout.duration())
     .disable_signals()
-    .shutdown_timeout(1)
+    .shutdown_timeout(longest.whole_secs())
     .listen(listener)?;
     Ok(server.run())
 }
--- /dev/null
+++ b/crates/sesamehaven-system-tests/tests/drain.rs
@@ -0,0 +1,139 @@
+//! Draining: what is in flight is finished whole, what is queued goes elsewhere.
+
+use serde_json::{Value, json};
+
+use sesamehaven_system_tests::http::Stream;
+use sesamehaven_system_tests::{Fleet, Result, wait};
+
+const AUTHORIZATION: (&str, &str) = ("authorization", "Bearer key-of-org-1");
+
+/// The tokens of an answer that is still streaming when a signal arrives.
+const LONG_ANSWER: u64 = 120;
+
+/// Starts an entry before two agents with a slow engine each, of one slot.
+async fn fleet(max_batch: &str) -> Result<Fleet> {
+    let mut fleet = Fleet::new().await?;
+    let args = ["--decode-rate", "100", "--max-batch", max_batch];
+    for (engine, agent) in [("engine-1", "agent-1"), ("engine-2", "agent-2")] {
+        fleet.add_engine(engine, "model-a", agent, &args).await?;
+    }
+    fleet.configure_entries(&["entry-1"]);
+    fleet.apply().await?;
+    fleet
+        .start_entry("entry-1", "drain: { grace: 100 ms }")
+        .await?;
+    fleet.start_agent("agent-1", "").await?;
+    fleet.start_agent("agent-2", "").await?;
+    fleet.ready().await?;
+    fleet.serving("entry-1", 2).await?;
+    Ok(fleet)
+}
+
+/// Starts to stream a long answer and waits for its first token.
+async fn begin(fleet: &Fleet) -> Result<Stream> {
+    let url = format!(
+        "http://{}/v1/completions",
+        fleet.daemon("entry-1").address()
+    );
+    let body = json!({
+        "model": "model-a", "prompt": "inspect the vent", "max_tokens": LONG_ANSWER, "stream": true,
+    });
+    let headers = [AUTHORIZATION, ("work-class", "once")];
+    let mut stream = fleet
+        .http
+        .open("POST", &url, &headers, body.to_string())
+        .await?;
+    stream.part().await?;
+    Ok(stream)
+}
+
+async fn records(fleet: &Fleet, engine: &str) -> Result<Vec<Value>> {
+    let engine = fleet.standin(engine).address();
+    fleet.http.get_json(engine, "/control/records").await
+}
+
+#[actix_rt::test]
+async fn an_agent_that_is_told_to_stop_finishes_its_streams_and_takes_no_more() {
+    let mut fleet = fleet("64").await.unwrap();
+    // The draw of the route is random, so streams are begun until both agents have some.
+    let mut streams = Vec::new();
+    while streams.len() < 4
+        || records(&fleet, "engine-1").await.unwrap().is_empty()
+        || records(&fleet, "engine-2").await.unwrap().is_empty()
+    {
+        streams.push(begin(&fleet).await.unwrap());
+    }
+    fleet.daemon_mut("agent-1").process.terminate().unwrap();
+    fleet.serving("entry-1", 1).await.unwrap();
+    let before = records(&fleet, "engine-1").await.unwrap().len();
+    for _ in 0..8 {
+        streams.push(begin(&fleet).await.unwrap());
+    }
+    for stream in &mut streams {
+        let rest = stream.rest().await.unwrap();
+        assert!(rest.ends_with(b"data: [DONE]\n\n"), "a stream was cut off");
+    }
+    assert_eq!(records(&fleet, "engine-1").await.unwrap().len(), before);
+    let status = fleet.daemon_mut("agent-1").process.wait().await.unwrap();
+    assert!(status.success(), "{status}");
+}
+
+#[actix_rt::test]
+async fn an_entry_that_is_told_to_stop_finishes_its_streams() {
+    let mut fleet = fleet("64").await.unwrap();
+    let mut streams = Vec::new();
+    for _ in 0..4 {
+        streams.push(begin(&fleet).await.unwrap());
+    }
+    fleet.daemon_mut("entry-1").process.terminate().unwrap();
+    for stream in &mut streams {
+        let rest = stream.rest().await.unwrap();
+        assert!(rest.ends_with(b"data: [DONE]\n\n"), "a stream was cut off");
+    }
+    let status = fleet.daemon_mut("entry-1").process.wait().await.unwrap();
+    assert!(status.success(), "{status}");
+}
+
+#[actix_rt::test]
+async fn queued_work_of_a_leaving_agent_is_placed_elsewhere() {
+    let mut fleet = fleet("1").await.unwrap();
+    for endpoint in &mut fleet.configuration.endpoints {
+        endpoint.concurrency = 1;
+    }
+    fleet.apply().await.unwrap();
+    let generation = fleet.generation;
+    for agent in ["agent-1", "agent-2"] {
+        let admin = fleet.daemon(agent).admin();
+        wait::until("the new configuration", || async {
+            let status = fleet.http.get_json::<Value>(admin, "/status").await.ok()?;
+            (status["generation"] == generation.0).then_some(())
+        })
+        .await
+        .unwrap();
+    }
+    let answers = (0..8).map(|_| async {
+        let mut stream = begin(&fleet).await?;
+        stream.rest().await
+    });
+    let answers = futures_util::future::join_all(answers);
+    let leave = async {
+        let admin = fleet.daemon("agent-1").admin();
+        wait::until("work that is queued", || async {
+            let status = fleet.http.get_json::<Value>(admin, "/status").await.ok()?;
+            let endpoint = &status["endpoints"][0];
+            (endpoint["running"] == 1 && endpoint["queued"].as_u64()? > 0).then_some(())
+        })
+        .await
+        .unwrap();
+        fleet.daemon("agent-1").process.terminate().unwrap();
+    };
+    let (answers, ()) = futures_util::future::join(answers, leave).await;
+    for answer in answers {
+        let rest = answer.unwrap();
+        assert!(rest.ends_with(b"data: [DONE]\n\n"), "a stream was cut off");
+    }
+    let runs = records(&fleet, "engine-1").await.unwrap().len();
+    assert!(runs < 3, "queued work was dispatched by the leaving agent");
+    let status = fleet.daemon_mut("agent-1").process.wait().await.unwrap();
+    assert!(status.success(), "{status}");
+}
