--- /dev/null
+++ b/crates/sesamehaven/src/backoff.rs
@@ -0,0 +1,50 @@
+//! Growing pauses between attempts.
+
+use crate::unit::Millis;
+
+/// Pauses that double with each failure and are spread evenly.
+///
+/// # Example
+///
+/// ```
+/// use sesamehaven::backoff::Backoff;
+/// use sesamehaven::unit::Millis;
+///
+/// let mut backoff = Backoff::new(Millis(100), Millis(1_000));
+/// let pause = backoff.next(7);
+/// assert!(pause >= Millis(50) && pause <= Millis(100));
+/// ```
+#[derive(Debug, Clone)]
+pub struct Backoff {
+    min: Millis,
+    max: Millis,
+    failures: u32,
+}
+
+impl Backoff {
+    /// Builds pauses between `min` and `max`.
+    pub fn new(min: Millis, max: Millis) -> Self {
+        Backoff {
+            min,
+            max: max.max(min),
+            failures: 0,
+        }
+    }
+
+    /// Returns the next pause; `draw` is a random number.
+    ///
+    /// At least half of the pause is kept, so that a failing peer is never
+    /// asked again at once.
+    pub fn next(&mut self, draw: u64) -> Millis {
+        let factor = 1u64.checked_shl(self.failures).unwrap_or(u64::MAX);
+        let span = self.min.0.saturating_mul(factor).min(self.max.0);
+        self.failures = self.failures.saturating_add(1).min(63);
+        let half = span / 2;
+        Millis(span - half + draw % (half + 1))
+    }
+
+    /// Starts over after a success.
+    pub fn reset(&mut self) {
+        self.failures = 0;
+    }
+}
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -8,6 +8,8 @@
 //! The design is described in
 //! [`docs/ARCHITECTURE.md`](../../../docs/ARCHITECTURE.md).
 
+pub mod backoff;
+pub mod burn;
 pub mod config;
 pub mod error;
 pub mod estimate;
@@ -19,8 +21,11 @@
 pub mod offer;
 pub mod outcome;
 pub mod prefix;
+pub mod quarantine;
 pub mod queue;
+pub mod quota;
 mod replica;
+pub mod retry;
 pub mod route;
 pub mod running;
 pub mod tier;
--- /dev/null
+++ b/crates/sesamehaven/src/quota.rs
@@ -0,0 +1,264 @@
+//! Limits of organisations that hold roughly across all entries.
+//!
+//! See [`docs/POLICY.md`](../../../docs/POLICY.md#limits-of-organisations).
+
+use std::collections::{BTreeSet, HashMap};
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::Limits;
+use crate::fair::OrganisationDigest;
+use crate::outcome::{Refusal, Refused};
+use crate::unit::{Instant, Millis};
+
+/// The allowance that an organisation may save up.
+const BURST: Millis = Millis(1_000);
+/// The organisations that are remembered at once.
+const REMEMBERED: usize = 8_192;
+/// The time in which demand is forgotten by half.
+const DEMAND_HALF_LIFE: Millis = Millis(2_000);
+/// The age from which another entry's word on its demand is dropped.
+const DEMAND_EXPIRY: Millis = Millis(5_000);
+/// The organisations that an entry tells others about.
+const SUMMARY_LEN: usize = 64;
+/// The demand of others that is remembered.
+const OTHERS: usize = 4_096;
+/// The part of an even share that an entry always keeps.
+const LEAST_SHARE: f64 = 0.25;
+/// When to come back if too much is in flight.
+const RETRY_BUSY: Millis = Millis(1_000);
+
+/// The demand of an organisation at one entry.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    /// The organisation.
+    pub organisation: OrganisationDigest,
+    /// Its requests a second, admitted or not.
+    pub requests_per_second: f32,
+}
+
+#[derive(Debug, Default)]
+struct Account {
+    requests_paid: f64,
+    tokens_paid: f64,
+    in_flight: u32,
+    demand: f64,
+    demand_at: Instant,
+}
+
+impl Account {
+    fn decayed(&self, now: Instant) -> f64 {
+        let age = now.since(self.demand_at).0 as f64;
+        self.demand * 0.5_f64.powf(age / DEMAND_HALF_LIFE.0 as f64)
+    }
+}
+
+#[derive(Debug, Default)]
+struct Others {
+    demand: HashMap<u64, (f64, Instant)>,
+}
+
+/// The limits of organisations as one entry enforces its share of them.
+///
+/// Each entry grants the part of a limit that matches its part of the
+/// organisation's demand. Entries tell each other the demand of those
+/// organisations that are near a limit; without such word the share is even.
+/// State is held only for organisations with work in flight or spent allowance.
+#[derive(Debug)]
+pub struct Quota {
+    entries: u32,
+    accounts: HashMap<OrganisationDigest, Account>,
+    order: BTreeSet<(Instant, OrganisationDigest)>,
+    others: HashMap<OrganisationDigest, Others>,
+}
+
+impl Default for Quota {
+    fn default() -> Self {
+        Quota {
+            entries: 1,
+            accounts: HashMap::new(),
+            order: BTreeSet::new(),
+            others: HashMap::new(),
+        }
+    }
+}
+
+impl Quota {
+    /// Sets the number of live entries, this one included.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.entries = entries.max(1);
+    }
+
+    /// Admits a request of `tokens`, or says when to come back.
+    ///
+    /// Each admitted request is ended with [`Quota::on_end`].
+    ///
+    /// # Errors
+    ///
+    /// Fails when the organisation is over one of its limits.
+    pub fn admit(
+        &mut self,
+        organisation: OrganisationDigest,
+        limits: &Limits,
+        tokens: f64,
+        now: Instant,
+    ) -> Result<(), Refused> {
+        if is_unlimited(limits) {
+            return Ok(());
+        }
+        let share = self.touch(organisation, now);
+        let Some(account) = self.accounts.get_mut(&organisation) else {
+            return Ok(());
+        };
+        let most = limits.concurrency.map(|n| (f64::from(n) * share).ceil());
+        if most.is_some_and(|most| f64::from(account.in_flight) >= most.max(1.0)) {
+            return Err(limited(RETRY_BUSY));
+        }
+        let rate = |limit: Option<f64>| limit.map(|r| (r * share).max(f64::MIN_POSITIVE));
+        let requests = rate(limits.requests_per_second);
+        let by_tokens = rate(limits.tokens_per_second);
+        let wait = overdue(account.requests_paid, requests, now).max(overdue(
+            account.tokens_paid,
+            by_tokens,
+            now,
+        ));
+        if wait > 0.0 {
+            return Err(limited(Millis(wait.min(120_000.0).ceil() as u64)));
+        }
+        pay(&mut account.requests_paid, 1.0, requests, now);
+        pay(&mut account.tokens_paid, tokens, by_tokens, now);
+        account.in_flight += 1;
+        Ok(())
+    }
+
+    /// Notes that an admitted request has ended.
+    pub fn on_end(&mut self, organisation: OrganisationDigest) {
+        if let Some(account) = self.accounts.get_mut(&organisation) {
+            account.in_flight = account.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Lists the organisations with the greatest demand, for the other entries.
+    pub fn summary(&self, now: Instant) -> Vec<Demand> {
+        let demand = |(organisation, account): (&OrganisationDigest, &Account)| Demand {
+            organisation: *organisation,
+            requests_per_second: account.decayed(now) as f32,
+        };
+        let mut all: Vec<Demand> = self.accounts.iter().map(demand).collect();
+        all.sort_by(|a, b| {
+            let order = b.requests_per_second.total_cmp(&a.requests_per_second);
+            order.then(a.organisation.cmp(&b.organisation))
+        });
+        all.truncate(SUMMARY_LEN);
+        all
+    }
+
+    /// Takes in what another entry, known by a digest of its name, told.
+    pub fn on_summary(&mut self, entry: u64, demands: &[Demand], now: Instant) {
+        for demand in demands {
+            let known = self.others.contains_key(&demand.organisation);
+            if !known && self.others.len() >= OTHERS {
+                self.drop_stale(now);
+            }
+            if !known && self.others.len() >= OTHERS {
+                continue;
+            }
+            let others = self.others.entry(demand.organisation).or_default();
+            let rate = f64::from(demand.requests_per_second).max(0.0);
+            others.demand.insert(entry, (rate, now));
+        }
+    }
+
+    /// Returns the number of organisations for which state is held.
+    pub fn len(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Returns whether no state is held.
+    pub fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
+    /// Counts the demand and returns the share of this entry.
+    fn touch(&mut self, organisation: OrganisationDigest, now: Instant) -> f64 {
+        if !self.accounts.contains_key(&organisation) {
+            self.make_room(now);
+        }
+        let account = self.accounts.entry(organisation).or_default();
+        self.order.remove(&(account.demand_at, organisation));
+        let gain = std::f64::consts::LN_2 * 1_000.0 / DEMAND_HALF_LIFE.0 as f64;
+        account.demand = account.decayed(now) + gain;
+        account.demand_at = now;
+        self.order.insert((now, organisation));
+        let own = account.demand;
+        self.share(organisation, own, now)
+    }
+
+    fn share(&self, organisation: OrganisationDigest, own: f64, now: Instant) -> f64 {
+        let even = 1.0 / f64::from(self.entries);
+        let Some(others) = self.others.get(&organisation) else {
+            return even;
+        };
+        let fresh = others.demand.values();
+        let fresh = fresh.filter(|(_, at)| now.since(*at) < DEMAND_EXPIRY);
+        let rates: Vec<f64> = fresh.map(|(rate, _)| *rate).collect();
+        let unheard = f64::from(self.entries) - 1.0 - rates.len() as f64;
+        let told: f64 = rates.iter().sum();
+        let heard = 1.0 - unheard.max(0.0) * even;
+        let part = own / (own + told).max(f64::MIN_POSITIVE);
+        (heard * part).max(LEAST_SHARE * even).min(1.0)
+    }
+
+    /// Forgets the organisation that was seen longest ago and has no work in flight.
+    fn make_room(&mut self, now: Instant) {
+        if self.accounts.len() < REMEMBERED {
+            return;
+        }
+        let idle = |o: &OrganisationDigest| self.accounts.get(o).is_none_or(|a| a.in_flight == 0);
+        let oldest = self.order.iter().take(SUMMARY_LEN).find(|(_, o)| idle(o));
+        let Some(oldest) = oldest.or(self.order.first()).copied() else {
+            return;
+        };
+        self.order.remove(&oldest);
+        self.accounts.remove(&oldest.1);
+        self.drop_stale(now);
+    }
+
+    fn drop_stale(&mut self, now: Instant) {
+        self.others.retain(|_, others| {
+            let demand = &mut others.demand;
+            demand.retain(|_, (_, at)| now.since(*at) < DEMAND_EXPIRY);
+            !demand.is_empty()
+        });
+    }
+}
+
+fn is_unlimited(limits: &Limits) -> bool {
+    limits.requests_per_second.is_none()
+        && limits.tokens_per_second.is_none()
+        && limits.concurrency.is_none()
+}
+
+fn limited(retry_after: Millis) -> Refused {
+    Refused {
+        reason: Refusal::Limited,
+        retry_after,
+        admits: None,
+    }
+}
+
+/// Returns for how long the allowance is overdrawn beyond the burst, in milliseconds.
+fn overdue(paid_until: f64, rate: Option<f64>, now: Instant) -> f64 {
+    let Some(rate) = rate else {
+        return 0.0;
+    };
+    let burst = (BURST.0 as f64 - 1_000.0 / rate).max(0.0);
+    paid_until - burst - now.0 as f64
+}
+
+/// Moves the time until which the allowance is spent on by `amount`.
+fn pay(paid_until: &mut f64, amount: f64, rate: Option<f64>, now: Instant) {
+    if let Some(rate) = rate {
+        *paid_until = paid_until.max(now.0 as f64) + amount * 1_000.0 / rate;
+    }
+}
--- a/crates/sesamehaven/src/replica.rs
+++ b/crates/sesamehaven/src/replica.rs
@@ -194,6 +194,12 @@
         over.clamp(0.0, 1.0) * SLOT_WAIT.0 as f64
     }
 
+    /// Estimates the requests that run at the endpoint.
+    pub(crate) fn running(&self) -> u32 {
+        let since = self.own_running.saturating_sub(self.own_running_reported);
+        self.view.running + since
+    }
+
     fn own_down_to(&self, tier: Tier) -> f64 {
         self.own[..=tier.index()].iter().sum()
     }
--- a/crates/sesamehaven/src/route.rs
+++ b/crates/sesamehaven/src/route.rs
@@ -42,6 +42,8 @@
     pub prefixes: SmallVec<[u64; 8]>,
     /// When the answer is due.
     pub deadline: Instant,
+    /// Whether the content was near a crash of an endpoint before.
+    pub suspect: bool,
     /// The endpoints that have refused the request or lost it before dispatch.
     pub excluded: SmallVec<[EndpointName; 4]>,
     /// The last refusal of the request by an agent.
@@ -209,6 +211,9 @@
         let Some(best) = candidates.first().map(|c| c.score) else {
             return Choice::Refuse(self.refuse(job, draw, now));
         };
+        if job.suspect {
+            return Choice::Offer(least_running(&candidates).clone());
+        }
         let allowed = best * (1.0 + SLACK_SHARE) + SLACK_MS;
         let close = candidates.iter().take(CHOICES);
         let close = close.take_while(|c| c.score <= allowed).count().max(1);
@@ -259,6 +264,7 @@
             endpoint,
             score: self.prefix_weight * (first_token + DECODE_WEIGHT * decode) + repeated,
             finish: first_token + decode,
+            running: replica.running(),
         }
     }
 
@@ -296,4 +302,11 @@
     endpoint: &'a EndpointName,
     score: f64,
     finish: f64,
+    running: u32,
+}
+
+/// Returns the endpoint where a crash would hurt the fewest requests.
+fn least_running<'a>(candidates: &[Candidate<'a>]) -> &'a EndpointName {
+    let least = candidates.iter().min_by_key(|c| c.running);
+    least.map_or(candidates[0].endpoint, |c| c.endpoint)
 }
