--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -8,18 +8,24 @@
 //! The design is described in
 //! [`docs/ARCHITECTURE.md`](../../../docs/ARCHITECTURE.md).
 
+pub mod answer;
 pub mod backoff;
 pub mod burn;
+pub mod check;
+mod check_grants;
 pub mod config;
+pub mod delivery;
 pub mod error;
 pub mod estimate;
 pub mod fair;
+pub mod flight;
 pub mod forecast;
 pub mod gate;
 pub mod id;
 pub mod limit;
 pub mod offer;
 pub mod outcome;
+pub mod parts;
 pub mod prefix;
 pub mod quarantine;
 pub mod queue;
