--- a/crates/sesamehaven/src/forecast.rs
+++ b/crates/sesamehaven/src/forecast.rs
@@ -166,6 +166,11 @@
         cost * self.run.mean() / limit.max(1.0)
     }
 
+    /// Returns the rate at which work ends when all of a limit is in use.
+    pub fn drain_rate(&self, limit: f64) -> TokenRate {
+        TokenRate(limit.max(1.0) * 1_000.0 / self.run.mean().max(1.0))
+    }
+
     /// Returns when it is worth coming back.
     ///
     /// This is the time to work off what is queued and what has been refused
--- a/crates/sesamehaven/src/gate.rs
+++ b/crates/sesamehaven/src/gate.rs
@@ -14,7 +14,7 @@
 use crate::queue::{Queue, Queued};
 use crate::running::{Run, Running};
 use crate::tier::Tier;
-use crate::unit::{Instant, Millis};
+use crate::unit::{Instant, Millis, TokenRate};
 
 /// How long a gate that refused a tier as full queues nothing less urgent.
 pub const PROMISE: Millis = Millis(150);
@@ -24,6 +24,8 @@
 const OTHER_PREFILL: Millis = Millis(150);
 /// The requests that are dispatched at once before anything was measured.
 const START_REQUESTS: f64 = 8.0;
+/// The decode rate that is reported for plain services, which have no tokens.
+const NO_DECODING: TokenRate = TokenRate(1e9);
 /// The least limit, in requests of mean size.
 const FLOOR_REQUESTS: f64 = 2.0;
 /// Work is long from this many times the mean.
@@ -162,10 +164,10 @@
 
     /// Notes further tokens of a run.
     pub fn on_tokens(&mut self, id: RequestId, count: u32, now: Instant) {
-        let Some(gap) = self.running.tokens(id, now) else {
+        let Some((count, gap)) = self.running.tokens(id, count, now) else {
             return;
         };
-        if count == 0 || self.cfg.kind == PoolKind::Service {
+        if self.cfg.kind == PoolKind::Service {
             return;
         }
         self.forecast.on_tokens(count, gap);
@@ -179,8 +181,15 @@
         let Some(run) = self.running.remove(id) else {
             return;
         };
-        if ended == Ended::Whole {
-            self.forecast.on_run(now.since(run.dispatched));
+        if ended != Ended::Whole {
+            return;
+        }
+        let span = now.since(run.dispatched);
+        self.forecast.on_run(span);
+        let unheard = run.first_token.is_none() && !run.late;
+        if self.cfg.kind == PoolKind::Service && unheard {
+            let counted = (self.running.counted() + run.counted) as f64;
+            self.limit.observe_first_token(span.0 as f64, counted, now);
         }
     }
 
@@ -199,16 +208,33 @@
     }
 
     /// Returns the load as it is reported.
+    ///
+    /// Queued work is given in prompt tokens that take as long to prefill as
+    /// the work takes to drain, and for a plain service in requests.
     pub fn load(&self, now: Instant) -> LoadView {
-        let queued = self.queue.prompts();
+        let (prefill_rate, decode_rate) = match self.cfg.kind {
+            PoolKind::Model => (self.forecast.prefill_rate(), self.forecast.decode_rate()),
+            PoolKind::Service => (self.forecast.drain_rate(self.drained_limit()), NO_DECODING),
+        };
+        let limit = self.drained_limit();
+        let equivalent = |(cost, prompt): (u64, u64)| {
+            let drain = self.forecast.drain_time(cost as f64, limit);
+            let drain = drain * prefill_rate.0 / 1_000.0;
+            drain.max(prompt as f64) as u32
+        };
+        let work = self.queue.costs().into_iter().zip(self.queue.prompts());
+        let mut queued = [0; Tier::COUNT];
+        for (to, from) in queued.iter_mut().zip(work) {
+            *to = equivalent(from);
+        }
         let requests = (self.limit() / self.forecast.mean_cost()) as u32;
         LoadView {
             healthy: self.healthy,
             running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
-            queued: queued.map(|n| u32::try_from(n).unwrap_or(u32::MAX)),
+            queued,
             admits: self.admits(now),
-            prefill_rate: self.forecast.prefill_rate(),
-            decode_rate: self.forecast.decode_rate(),
+            prefill_rate,
+            decode_rate,
             limit: requests.clamp(1, self.cfg.concurrency.max(1)),
         }
     }
@@ -362,6 +388,7 @@
             dispatched: now,
             first_token: None,
             last_token: now,
+            unmeasured: 0,
             cancelling: false,
             late: false,
         };
--- a/crates/sesamehaven/src/queue.rs
+++ b/crates/sesamehaven/src/queue.rs
@@ -149,6 +149,11 @@
         self.prompt
     }
 
+    /// Returns the queued work by tier.
+    pub fn costs(&self) -> [u64; Tier::COUNT] {
+        self.cost
+    }
+
     /// Returns the number of queued requests.
     pub fn len(&self) -> usize {
         self.work.len()
--- a/crates/sesamehaven/src/route.rs
+++ b/crates/sesamehaven/src/route.rs
@@ -6,6 +6,7 @@
 
 use smallvec::SmallVec;
 
+use crate::config::{Pool, PoolKind};
 use crate::gate::{Ended, LoadView};
 use crate::id::{EndpointName, RequestId};
 use crate::outcome::{Refusal, Refused};
@@ -72,6 +73,7 @@
 /// What one entry knows of the endpoints of one pool.
 #[derive(Debug)]
 pub struct Route {
+    kind: PoolKind,
     prefix_weight: f64,
     replicas: HashMap<EndpointName, Replica>,
     offered: HashMap<RequestId, Offered>,
@@ -79,11 +81,12 @@
 }
 
 impl Route {
-    /// Starts without any endpoint.
+    /// Starts without any endpoint of a model pool.
     ///
-    /// `prefix_weight` is [`crate::config::Pool::prefix_weight`].
+    /// `prefix_weight` is [`Pool::prefix_weight`].
     pub fn new(prefix_weight: f64) -> Self {
         Route {
+            kind: PoolKind::Model,
             prefix_weight,
             replicas: HashMap::new(),
             offered: HashMap::new(),
@@ -91,6 +94,13 @@
         }
     }
 
+    /// Starts without any endpoint of the given pool.
+    pub fn for_pool(pool: &Pool) -> Self {
+        let mut route = Route::new(pool.prefix_weight);
+        route.kind = pool.kind;
+        route
+    }
+
     /// Takes in a load report; reports that are overtaken by later ones are dropped.
     ///
     /// `seq` orders the reports of an endpoint also across restarts of its
@@ -114,7 +124,7 @@
 
     /// Notes that the request is being offered.
     pub fn on_offer(&mut self, endpoint: &EndpointName, id: RequestId, job: &Job, now: Instant) {
-        let prompt = job.prompt.0 as f64;
+        let (prompt, _) = self.size(job);
         if let Some(replica) = self.replicas.get_mut(endpoint) {
             replica.on_offer(job.tier, prompt, now);
         }
@@ -222,30 +232,60 @@
     }
 
     /// Lists the endpoints that the request may be offered to, the best first.
-    fn candidates<'a>(&'a self, job: &'a Job, now: Instant) -> Vec<Candidate<'a>> {
-        let present = || {
-            let replicas = self.replicas.iter();
-            replicas.filter(|(name, r)| r.is_present(now) && !job.excluded.contains(name))
-        };
-        let known = self.replicas.len();
+    fn candidates<'a>(&'a self, job: &'a Job, now: Instant) -> Candidates<'a> {
+        let present = || self.replicas.iter().filter(|(_, r)| r.is_present(now));
         let ejected = present().filter(|(_, r)| r.is_ejected(now)).count();
-        let eject = ejected * 2 <= known;
+        let eject = ejected * 2 <= self.replicas.len();
         let open = present().filter(|(_, r)| !(eject && r.is_ejected(now)));
         let open = open.filter(|(_, r)| !r.is_closed_to(job.tier, now));
         let held = |name| self.prefixes.held(name, &job.prefixes, job.prompt);
         let most = present().map(|(name, _)| held(name)).max().unwrap_or(0);
-        let remaining = job.deadline.since(now).0 as f64;
-        let mut candidates: Vec<Candidate<'_>> = open
-            .map(|(name, r)| self.rate(name, r, job, held(name), most, now))
-            .filter(|c| c.finish <= remaining * HOPELESS_FACTOR)
+        let mut candidates: Candidates<'_> = open
+            .filter_map(|(name, r)| {
+                let again = job.excluded.contains(name);
+                let may = !again || r.may_have_room_again(job.tier, now);
+                may.then(|| self.rate(name, r, job, held(name), most, now))
+            })
             .collect();
+        let fresh = |c: &Candidate<'_>| !job.excluded.contains(c.endpoint);
+        if candidates.iter().any(fresh) {
+            candidates.retain(|c| fresh(c));
+        }
         candidates.sort_by(|a, b| {
             let order = a.score.total_cmp(&b.score);
             order.then_with(|| a.endpoint.cmp(b.endpoint))
         });
+        self.without_hopeless(job, candidates, now)
+    }
+
+    /// Drops the endpoints where the deadline is missed by far.
+    ///
+    /// A request that no agent has judged yet is offered to one all the same,
+    /// since the reports may be out of date.
+    fn without_hopeless<'a>(
+        &self,
+        job: &Job,
+        mut candidates: Candidates<'a>,
+        now: Instant,
+    ) -> Candidates<'a> {
+        let most = job.deadline.since(now).0 as f64 * HOPELESS_FACTOR;
+        let hopeful = candidates.iter().any(|c| c.finish <= most);
+        if hopeful || job.refused.is_some() {
+            candidates.retain(|c| c.finish <= most);
+        } else {
+            candidates.truncate(1);
+        }
         candidates
     }
 
+    /// Returns the prompt and the answer in the units of the reports.
+    fn size(&self, job: &Job) -> (f64, f64) {
+        match self.kind {
+            PoolKind::Model => (job.prompt.0 as f64, job.output.0 as f64),
+            PoolKind::Service => (1.0, 0.0),
+        }
+    }
+
     fn rate<'a>(
         &self,
         endpoint: &'a EndpointName,
@@ -255,11 +295,12 @@
         most: u64,
         now: Instant,
     ) -> Candidate<'a> {
-        let fresh = job.prompt.0.saturating_sub(held) as f64;
+        let (prompt, output) = self.size(job);
         let rate = replica.prefill_rate();
-        let first_token = replica.wait(job.tier, now) + rate.millis_for(fresh);
+        let fresh = rate.millis_for(prompt - held as f64);
+        let first_token = replica.wait(job.tier, now) + fresh;
         let repeated = rate.millis_for(most.saturating_sub(held) as f64);
-        let decode = replica.decode_rate().millis_for(job.output.0 as f64);
+        let decode = replica.decode_rate().millis_for(output);
         Candidate {
             endpoint,
             score: self.prefix_weight * (first_token + DECODE_WEIGHT * decode) + repeated,
@@ -297,6 +338,8 @@
     Millis(span.0 + draw % (quarter + 1))
 }
 
+type Candidates<'a> = SmallVec<[Candidate<'a>; 16]>;
+
 /// An endpoint with its predicted cost, in milliseconds.
 struct Candidate<'a> {
     endpoint: &'a EndpointName,
--- a/crates/sesamehaven/src/running.rs
+++ b/crates/sesamehaven/src/running.rs
@@ -30,8 +30,10 @@
     pub dispatched: Instant,
     /// When the first token arrived.
     pub first_token: Option<Instant>,
-    /// When the last token arrived.
+    /// When the last token arrived that was measured.
     pub last_token: Instant,
+    /// Tokens that arrived since then.
+    pub unmeasured: u32,
     /// Whether it is being cancelled for more urgent work.
     pub cancelling: bool,
     /// Whether its late first token has been counted.
@@ -89,13 +91,23 @@
         Some(before)
     }
 
-    /// Notes further tokens; returns the time since the ones before.
-    pub fn tokens(&mut self, id: RequestId, now: Instant) -> Option<u64> {
+    /// Notes further tokens; returns how many came in what time, in milliseconds.
+    ///
+    /// Tokens that arrive within a millisecond are counted with those that
+    /// follow; those that come with the first token took no time of their own.
+    pub fn tokens(&mut self, id: RequestId, count: u32, now: Instant) -> Option<(u32, u64)> {
         let run = self.runs.get_mut(&id)?;
-        run.first_token?;
+        let first_token = run.first_token?;
+        if now == first_token {
+            return None;
+        }
+        run.unmeasured = run.unmeasured.saturating_add(count);
         let gap = now.since(run.last_token).0;
+        if gap == 0 || run.unmeasured == 0 {
+            return None;
+        }
         run.last_token = now;
-        Some(gap)
+        Some((std::mem::take(&mut run.unmeasured), gap))
     }
 
     fn end_prefill(&mut self, id: RequestId, run: &Run) {
--- /dev/null
+++ b/crates/sesamehaven/tests/quarantine.rs
@@ -0,0 +1,124 @@
+//! Quarantine beside a list of all crashes and all completed runs.
+
+use std::collections::BTreeSet;
+
+use proptest::prelude::*;
+use rstest::rstest;
+
+use sesamehaven::quarantine::{CrashId, Quarantine, Standing};
+use sesamehaven::unit::{Instant, Millis};
+
+const NOW: Instant = Instant(1_000);
+
+/// Keeps what is known of each crash: who was blamed, and who is cleared.
+#[derive(Default, Clone)]
+struct Naive {
+    blamed: BTreeSet<(u64, u64)>,
+    cleared: BTreeSet<(u64, u64)>,
+}
+
+impl Naive {
+    fn standing(&self, fingerprint: u64) -> Standing {
+        let marks = self.blamed.difference(&self.cleared);
+        match marks.filter(|(f, _)| *f == fingerprint).count() {
+            0 => Standing::Clear,
+            1 => Standing::Suspect,
+            _ => Standing::Quarantined,
+        }
+    }
+
+    fn on_crash(&mut self, crash: u64, running: &[u64]) {
+        let all: Vec<u64> = running.to_vec();
+        let suspect = |f: &u64| self.standing(*f) != Standing::Clear;
+        let suspects: Vec<u64> = all.iter().copied().filter(suspect).collect();
+        let blamed = if suspects.is_empty() { all } else { suspects };
+        self.blamed.extend(blamed.into_iter().map(|f| (f, crash)));
+    }
+
+    fn on_finished(&mut self, fingerprint: u64) {
+        let own = self.blamed.iter().filter(|(f, _)| *f == fingerprint);
+        let own: Vec<_> = own.copied().collect();
+        self.cleared.extend(own);
+    }
+
+    fn merge(&mut self, other: &Naive) {
+        self.blamed.extend(&other.blamed);
+        self.cleared.extend(&other.cleared);
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Crash(usize, BTreeSet<u64>),
+    Finished(usize, u64),
+    Exchange(usize, usize),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let running = prop::collection::btree_set(0u64..8, 0..4);
+    prop_oneof![
+        2 => (0usize..3, running).prop_map(|(p, r)| Event::Crash(p, r)),
+        3 => (0usize..3, 0u64..8).prop_map(|(p, f)| Event::Finished(p, f)),
+        3 => (0usize..3, 0usize..3).prop_map(|(a, b)| Event::Exchange(a, b)),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn quarantine_does_as_the_naive_one(events in prop::collection::vec(event(), 0..24)) {
+        let mut processes: [Quarantine; 3] = Default::default();
+        let mut naive: [Naive; 3] = Default::default();
+        let mut crashes = [0u32; 8];
+        for (crash, event) in (1u64..).zip(events) {
+            match event {
+                Event::Crash(p, running) => {
+                    // The bound on remembered crashes of one request has its own test.
+                    if running.iter().any(|f| crashes[*f as usize] >= 4) { continue }
+                    running.iter().for_each(|f| crashes[*f as usize] += 1);
+                    let running: Vec<u64> = running.into_iter().collect();
+                    processes[p].on_crash(CrashId(crash), &running, NOW);
+                    naive[p].on_crash(crash, &running);
+                }
+                Event::Finished(p, fingerprint) => {
+                    processes[p].on_finished(fingerprint);
+                    naive[p].on_finished(fingerprint);
+                }
+                Event::Exchange(from, to) => {
+                    let summary = processes[from].summary(NOW);
+                    processes[to].merge(&summary, NOW);
+                    let told = naive[from].clone();
+                    naive[to].merge(&told);
+                }
+            }
+            for (process, naive) in processes.iter().zip(&naive) {
+                for fingerprint in 0..8 {
+                    prop_assert_eq!(process.standing(fingerprint, NOW), naive.standing(fingerprint));
+                }
+            }
+        }
+    }
+}
+
+#[rstest]
+fn two_crashes_seen_by_two_processes_are_two() {
+    let (mut a, mut b) = (Quarantine::default(), Quarantine::default());
+    a.on_crash(CrashId(1), &[7, 8], NOW);
+    b.on_crash(CrashId(2), &[7], NOW);
+    assert!(a.merge(&b.take_news(16, NOW), NOW));
+    assert_eq!(a.standing(7, NOW), Standing::Quarantined);
+    assert_eq!(a.standing(8, NOW), Standing::Suspect);
+    assert!(!a.merge(&b.summary(NOW), NOW), "what is known is no news");
+}
+
+#[rstest]
+fn what_is_held_against_a_request_expires() {
+    let mut quarantine = Quarantine::default();
+    quarantine.on_crash(CrashId(1), &[7], NOW);
+    quarantine.on_crash(CrashId(2), &[7], NOW);
+    let remaining = quarantine.remaining(7, NOW);
+    assert!(remaining > Millis(0));
+    let later = NOW.after(remaining);
+    assert_eq!(quarantine.standing(7, later), Standing::Clear);
+    quarantine.merge(&[], later);
+    assert!(quarantine.is_empty());
+}
