--- a/crates/sesamehaven-daemons/src/entry.rs
+++ b/crates/sesamehaven-daemons/src/entry.rs
@@ -334,6 +334,9 @@
             }
             ToEntry::Refused(refused) => {
                 active.refused = Some(refused);
+                if refused.reason.is_for_room() {
+                    active.excluded.pop();
+                }
                 if let Some(route) = route {
                     route.on_refused(id, &refused, now);
                 }
--- a/crates/sesamehaven/src/gate.rs
+++ b/crates/sesamehaven/src/gate.rs
@@ -17,7 +17,7 @@
 use crate::unit::{Instant, Millis, TokenRate};
 
 /// How long a gate that refused a tier as full queues nothing less urgent.
-pub const PROMISE: Millis = Millis(150);
+pub const PROMISE: Millis = Millis(250);
 /// The prefill that the most urgent tier may have waiting at the engine.
 const URGENT_PREFILL: Millis = Millis(300);
 /// The prefill that other tiers may have waiting at the engine.
--- a/crates/sesamehaven/src/outcome.rs
+++ b/crates/sesamehaven/src/outcome.rs
@@ -58,6 +58,14 @@
         )
     }
 
+    /// Returns whether there was only no room, so that the same agent may be
+    /// asked again when its promise is over.
+    ///
+    /// See [`docs/POLICY.md`](../../../docs/POLICY.md#shedding).
+    pub fn is_for_room(self) -> bool {
+        matches!(self, Refusal::Full | Refusal::Evicted)
+    }
+
     /// Returns whether the caller itself is over its limit, as opposed to the pool.
     pub fn is_callers(self) -> bool {
         matches!(self, Refusal::Limited)
--- a/crates/sesamehaven/src/replica.rs
+++ b/crates/sesamehaven/src/replica.rs
@@ -157,13 +157,6 @@
         promises.iter().any(|until| *until > now)
     }
 
-    /// Returns whether the endpoint's last refusal of the tier no longer says
-    /// anything about what it queues now.
-    pub(crate) fn may_have_room_again(&self, tier: Tier, now: Instant) -> bool {
-        let until = self.promises[tier.index()];
-        until > Instant::default() && !self.is_closed_to(tier, now)
-    }
-
     /// Returns the last refusal of the endpoint for lack of room.
     pub(crate) fn full(&self) -> Option<Refused> {
         self.full
--- a/crates/sesamehaven/src/route.rs
+++ b/crates/sesamehaven/src/route.rs
@@ -45,7 +45,8 @@
     pub deadline: Instant,
     /// Whether the content was near a crash of an endpoint before.
     pub suspect: bool,
-    /// The endpoints that have refused the request or lost it before dispatch.
+    /// The endpoints that have lost the request before dispatch, or refused it
+    /// for a reason other than [`Refusal::is_for_room`].
     pub excluded: SmallVec<[EndpointName; 4]>,
     /// The last refusal of the request by an agent.
     pub refused: Option<Refused>,
@@ -139,6 +140,11 @@
         self.offered.insert(id, offered);
     }
 
+    /// Returns the endpoint that a request was last offered to.
+    pub fn endpoint_of(&self, id: RequestId) -> Option<&EndpointName> {
+        self.offered.get(&id).map(|o| &o.endpoint)
+    }
+
     /// Notes that the agent queued the request.
     pub fn on_accepted(&mut self, id: RequestId, first_token: Millis, now: Instant) {
         let Some(offered) = self.offered.get(&id) else {
@@ -238,19 +244,12 @@
         let eject = ejected * 2 <= self.replicas.len();
         let open = present().filter(|(_, r)| !(eject && r.is_ejected(now)));
         let open = open.filter(|(_, r)| !r.is_closed_to(job.tier, now));
+        let open = open.filter(|(name, _)| !job.excluded.contains(name));
         let held = |name| self.prefixes.held(name, &job.prefixes, job.prompt);
         let most = present().map(|(name, _)| held(name)).max().unwrap_or(0);
         let mut candidates: Candidates<'_> = open
-            .filter_map(|(name, r)| {
-                let again = job.excluded.contains(name);
-                let may = !again || r.may_have_room_again(job.tier, now);
-                may.then(|| self.rate(name, r, job, held(name), most, now))
-            })
+            .map(|(name, r)| self.rate(name, r, job, held(name), most, now))
             .collect();
-        let fresh = |c: &Candidate<'_>| !job.excluded.contains(c.endpoint);
-        if candidates.iter().any(fresh) {
-            candidates.retain(|c| fresh(c));
-        }
         candidates.sort_by(|a, b| {
             let order = a.score.total_cmp(&b.score);
             order.then_with(|| a.endpoint.cmp(b.endpoint))
