--- a/crates/sesamehaven/src/forecast.rs
+++ b/crates/sesamehaven/src/forecast.rs
@@ -19,7 +19,7 @@
 /// The time of a run that is assumed before any was seen.
 const RUN_GUESS: Millis = Millis(2_000);
 /// Prefill is measured over spans of at least this length.
-const PREFILL_SPAN: Millis = Millis(10);
+const PREFILL_SPAN: Millis = Millis(20);
 /// The time in which refused demand is forgotten by half.
 const REFUSED_HALF_LIFE: Millis = Millis(4_000);
 /// The shortest time after which a refused caller is asked to come back.
@@ -36,7 +36,6 @@
     cost: MeanEstimate,
     prompt: MeanEstimate,
     run: MeanEstimate,
-    prefill_from: Instant,
     prefill_tokens: f64,
     prefill_millis: f64,
     refused: [f64; Tier::COUNT],
@@ -53,7 +52,6 @@
             cost: MeanEstimate::new(COST_GUESS),
             prompt: MeanEstimate::new(PROMPT_GUESS),
             run: MeanEstimate::new(RUN_GUESS.0 as f64),
-            prefill_from: Instant::default(),
             prefill_tokens: 0.0,
             prefill_millis: 0.0,
             refused: [0.0; Tier::COUNT],
@@ -67,21 +65,18 @@
         self.cost.observe(cost as f64);
     }
 
-    /// Takes in a first token.
-    ///
-    /// The endpoint is taken to prefill one prompt after the other, so that a
-    /// prompt's own time begins when the one before it was done.
-    pub fn on_first_token(&mut self, prompt: u64, dispatched: Instant, now: Instant) {
-        let from = self.prefill_from.max(dispatched);
-        self.prefill_from = now;
+    /// Takes in that a prompt was prefilled in so many milliseconds of the
+    /// endpoint's time.
+    pub fn on_prefill(&mut self, prompt: u64, millis: f64) {
         self.prefill_tokens += prompt as f64;
-        self.prefill_millis += now.since(from).0 as f64;
-        if self.prefill_millis >= PREFILL_SPAN.0 as f64 {
-            let (tokens, millis) = (self.prefill_tokens, self.prefill_millis);
-            self.prefill.observe(tokens, millis);
-            self.prefill_tokens = 0.0;
-            self.prefill_millis = 0.0;
+        self.prefill_millis += millis;
+        if self.prefill_millis < PREFILL_SPAN.0 as f64 {
+            return;
         }
+        self.prefill
+            .observe(self.prefill_tokens, self.prefill_millis);
+        self.prefill_tokens = 0.0;
+        self.prefill_millis = 0.0;
     }
 
     /// Takes in tokens of one stream that arrived after `gap` milliseconds.
--- a/crates/sesamehaven/src/gate.rs
+++ b/crates/sesamehaven/src/gate.rs
@@ -151,11 +151,10 @@
     /// Notes the first token of a run, or the head of a plain service's answer.
     pub fn on_first_token(&mut self, id: RequestId, now: Instant) {
         let counted = self.running.counted() as f64;
-        let Some(run) = self.running.first_token(id, now) else {
+        let Some((run, prefill)) = self.running.first_token(id, now) else {
             return;
         };
-        self.forecast
-            .on_first_token(run.prompt, run.dispatched, now);
+        self.forecast.on_prefill(run.prompt, prefill);
         if !run.long && !run.late {
             let span = now.since(run.dispatched).0 as f64;
             self.limit.observe_first_token(span, counted, now);
@@ -178,7 +177,7 @@
 
     /// Notes the end of a run, which makes room.
     pub fn on_end(&mut self, id: RequestId, ended: Ended, now: Instant) {
-        let Some(run) = self.running.remove(id) else {
+        let Some(run) = self.running.remove(id, now) else {
             return;
         };
         if ended != Ended::Whole {
@@ -386,6 +385,7 @@
             repeat: work.repeat,
             fingerprint: work.fingerprint,
             dispatched: now,
+            served: 0.0,
             first_token: None,
             last_token: now,
             unmeasured: 0,
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod answer;
 pub mod backoff;
+pub mod bloom;
 pub mod burn;
 pub mod check;
 mod check_grants;
--- a/crates/sesamehaven/src/prefix.rs
+++ b/crates/sesamehaven/src/prefix.rs
@@ -5,23 +5,56 @@
 use std::collections::{BTreeMap, HashMap};
 
 use crate::id::EndpointName;
-use crate::unit::Tokens;
 
 /// The prefixes that are remembered of each endpoint.
 const REMEMBERED: usize = 2_048;
 
+/// Knowledge of the prompt prefixes that endpoints hold.
+///
+/// Prefixes are digests of the start of a prompt, the shortest first, each
+/// covering the ones before it.
+pub trait PrefixKnowledge {
+    /// Notes that a prompt with these prefixes goes to an endpoint.
+    fn on_offer(&mut self, endpoint: &EndpointName, prefixes: &[u64]);
+
+    /// Takes in what the endpoint's agent reported about its cache.
+    fn on_summary(&mut self, endpoint: &EndpointName, summary: &[u8]);
+
+    /// Forgets an endpoint whose cache is gone.
+    fn forget(&mut self, endpoint: &EndpointName);
+
+    /// Returns how many of the prefixes the endpoint is taken to hold.
+    fn held(&self, endpoint: &EndpointName, prefixes: &[u64]) -> usize;
+}
+
 /// A guess at the prefixes that endpoints hold, from what they were offered.
 ///
 /// Each endpoint's cache is imitated by a least-recently-used list of the
 /// prefixes that this process sent there.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PrefixGuesses {
+    remembered: usize,
     endpoints: HashMap<EndpointName, Lru>,
 }
 
+impl Default for PrefixGuesses {
+    fn default() -> Self {
+        PrefixGuesses::new(REMEMBERED)
+    }
+}
+
 impl PrefixGuesses {
-    /// Notes that a prompt with these prefixes goes to an endpoint.
-    pub fn insert(&mut self, endpoint: &EndpointName, prefixes: &[u64]) {
+    /// Starts with nothing known; `remembered` bounds the list of each endpoint.
+    pub fn new(remembered: usize) -> Self {
+        PrefixGuesses {
+            remembered,
+            endpoints: HashMap::new(),
+        }
+    }
+}
+
+impl PrefixKnowledge for PrefixGuesses {
+    fn on_offer(&mut self, endpoint: &EndpointName, prefixes: &[u64]) {
         if prefixes.is_empty() {
             return;
         }
@@ -31,24 +64,23 @@
         let Some(lru) = self.endpoints.get_mut(endpoint) else {
             return;
         };
-        prefixes.iter().rev().for_each(|p| lru.touch(*p));
+        for prefix in prefixes.iter().rev() {
+            lru.touch(*prefix, self.remembered);
+        }
     }
 
-    /// Forgets an endpoint whose cache is gone.
-    pub fn forget(&mut self, endpoint: &EndpointName) {
+    fn on_summary(&mut self, _endpoint: &EndpointName, _summary: &[u8]) {}
+
+    fn forget(&mut self, endpoint: &EndpointName) {
         self.endpoints.remove(endpoint);
     }
 
-    /// Estimates the prompt tokens that the endpoint holds already.
-    ///
-    /// The prefixes are taken to divide the prompt evenly.
-    pub fn held(&self, endpoint: &EndpointName, prefixes: &[u64], prompt: Tokens) -> u64 {
+    fn held(&self, endpoint: &EndpointName, prefixes: &[u64]) -> usize {
         let Some(lru) = self.endpoints.get(endpoint) else {
             return 0;
         };
         let longest = prefixes.iter().rposition(|p| lru.ages.contains_key(p));
-        let held = longest.map_or(0, |i| i as u64 + 1);
-        prompt.0 * held / (prefixes.len() as u64).max(1)
+        longest.map_or(0, |i| i + 1)
     }
 }
 
@@ -60,13 +92,13 @@
 }
 
 impl Lru {
-    fn touch(&mut self, prefix: u64) {
+    fn touch(&mut self, prefix: u64, most: usize) {
         self.count += 1;
         if let Some(old) = self.ages.insert(prefix, self.count) {
             self.order.remove(&old);
         }
         self.order.insert(self.count, prefix);
-        if self.ages.len() > REMEMBERED
+        if self.ages.len() > most
             && let Some((_, oldest)) = self.order.pop_first()
         {
             self.ages.remove(&oldest);
--- a/crates/sesamehaven/src/route.rs
+++ b/crates/sesamehaven/src/route.rs
@@ -10,7 +10,7 @@
 use crate::gate::{Ended, LoadView};
 use crate::id::{EndpointName, RequestId};
 use crate::outcome::{Refusal, Refused};
-use crate::prefix::PrefixGuesses;
+use crate::prefix::{PrefixGuesses, PrefixKnowledge};
 use crate::replica::Replica;
 use crate::tier::Tier;
 use crate::unit::{Instant, Millis, Tokens};
@@ -23,6 +23,8 @@
 const SLACK_SHARE: f64 = 0.25;
 /// How much a millisecond of decoding counts beside one of waiting.
 const DECODE_WEIGHT: f64 = 0.1;
+/// How much a millisecond beyond the deadline counts beside one of waiting.
+const LATE_WEIGHT: f64 = 4.0;
 /// An offer is spared when the deadline would be missed by this factor.
 const HOPELESS_FACTOR: f64 = 2.0;
 /// The failures that a lost link counts for.
@@ -73,12 +75,12 @@
 
 /// What one entry knows of the endpoints of one pool.
 #[derive(Debug)]
-pub struct Route {
+pub struct Route<P = PrefixGuesses> {
     kind: PoolKind,
     prefix_weight: f64,
     replicas: HashMap<EndpointName, Replica>,
     offered: HashMap<RequestId, Offered>,
-    prefixes: PrefixGuesses,
+    prefixes: P,
 }
 
 impl Route {
@@ -86,20 +88,32 @@
     ///
     /// `prefix_weight` is [`Pool::prefix_weight`].
     pub fn new(prefix_weight: f64) -> Self {
+        Route::with_knowledge(prefix_weight, PrefixGuesses::default())
+    }
+
+    /// Starts without any endpoint of the given pool.
+    pub fn for_pool(pool: &Pool) -> Self {
+        let mut route = Route::new(pool.prefix_weight);
+        route.kind = pool.kind;
+        route
+    }
+}
+
+impl<P: PrefixKnowledge> Route<P> {
+    /// Starts without any endpoint, with another kind of prefix knowledge.
+    pub fn with_knowledge(prefix_weight: f64, prefixes: P) -> Self {
         Route {
             kind: PoolKind::Model,
             prefix_weight,
             replicas: HashMap::new(),
             offered: HashMap::new(),
-            prefixes: PrefixGuesses::default(),
+            prefixes,
         }
     }
 
-    /// Starts without any endpoint of the given pool.
-    pub fn for_pool(pool: &Pool) -> Self {
-        let mut route = Route::new(pool.prefix_weight);
-        route.kind = pool.kind;
-        route
+    /// Returns the knowledge of prefixes, to take in summaries of caches.
+    pub fn prefixes_mut(&mut self) -> &mut P {
+        &mut self.prefixes
     }
 
     /// Takes in a load report; reports that are overtaken by later ones are dropped.
@@ -129,7 +143,7 @@
         if let Some(replica) = self.replicas.get_mut(endpoint) {
             replica.on_offer(job.tier, prompt, now);
         }
-        self.prefixes.insert(endpoint, &job.prefixes);
+        self.prefixes.on_offer(endpoint, &job.prefixes);
         let offered = Offered {
             endpoint: endpoint.clone(),
             tier: job.tier,
@@ -245,7 +259,7 @@
         let open = present().filter(|(_, r)| !(eject && r.is_ejected(now)));
         let open = open.filter(|(_, r)| !r.is_closed_to(job.tier, now));
         let open = open.filter(|(name, _)| !job.excluded.contains(name));
-        let held = |name| self.prefixes.held(name, &job.prefixes, job.prompt);
+        let held = |name| self.held(name, job);
         let most = present().map(|(name, _)| held(name)).max().unwrap_or(0);
         let mut candidates: Candidates<'_> = open
             .map(|(name, r)| self.rate(name, r, job, held(name), most, now))
@@ -277,6 +291,17 @@
         candidates
     }
 
+    /// Estimates the prompt tokens that the endpoint holds already.
+    ///
+    /// The prefixes are taken to divide the prompt evenly.
+    fn held(&self, endpoint: &EndpointName, job: &Job) -> u64 {
+        if job.prefixes.is_empty() || self.kind == PoolKind::Service {
+            return 0;
+        }
+        let held = self.prefixes.held(endpoint, &job.prefixes);
+        job.prompt.0 * held as u64 / job.prefixes.len() as u64
+    }
+
     /// Returns the prompt and the answer in the units of the reports.
     fn size(&self, job: &Job) -> (f64, f64) {
         match self.kind {
@@ -300,9 +325,11 @@
         let first_token = replica.wait(job.tier, now) + fresh;
         let repeated = rate.millis_for(most.saturating_sub(held) as f64);
         let decode = replica.decode_rate().millis_for(output);
+        let overdue = first_token + decode - job.deadline.since(now).0 as f64;
+        let cost = first_token + DECODE_WEIGHT * decode + LATE_WEIGHT * overdue.max(0.0);
         Candidate {
             endpoint,
-            score: self.prefix_weight * (first_token + DECODE_WEIGHT * decode) + repeated,
+            score: self.prefix_weight * cost + repeated,
             finish: first_token + decode,
             running: replica.running(),
         }
--- a/crates/sesamehaven/src/running.rs
+++ b/crates/sesamehaven/src/running.rs
@@ -28,6 +28,8 @@
     pub fingerprint: u64,
     /// When it was dispatched.
     pub dispatched: Instant,
+    /// The prefill time that each waiting run had been given by then.
+    pub served: f64,
     /// When the first token arrived.
     pub first_token: Option<Instant>,
     /// When the last token arrived that was measured.
@@ -50,11 +52,15 @@
     long: [u32; Tier::COUNT],
     long_prefill: [u32; Tier::COUNT],
     suspects: u32,
+    served: f64,
+    served_at: Instant,
 }
 
 impl Running {
-    /// Adds a run.
-    pub fn insert(&mut self, id: RequestId, run: Run) {
+    /// Adds a run that is dispatched now.
+    pub fn insert(&mut self, id: RequestId, mut run: Run) {
+        self.advance(run.dispatched);
+        run.served = self.served;
         let i = run.tier.index();
         self.counted[i] += run.counted;
         self.prefill[i] += run.prefill;
@@ -66,7 +72,8 @@
     }
 
     /// Removes a run that has ended.
-    pub fn remove(&mut self, id: RequestId) -> Option<Run> {
+    pub fn remove(&mut self, id: RequestId, now: Instant) -> Option<Run> {
+        self.advance(now);
         let run = self.runs.remove(&id)?;
         let i = run.tier.index();
         self.counted[i] -= run.counted;
@@ -78,8 +85,10 @@
         Some(run)
     }
 
-    /// Notes a first token; returns the run as it was before.
-    pub fn first_token(&mut self, id: RequestId, now: Instant) -> Option<Run> {
+    /// Notes a first token; returns the run as it was before, and the prefill
+    /// time that went to it.
+    pub fn first_token(&mut self, id: RequestId, now: Instant) -> Option<(Run, f64)> {
+        self.advance(now);
         let run = self.runs.get_mut(&id)?;
         if run.first_token.is_some() {
             return None;
@@ -88,7 +97,7 @@
         run.first_token = Some(now);
         run.last_token = now;
         self.end_prefill(id, &before);
-        Some(before)
+        Some((before, self.served - before.served))
     }
 
     /// Notes further tokens; returns how many came in what time, in milliseconds.
@@ -110,6 +119,19 @@
         Some((std::mem::take(&mut run.unmeasured), gap))
     }
 
+    /// Shares the time since the last change evenly among the waiting runs.
+    ///
+    /// An engine may also prefill one prompt after the other: single times are
+    /// then too long or too short, but they still add up to the time that the
+    /// engine was busy.
+    fn advance(&mut self, now: Instant) {
+        let span = now.since(self.served_at).0 as f64;
+        self.served_at = now.max(self.served_at);
+        if !self.waiting.is_empty() {
+            self.served += span / self.waiting.len() as f64;
+        }
+    }
+
     fn end_prefill(&mut self, id: RequestId, run: &Run) {
         let i = run.tier.index();
         self.prefill[i] -= run.prefill;
