--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -9,6 +9,9 @@
 //! [`docs/ARCHITECTURE.md`](../../../docs/ARCHITECTURE.md).
 
 pub mod answer;
+pub mod backoff;
+pub mod bloom;
+pub mod burn;
 pub mod check;
 mod check_grants;
 pub mod config;
@@ -25,8 +28,11 @@
 pub mod outcome;
 pub mod parts;
 pub mod prefix;
+pub mod quarantine;
 pub mod queue;
+pub mod quota;
 mod replica;
+pub mod retry;
 pub mod route;
 pub mod running;
 pub mod tier;
