Seal frames with keyed hashes, and try links against faults

A proof at the opening alone leaves the rest of a connection to whoever can write into it.

The time at which the peer was last heard was dropped: a pong needs both directions, so the tests of one-way silence pass without it and fail without the pongs. Likewise the check for a repeated nonce, which the label of the side makes needless: without the label a reflected handshake is accepted and its test fails.

--- a/crates/sesamehaven-wire/src/auth.rs
+++ b/crates/sesamehaven-wire/src/auth.rs
@@ -9,9 +9,15 @@
 use crate::error::{Error, Result};
 use crate::message::{Hello, Proof};
 
-/// The length of the truncated keyed hashes on datagrams, in bytes.
+/// The length of the truncated keyed hashes on frames and datagrams, in bytes.
 pub(crate) const TAG_BYTES: usize = 16;
 
+/// The purpose of the key under which both sides prove themselves.
+const PROOF: &str = "sesamehaven link proof 1";
+
+/// The purpose of the keys under which frames are hashed.
+const FRAMES: &str = "sesamehaven link frames 1";
+
 /// The key that all daemons of one deployment share.
 #[derive(Clone, PartialEq, Eq)]
 pub struct Psk([u8; 32]);
@@ -42,24 +48,26 @@
         hasher.finalize()
     }
 
-    /// Returns the truncated keyed hash of several parts.
-    pub(crate) fn tag(&self, parts: &[&[u8]]) -> [u8; TAG_BYTES] {
-        let hash = self.hash(parts);
+    /// Returns the truncated keyed hash of a text and of its place in a sequence.
+    pub(crate) fn tag(&self, place: &[u8; 8], text: &[u8]) -> [u8; TAG_BYTES] {
+        let mut hasher = blake3::Hasher::new_keyed(&self.0);
+        hasher.update(place);
+        hasher.update(text);
         let mut tag = [0; TAG_BYTES];
-        tag.copy_from_slice(&hash.as_bytes()[..TAG_BYTES]);
+        tag.copy_from_slice(&hasher.finalize().as_bytes()[..TAG_BYTES]);
         tag
     }
 
     /// Checks a truncated keyed hash in constant time.
-    pub(crate) fn fits(&self, parts: &[&[u8]], tag: &[u8; TAG_BYTES]) -> bool {
-        padded(&self.tag(parts)) == padded(tag)
+    pub(crate) fn fits(&self, place: &[u8; 8], text: &[u8], tag: &[u8]) -> bool {
+        tag.len() == TAG_BYTES && padded(&self.tag(place, text)) == padded(tag)
     }
 }
 
 /// Widens a tag to the type whose comparison takes constant time.
-fn padded(tag: &[u8; TAG_BYTES]) -> blake3::Hash {
+fn padded(tag: &[u8]) -> blake3::Hash {
     let mut bytes = [0; 32];
-    bytes[..TAG_BYTES].copy_from_slice(tag);
+    bytes[..TAG_BYTES].copy_from_slice(&tag[..TAG_BYTES]);
     blake3::Hash::from_bytes(bytes)
 }
 
@@ -112,33 +120,57 @@
     }
 }
 
-/// Computes the proof of the `prover`, which is at the given side of the link.
-///
-/// It covers both hellos whole: nonces, roles, names and incarnations.
-///
-/// # Errors
-///
-/// Returns an error when a hello cannot be encoded.
-pub fn prove(psk: &Psk, side: Side, prover: &Hello, verifier: &Hello) -> Result<Proof> {
-    let mine = postcard::to_stdvec(prover)?;
-    let theirs = postcard::to_stdvec(verifier)?;
-    let key = psk.derive("sesamehaven link proof 1");
-    Ok(Proof(
-        *key.hash(&[side.as_str().as_bytes(), &mine, &theirs])
-            .as_bytes(),
-    ))
+/// What both sides of a link know after their hellos: the key and the two hellos.
+#[derive(Debug)]
+pub(crate) struct Transcript {
+    psk: Psk,
+    side: Side,
+    mine: Vec<u8>,
+    theirs: Vec<u8>,
 }
 
-/// Checks a proof in constant time.
-///
-/// # Errors
-///
-/// Returns [`Error::Unproved`] when the proof does not fit.
-pub fn verify(psk: &Psk, side: Side, prover: &Hello, verifier: &Hello, proof: Proof) -> Result<()> {
-    let expected = prove(psk, side, prover, verifier)?;
-    // The comparison of blake3's hashes takes constant time.
-    if blake3::Hash::from_bytes(expected.0) == blake3::Hash::from_bytes(proof.0) {
-        return Ok(());
-    }
-    Err(Error::Unproved)
+impl Transcript {
+    /// Takes the hellos as the process at `side` of the link sees them.
+    pub(crate) fn new(psk: &Psk, side: Side, mine: &Hello, theirs: &Hello) -> Result<Self> {
+        Ok(Transcript {
+            psk: psk.clone(),
+            side,
+            mine: postcard::to_stdvec(mine)?,
+            theirs: postcard::to_stdvec(theirs)?,
+        })
+    }
+
+    /// Returns the proof that this side sends.
+    pub(crate) fn prove(&self) -> Proof {
+        Proof(*self.hash(PROOF, self.side).as_bytes())
+    }
+
+    /// Checks the peer's proof in constant time.
+    pub(crate) fn verify(&self, proof: Proof) -> Result<()> {
+        if self.hash(PROOF, self.side.other()) == blake3::Hash::from_bytes(proof.0) {
+            return Ok(());
+        }
+        Err(Error::Unproved)
+    }
+
+    /// Returns the key of the frames that this side sends.
+    pub(crate) fn sending_key(&self) -> Psk {
+        Psk(*self.hash(FRAMES, self.side).as_bytes())
+    }
+
+    /// Returns the key of the frames that the peer sends.
+    pub(crate) fn receiving_key(&self) -> Psk {
+        Psk(*self.hash(FRAMES, self.side.other()).as_bytes())
+    }
+
+    /// Hashes both hellos, those of the given side first.
+    fn hash(&self, purpose: &str, side: Side) -> blake3::Hash {
+        let (first, second) = if side == self.side {
+            (&self.mine, &self.theirs)
+        } else {
+            (&self.theirs, &self.mine)
+        };
+        let key = self.psk.derive(purpose);
+        key.hash(&[side.as_str().as_bytes(), first, second])
+    }
 }
--- a/crates/sesamehaven-wire/src/error.rs
+++ b/crates/sesamehaven-wire/src/error.rs
@@ -34,7 +34,7 @@
         Unproved {
             display("peer did not prove that it holds the pre-shared key")
         }
-        /// The peer sent nothing within the heartbeat's limit.
+        /// The peer left pings unanswered, or took no bytes, for too long.
         Silent {
             display("peer has gone silent")
         }
--- a/crates/sesamehaven-wire/src/handshake.rs
+++ b/crates/sesamehaven-wire/src/handshake.rs
@@ -5,7 +5,7 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder};
 
-use crate::auth::{self, Psk, Side};
+use crate::auth::{Psk, Side, Transcript};
 use crate::codec::{FrameCodec, PREFIX_BYTES};
 use crate::error::{Error, Result};
 use crate::message::{Frame, Hello, VERSION};
@@ -16,7 +16,7 @@
 /// The place of `Hello` among the variants of [`Frame`] in every version.
 const HELLO_VARIANT: u32 = 0;
 
-/// Exchanges hellos and proofs; returns the peer's hello.
+/// Exchanges hellos and proofs; returns the peer's hello and what both know now.
 ///
 /// Both sides speak without waiting for the other, so a peer of another
 /// version reads this side's hello before it is refused. `buf` keeps what the
@@ -27,20 +27,16 @@
     side: Side,
     mine: &Hello,
     psk: &Psk,
-) -> Result<Hello> {
+) -> Result<(Hello, Transcript)> {
     send(stream, &Frame::Hello(mine.clone())).await?;
     let hello = read_hello(stream, buf).await?;
-    // A peer that repeats this side's nonce could only reflect this side's messages.
-    if hello.nonce == mine.nonce {
-        return Err(Error::Unproved);
-    }
-    let proof = auth::prove(psk, side, mine, &hello)?;
-    send(stream, &Frame::Proof(proof)).await?;
+    let transcript = Transcript::new(psk, side, mine, &hello)?;
+    send(stream, &Frame::Proof(transcript.prove())).await?;
     let Frame::Proof(proof) = read(stream, buf).await? else {
         return Err(Error::Unexpected);
     };
-    auth::verify(psk, side.other(), &hello, mine, proof)?;
-    Ok(hello)
+    transcript.verify(proof)?;
+    Ok((hello, transcript))
 }
 
 async fn send(stream: &mut TcpStream, frame: &Frame) -> Result<()> {
--- a/crates/sesamehaven-wire/src/link.rs
+++ b/crates/sesamehaven-wire/src/link.rs
@@ -20,12 +20,12 @@
 use sesamehaven::id::{DaemonName, DataCentreName, Generation, Incarnation};
 
 use crate::auth::{Psk, Side};
-use crate::codec;
+use crate::codec::{self, FrameCodec};
 use crate::counter;
 use crate::error::{Error, Result};
 use crate::handshake;
 use crate::message::{Frame, Hello, Role, VERSION};
-use crate::pump::{self, Pump};
+use crate::pump::{self, Codecs, Pump};
 
 /// Who a process is towards its peers.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -51,7 +51,7 @@
     pub max_frame_bytes: usize,
     /// How often a ping is sent.
     pub heartbeat: Duration,
-    /// How long a peer may send nothing, or leave pings unanswered.
+    /// How long a peer may leave pings unanswered.
     pub silent_after: Duration,
     /// How long the connection and its handshake may take.
     pub handshake_timeout: Duration,
@@ -247,20 +247,29 @@
     let mine = cfg.hello();
     let psk = cfg.psk.clone().unwrap_or_else(Psk::public);
     let mut buf = BytesMut::new();
-    let peer = handshake::exchange(&mut stream, &mut buf, side, &mine, &psk).await?;
+    let exchange = handshake::exchange(&mut stream, &mut buf, side, &mine, &psk);
+    let (peer, transcript) = exchange.await?;
     counter!(counter::LINKS_OPENED, "side" => side.as_str()).increment(1);
-    Ok(start(stream, buf, peer, cfg))
+    let mut codecs = Codecs {
+        sending: FrameCodec::new(cfg.max_frame_bytes),
+        receiving: FrameCodec::new(cfg.max_frame_bytes),
+    };
+    if cfg.psk.is_some() {
+        codecs.sending = codecs.sending.sealed(transcript.sending_key());
+        codecs.receiving = codecs.receiving.sealed(transcript.receiving_key());
+    }
+    Ok(start(stream, buf, codecs, peer, cfg))
 }
 
 /// Starts the task that moves the frames of an open link.
-fn start(stream: TcpStream, buf: BytesMut, peer: Hello, cfg: &LinkConfig) -> Link {
+fn start(stream: TcpStream, buf: BytesMut, codecs: Codecs, peer: Hello, cfg: &LinkConfig) -> Link {
     let (tx, outgoing) = mpsc::channel(cfg.queue_frames);
     let (incoming, rx) = mpsc::channel(cfg.queue_frames);
     let (generation_tx, generation) = watch::channel(peer.generation);
     let (closed_tx, closed) = watch::channel(None);
     let pump = Pump::new(cfg, generation_tx);
     tokio::spawn(async move {
-        let reason = pump::run(pump, stream, buf, outgoing, incoming).await;
+        let reason = pump::run(pump, stream, buf, codecs, outgoing, incoming).await;
         counter::link_closed(&reason);
         closed_tx.send_replace(Some(Arc::new(reason)));
     });
--- a/crates/sesamehaven-wire/src/pump.rs
+++ b/crates/sesamehaven-wire/src/pump.rs
@@ -33,17 +33,20 @@
 /// The shortest time between two looks at the heartbeat.
 const TICK_MIN: Duration = Duration::from_millis(1);
 
+/// The codecs of the two directions of a link.
+pub(crate) struct Codecs {
+    pub(crate) sending: FrameCodec,
+    pub(crate) receiving: FrameCodec,
+}
+
 /// What the reading and the writing half of a link share.
 pub(crate) struct Pump {
-    codec: FrameCodec,
     heartbeat: Duration,
     silent_after: Duration,
     generation: Arc<AtomicU64>,
     peer_generation: watch::Sender<Generation>,
     traffic: Traffic,
     started: Instant,
-    /// When the peer was last heard, in milliseconds since the start.
-    heard_ms: AtomicU64,
     /// When the peer last answered a ping, in milliseconds since the start.
     answered_ms: AtomicU64,
     /// The latest ping that awaits its pong, zero for none.
@@ -55,14 +58,12 @@
     /// Builds the state of a link that has just been opened.
     pub(crate) fn new(cfg: &LinkConfig, peer_generation: watch::Sender<Generation>) -> Self {
         Pump {
-            codec: FrameCodec::new(cfg.max_frame_bytes),
             heartbeat: cfg.heartbeat,
             silent_after: cfg.silent_after,
             generation: cfg.generation.clone(),
             peer_generation,
             traffic: Traffic::new(),
             started: Instant::now(),
-            heard_ms: AtomicU64::new(0),
             answered_ms: AtomicU64::new(0),
             unanswered: AtomicU64::new(0),
             answer: Notify::new(),
@@ -86,11 +87,12 @@
         });
     }
 
-    /// Returns whether the peer has been silent too long, in either direction.
+    /// Returns whether pings have been left unanswered for too long.
+    ///
+    /// A pong needs both directions, so this finds silence in either.
     fn is_silent(&self) -> bool {
-        let heard = self.heard_ms.load(Ordering::Relaxed);
         let answered = self.answered_ms.load(Ordering::Relaxed);
-        let silence = self.now_ms().saturating_sub(heard.min(answered));
+        let silence = self.now_ms().saturating_sub(answered);
         u128::from(silence) >= self.silent_after.as_millis()
     }
 }
@@ -100,13 +102,14 @@
     pump: Pump,
     stream: TcpStream,
     buf: BytesMut,
+    codecs: Codecs,
     outgoing: mpsc::Receiver<Frame>,
     incoming: mpsc::Sender<Frame>,
 ) -> Error {
     let (reader, writer) = stream.into_split();
     let ended = tokio::select! {
-        ended = read(&pump, reader, buf, &incoming) => ended,
-        ended = write(&pump, writer, outgoing) => ended,
+        ended = read(&pump, reader, buf, codecs.receiving, &incoming) => ended,
+        ended = write(&pump, writer, codecs.sending, outgoing) => ended,
         ended = watch_silence(&pump) => ended,
         () = incoming.closed() => Ok(()),
     };
@@ -114,7 +117,7 @@
 }
 
 async fn watch_silence(pump: &Pump) -> Result<()> {
-    let mut ticks = interval(pump.heartbeat.min(pump.silent_after / 4).max(TICK_MIN));
+    let mut ticks = interval((pump.silent_after / 8).max(TICK_MIN));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while !pump.is_silent() {
         ticks.tick().await;
@@ -126,9 +129,9 @@
     pump: &Pump,
     mut reader: OwnedReadHalf,
     mut buf: BytesMut,
+    mut codec: FrameCodec,
     incoming: &mpsc::Sender<Frame>,
 ) -> Result<()> {
-    let mut codec = pump.codec.clone();
     loop {
         let mut frames = 0;
         while let Some(frame) = codec.decode(&mut buf)? {
@@ -142,7 +145,6 @@
             return Err(Error::Closed);
         }
         pump.traffic.bytes_received.increment(len as u64);
-        pump.heard_ms.store(pump.now_ms(), Ordering::Relaxed);
     }
 }
 
@@ -179,11 +181,11 @@
 async fn write(
     pump: &Pump,
     mut writer: OwnedWriteHalf,
+    mut codec: FrameCodec,
     mut outgoing: mpsc::Receiver<Frame>,
 ) -> Result<()> {
     let mut batch = Vec::with_capacity(BATCH_FRAMES);
     let mut buf = BytesMut::with_capacity(BATCH_BYTES);
-    let mut codec = pump.codec.clone();
     let mut pings = interval(pump.heartbeat.max(TICK_MIN));
     pings.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut pings_sent = 0;
--- a/crates/sesamehaven-wire/src/report.rs
+++ b/crates/sesamehaven-wire/src/report.rs
@@ -30,6 +30,9 @@
 /// The most datagrams of one report.
 const PARTS_MAX: u16 = 64;
 
+/// Datagrams stand alone; the numbers inside put them in order.
+const NO_PLACE: [u8; 8] = [0; 8];
+
 /// One datagram's share of a report.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 struct Part {
@@ -96,7 +99,7 @@
             });
         }
         let mut datagram = Vec::with_capacity(len);
-        datagram.extend_from_slice(&self.key.tag(&[&body]));
+        datagram.extend_from_slice(&self.key.tag(&NO_PLACE, &body));
         datagram.extend_from_slice(&body);
         Ok(datagram)
     }
@@ -218,10 +221,10 @@
     }
 
     fn open(&self, datagram: &[u8]) -> std::result::Result<Part, Dropped> {
-        let Some((tag, body)) = datagram.split_first_chunk::<TAG_BYTES>() else {
+        let Some((tag, body)) = datagram.split_at_checked(TAG_BYTES) else {
             return Err(Dropped::Forged);
         };
-        if !self.key.fits(&[body], tag) {
+        if !self.key.fits(&NO_PLACE, body, tag) {
             return Err(Dropped::Forged);
         }
         match postcard::take_from_bytes::<u16>(body) {
--- a/crates/sesamehaven-wire/tests/link.rs
+++ b/crates/sesamehaven-wire/tests/link.rs
@@ -56,6 +56,15 @@
     assert!(matches!(far, Error::Unproved | Error::Io(_)), "{far}");
 }
 
+/// Takes the heartbeat that the daemons have unless their settings say otherwise.
+fn by_default(cfg: LinkConfig) -> LinkConfig {
+    let usual = LinkConfig::new(cfg.me.clone(), cfg.generation.clone());
+    LinkConfig {
+        psk: cfg.psk,
+        ..usual
+    }
+}
+
 #[rstest]
 #[case::both_ways(true, true)]
 #[case::towards_the_agent(true, false)]
@@ -64,7 +73,8 @@
 async fn finds_silence_in_either_direction(#[case] up: bool, #[case] down: bool) {
     let (listener, addr) = listener().await;
     let (relay, via) = Relay::start(addr).await;
-    let (near, far) = dial(&listener, via, &entry(Some(1)), &agent(Some(1))).await;
+    let (entry, agent) = (by_default(entry(Some(1))), by_default(agent(Some(1))));
+    let (near, far) = dial(&listener, via, &entry, &agent).await;
     let (mut near, mut far) = (near.unwrap(), far.unwrap());
     near.tx.send(Frame::Leaving).await.unwrap();
     assert_eq!(far.rx.recv().await, Some(Frame::Leaving));
@@ -73,12 +83,11 @@
     let started = Instant::now();
     assert_eq!(reason(&mut near).await, "silent");
     assert_eq!(reason(&mut far).await, "silent");
-    // The default limit is eight times this test's 250 ms, and 3 s are allowed.
-    assert!(started.elapsed() * 8 < Duration::from_secs(3));
+    assert!(started.elapsed() < Duration::from_secs(3));
     // New connections work while the old one is silent.
     relay.swallow_up.store(false, Ordering::SeqCst);
     relay.swallow_down.store(false, Ordering::SeqCst);
-    let (near, far) = dial(&listener, via, &entry(Some(1)), &agent(Some(1))).await;
+    let (near, far) = dial(&listener, via, &entry, &agent).await;
     let (near, mut far) = (near.unwrap(), far.unwrap());
     near.tx.send(Frame::Leaving).await.unwrap();
     assert_eq!(far.rx.recv().await, Some(Frame::Leaving));
@@ -89,9 +98,9 @@
     let (mut near, far) = pair(&entry(Some(1)), &agent(Some(1))).await;
     let started = Instant::now();
     let mut seq = 0;
-    // Four times the limit of silence, half of it without any frame but heartbeats.
-    while started.elapsed() < Duration::from_secs(1) {
-        let loaded = started.elapsed() < Duration::from_millis(500);
+    // Three times the limit of silence, half of it without any frame but heartbeats.
+    while started.elapsed() < Duration::from_secs(3) {
+        let loaded = started.elapsed() < Duration::from_millis(1_500);
         if loaded {
             far.tx.send(chunk(1, seq, 16 << 10)).await.unwrap();
             assert_eq!(near.rx.recv().await, Some(chunk(1, seq, 16 << 10)));
--- /dev/null
+++ b/crates/sesamehaven-wire/tests/report.rs
@@ -0,0 +1,123 @@
+//! Reports over UDP: order, split, loss, noise.
+#![allow(clippy::unwrap_used)] // The helpers run in tests only.
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use rstest::rstest;
+
+use sesamehaven::Tier;
+use sesamehaven::id::{Generation, Incarnation};
+use sesamehaven_wire::message::{Load, Report};
+use sesamehaven_wire::report::{Dropped, ReportDecoder, ReportEncoder};
+use sesamehaven_wire::{Psk, ReportReceiver, ReportSender};
+
+fn load(number: usize, prefix_bytes: usize) -> Load {
+    Load {
+        endpoint: format!("endpoint-{number}").parse().unwrap(),
+        pool: "drafting".parse().unwrap(),
+        healthy: true,
+        running: 3,
+        queued: [7; Tier::COUNT],
+        admits: None,
+        prefill_rate: 4_000.0,
+        decode_rate: 30.0,
+        limit: 16,
+        prefixes: vec![9; prefix_bytes].into(),
+    }
+}
+
+fn report(incarnation: u64, seq: u64, endpoints: usize) -> Report {
+    Report {
+        agent: "agent-1".parse().unwrap(),
+        data_centre: "hobro".parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+        seq,
+        address: "127.0.0.1:4000".parse().unwrap(),
+        generation: Generation(4),
+        leaving: false,
+        endpoints: (0..endpoints).map(|n| load(n, 100)).collect(),
+    }
+}
+
+fn codecs() -> (ReportEncoder, ReportDecoder) {
+    let psk = Psk::new([3; 32]);
+    (
+        ReportEncoder::new(Some(&psk)),
+        ReportDecoder::new(Some(&psk)),
+    )
+}
+
+#[test]
+fn takes_only_what_is_newer() {
+    let (encoder, mut decoder) = codecs();
+    let mut decode = |incarnation, seq| {
+        let datagrams = encoder.encode(&report(incarnation, seq, 2)).unwrap();
+        assert_eq!(datagrams.len(), 1);
+        decoder.decode(&datagrams[0]).map(|r| r.unwrap().seq)
+    };
+    assert_eq!(decode(5, 1), Ok(1));
+    assert_eq!(decode(5, 3), Ok(3));
+    assert_eq!(decode(5, 2), Err(Dropped::Old));
+    assert_eq!(decode(5, 3), Err(Dropped::Old));
+    assert_eq!(decode(6, 1), Ok(1));
+    assert_eq!(decode(5, 4), Err(Dropped::Incarnation));
+    assert_eq!(decode(6, 2), Ok(2));
+}
+
+#[test]
+fn splits_a_long_report_and_waits_for_all_of_it() {
+    let (encoder, mut decoder) = codecs();
+    let first = encoder.encode(&report(1, 1, 40)).unwrap();
+    assert!(first.len() > 1);
+    assert!(first.iter().all(|datagram| datagram.len() <= 1_200));
+    // The last part of the first report is lost; the second comes out of order.
+    for datagram in &first[1..] {
+        assert_eq!(decoder.decode(datagram), Ok(None));
+    }
+    let second = encoder.encode(&report(1, 2, 40)).unwrap();
+    for datagram in second[1..].iter().rev() {
+        assert_eq!(decoder.decode(datagram), Ok(None));
+    }
+    assert_eq!(decoder.decode(&first[0]), Err(Dropped::Old));
+    assert_eq!(decoder.decode(&second[1]), Err(Dropped::Old));
+    assert_eq!(decoder.decode(&second[0]), Ok(Some(report(1, 2, 40))));
+}
+
+#[rstest]
+#[case::one_load_is_too_long(1, 40_000)]
+#[case::too_many_endpoints(2_000, 100)]
+fn refuses_to_send_what_no_datagram_carries(#[case] endpoints: usize, #[case] prefix_bytes: usize) {
+    let mut report = report(1, 1, 0);
+    report.endpoints = (0..endpoints).map(|n| load(n, prefix_bytes)).collect();
+    let refused = codecs().0.encode(&report).unwrap_err();
+    assert_eq!(refused.reason(), "oversized");
+}
+
+#[tokio::test]
+async fn crosses_the_loopback_and_passes_over_noise() {
+    let psk = Psk::new([3; 32]);
+    let local = "127.0.0.1:0".parse().unwrap();
+    let mut rx = ReportReceiver::bind(local, Some(&psk)).await.unwrap();
+    let to = [rx.local_addr().unwrap()];
+    let mut tx = ReportSender::bind(local, Some(&psk)).await.unwrap();
+    let mut stranger = ReportSender::bind(local, None).await.unwrap();
+    stranger.send(&mut report(9, 0, 1), &to).await.unwrap();
+    let mut sent = report(1, 0, 3);
+    tx.send(&mut sent, &to).await.unwrap();
+    assert_eq!(rx.recv().await.unwrap(), sent);
+    assert_eq!(sent.seq, 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn noise_and_damage_are_dropped(bytes in vec(any::<u8>(), 0..1_500), at: prop::sample::Index, bit in 0..8_u32) {
+        let (encoder, mut decoder) = codecs();
+        prop_assert_eq!(decoder.decode(&bytes), Err(Dropped::Forged));
+        let mut datagram = encoder.encode(&report(1, 1, 2)).unwrap().remove(0);
+        let place = at.index(datagram.len());
+        datagram[place] ^= 1 << bit;
+        prop_assert_eq!(decoder.decode(&datagram), Err(Dropped::Forged));
+    }
+}
