--- a/crates/sesamehaven-daemons/src/lib.rs
+++ b/crates/sesamehaven-daemons/src/lib.rs
@@ -1,1 +1,29 @@
-//! sesamehaven-daemons
+//! The daemons `sesame-entry` and `sesame-agent` and the command `sesamectl`.
+//!
+//! The daemons are thin: they move bytes and time between the network and the
+//! decisions of the library `sesamehaven`. [`entry`] takes callers' requests,
+//! [`agent`] stands before endpoints.
+
+pub mod admin;
+pub mod agent;
+pub mod agent_main;
+pub mod call;
+pub mod caller;
+pub mod cli;
+pub mod clock;
+pub mod drain;
+pub mod entry;
+pub mod entry_main;
+pub mod feed;
+mod feed_shelf;
+pub mod front;
+pub mod header;
+pub mod intake;
+pub mod logs;
+pub mod peer;
+pub mod platform;
+pub mod ports;
+pub mod reply;
+pub mod run;
+pub mod settings;
+pub mod trace;
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -8,10 +8,27 @@
 //! The design is described in
 //! [`docs/ARCHITECTURE.md`](../../../docs/ARCHITECTURE.md).
 
+pub mod answer;
+pub mod check;
+mod check_grants;
 pub mod config;
+pub mod delivery;
 pub mod error;
+pub mod estimate;
+pub mod fair;
+pub mod flight;
+pub mod forecast;
+pub mod gate;
 pub mod id;
+pub mod limit;
+pub mod offer;
 pub mod outcome;
+pub mod parts;
+pub mod prefix;
+pub mod queue;
+mod replica;
+pub mod route;
+pub mod running;
 pub mod tier;
 pub mod unit;
 
