--- a/crates/sesamehaven-wire/src/counter.rs
+++ b/crates/sesamehaven-wire/src/counter.rs
@@ -5,31 +5,31 @@
 use crate::error::Error;
 
 /// Links that were opened, by `side`.
-pub const LINKS_OPENED: &str = "sesame_links_opened_total";
+pub const LINKS_OPENED: &str = "links_opened_total";
 /// Links that ended after their handshake, by `reason`.
-pub const LINKS_CLOSED: &str = "sesame_links_closed_total";
+pub const LINKS_CLOSED: &str = "links_closed_total";
 /// Handshakes that failed, by `reason`.
-pub const HANDSHAKES_FAILED: &str = "sesame_link_handshakes_failed_total";
+pub const HANDSHAKES_FAILED: &str = "link_handshakes_failed_total";
 /// Frames written to links.
-pub const FRAMES_SENT: &str = "sesame_link_frames_sent_total";
+pub const FRAMES_SENT: &str = "link_frames_sent_total";
 /// Frames read from links.
-pub const FRAMES_RECEIVED: &str = "sesame_link_frames_received_total";
+pub const FRAMES_RECEIVED: &str = "link_frames_received_total";
 /// Frames that this process tried to send although they are over the limit.
-pub const FRAMES_OVERSIZED: &str = "sesame_link_frames_oversized_total";
+pub const FRAMES_OVERSIZED: &str = "link_frames_oversized_total";
 /// Bytes written to links.
-pub const BYTES_SENT: &str = "sesame_link_sent_bytes_total";
+pub const BYTES_SENT: &str = "link_sent_bytes_total";
 /// Bytes read from links.
-pub const BYTES_RECEIVED: &str = "sesame_link_received_bytes_total";
+pub const BYTES_RECEIVED: &str = "link_received_bytes_total";
 /// Write calls on links; frames by writes is the size of a batch.
-pub const WRITES: &str = "sesame_link_writes_total";
+pub const WRITES: &str = "link_writes_total";
 /// Datagrams with reports that were sent.
-pub const REPORTS_SENT: &str = "sesame_reports_sent_total";
+pub const REPORTS_SENT: &str = "reports_sent_total";
 /// Datagrams with reports that could not be sent.
-pub const REPORTS_UNSENT: &str = "sesame_reports_unsent_total";
+pub const REPORTS_UNSENT: &str = "reports_unsent_total";
 /// Datagrams with reports that were accepted.
-pub const REPORTS_RECEIVED: &str = "sesame_reports_received_total";
+pub const REPORTS_RECEIVED: &str = "reports_received_total";
 /// Datagrams that were dropped, by `reason`.
-pub const REPORTS_DROPPED: &str = "sesame_reports_dropped_total";
+pub const REPORTS_DROPPED: &str = "reports_dropped_total";
 
 /// The counters of a link's traffic, looked up once for each link.
 #[derive(Clone)]
--- a/crates/sesamehaven-wire/tests/counters.rs
+++ b/crates/sesamehaven-wire/tests/counters.rs
@@ -51,7 +51,7 @@
         .send_to(&[1; 40], reports.local_addr().unwrap())
         .await
         .unwrap();
-    let dropped = "sesame_reports_dropped_total{reason=\"forged\"} 1";
+    let dropped = "reports_dropped_total{reason=\"forged\"} 1";
     let counted = async {
         while !metrics.render().contains(dropped) {
             tokio::task::yield_now().await;
@@ -64,14 +64,14 @@
 
     let text = metrics.render();
     for line in [
-        "sesame_link_handshakes_failed_total{reason=\"oversized\"} 1",
-        "sesame_link_handshakes_failed_total{reason=\"malformed\"} 1",
-        "sesame_link_handshakes_failed_total{reason=\"version\"} 1",
-        "sesame_links_opened_total{side=\"dialler\"} 1",
-        "sesame_link_frames_oversized_total 1",
+        "link_handshakes_failed_total{reason=\"oversized\"} 1",
+        "link_handshakes_failed_total{reason=\"malformed\"} 1",
+        "link_handshakes_failed_total{reason=\"version\"} 1",
+        "links_opened_total{side=\"dialler\"} 1",
+        "link_frames_oversized_total 1",
     ] {
         assert!(text.contains(line), "{line} is missing in\n{text}");
     }
-    assert!(text.contains("sesame_link_handshakes_failed_total{reason=\"unproved\"}"));
-    assert!(text.contains("sesame_links_closed_total"));
+    assert!(text.contains("link_handshakes_failed_total{reason=\"unproved\"}"));
+    assert!(text.contains("links_closed_total"));
 }
