--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -8,11 +8,13 @@
 //! The design is described in
 //! [`docs/ARCHITECTURE.md`](../../../docs/ARCHITECTURE.md).
 
+pub mod answer;
 pub mod check;
 mod check_grants;
 pub mod config;
 pub mod delivery;
 pub mod error;
+pub mod flight;
 pub mod id;
 pub mod outcome;
 pub mod parts;
