--- a/crates/sesamehaven/src/check_grants.rs
+++ b/crates/sesamehaven/src/check_grants.rs
@@ -5,7 +5,6 @@
 use crate::check::{Checker, DEADLINE_MAX, KEYS_MAX, repeated};
 use crate::config::{Class, Contract, Limits, Organisation, Repeat};
 use crate::id::Digest;
-use crate::tier::Tier;
 
 impl<'a> Checker<'a> {
     pub(crate) fn classes(&mut self) {
@@ -122,7 +121,8 @@
                 let path = format!("{at}.limits.tokens_per_second");
                 self.find(path, problem, "raise the limit, or grant another class");
             }
-            if class.repeat == Repeat::Claimed && class.tier != Tier::MOST_URGENT {
+            let last = c.classes.iter().map(|c| c.tier).max();
+            if class.repeat == Repeat::Claimed && Some(class.tier) == last {
                 self.claimed_is_never_preempted(at, contract, class);
             }
         }
