Plan, apply and undo configurations with sesamectl

Cause: operators had no way to put a configuration in force, and two of them could overwrite each other. An apply names the generation that was read and moves the head by a conditional write; the loser is shown what the winner changed and what its own file would change now. The head that goes away is kept in the history before it is replaced, so a writer whose answer was lost finds its change id there even after a later change. Ruled out: keeping the history only after the head has moved, as a writer that dies in between would leave a gap that the next one could not tell from a lost change.

--- /dev/null
+++ b/crates/sesamehaven-daemons/src/bin/sesamectl.rs
@@ -0,0 +1,7 @@
+//! The operators' command.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sesamehaven_daemons::ctl::main()
+}
--- /dev/null
+++ b/crates/sesamehaven-daemons/src/ctl.rs
@@ -0,0 +1,240 @@
+//! The command `sesamectl`, by which operators change and watch the system.
+//!
+//! Every command gives an [`Output`], which is printed as text or, with
+//! `--json`, as JSON. The commands and exit codes are explained in
+//! [`docs/CONFIGURATION.md`](../../../docs/CONFIGURATION.md).
+
+use std::io::{self, Read, Write};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use quick_error::quick_error;
+use serde_json::{Value, json};
+
+use sesamehaven::check::{Finding, check};
+use sesamehaven::config::Configuration;
+use sesamehaven::id::Generation;
+use sesamehaven::parts;
+use sesamehaven_config::digest_key;
+
+use crate::ctl_apply;
+use crate::ctl_history;
+use crate::ctl_options::{Command, Options, options};
+use crate::ctl_plan;
+use crate::ctl_report;
+use crate::ctl_status;
+use crate::platform;
+
+/// The result of commands.
+pub type Result<T> = std::result::Result<T, Error>;
+
+quick_error! {
+    /// Why a command could not do what was asked.
+    #[derive(Debug)]
+    #[allow(missing_docs)] // quick-error takes no doc comments on fields.
+    pub enum Error {
+        /// A file or the standard input could not be read.
+        Read { path: PathBuf, err: io::Error } {
+            source(err)
+            display("cannot read {}: {err}", path.display())
+        }
+        /// The text is not a configuration.
+        Invalid { path: PathBuf, message: String } {
+            display("{}: {message}", path.display())
+        }
+        /// The configuration is not acceptable.
+        Unacceptable { path: PathBuf, findings: Vec<Finding> } {
+            display("{} has {} errors:{}", path.display(), findings.len(), listed(findings))
+        }
+        /// The API key is not fit for use.
+        Key(err: sesamehaven_config::Error) {
+            from()
+            source(err)
+            display("{err}")
+        }
+        /// There is no such generation.
+        NoGeneration { generation: Generation } {
+            display("generation {generation} is not in the history; `sesamectl history` lists it")
+        }
+        /// What the platform holds contradicts its digests.
+        Parts(err: parts::Error) {
+            from()
+            source(err)
+            display("{err}")
+        }
+        /// The platform did not do its part.
+        Platform(err: platform::Error) {
+            from()
+            source(err)
+            display("{err}")
+        }
+        /// It could not be found out whether the change took effect.
+        Unsettled { change: String, generation: Generation } {
+            display("it is not known whether change {change} became generation {generation}: \
+                     look for it with `sesamectl history` once the platform answers")
+        }
+        /// A command that this build does not have yet.
+        Unavailable { what: &'static str } {
+            display("{what} is not available in this build")
+        }
+    }
+}
+
+impl Error {
+    /// Returns whether the operator has to change what was asked.
+    pub fn is_wrong_use(&self) -> bool {
+        !matches!(
+            self,
+            Error::Platform(_) | Error::Parts(_) | Error::Unsettled { .. }
+        )
+    }
+
+    fn output(&self) -> Output {
+        let findings = match self {
+            Error::Unacceptable { findings, .. } => json!(findings),
+            _ => json!([]),
+        };
+        Output {
+            text: format!("{self}\n"),
+            json: json!({ "error": self.to_string(), "findings": findings }),
+            exit: match self.is_wrong_use() {
+                true => Exit::WrongUse,
+                false => Exit::Failed,
+            },
+        }
+    }
+}
+
+fn listed(findings: &[Finding]) -> String {
+    findings.iter().map(|f| format!("\n  {f}")).collect()
+}
+
+/// How a command ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Exit {
+    /// It did what was asked.
+    Done = 0,
+    /// It found a difference or a conflict.
+    Difference = 1,
+    /// It was asked for something that cannot be.
+    WrongUse = 2,
+    /// The platform did not let it.
+    Failed = 3,
+}
+
+/// What a command prints.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Output {
+    /// For people, ending in a line end.
+    pub text: String,
+    /// For programs.
+    pub json: Value,
+    /// How it ended.
+    pub exit: Exit,
+}
+
+impl Output {
+    /// Builds the output of a command that did what was asked.
+    pub(crate) fn done(text: impl Into<String>, json: Value) -> Self {
+        Output {
+            text: text.into(),
+            json,
+            exit: Exit::Done,
+        }
+    }
+
+    fn print(&self, json: bool) -> io::Result<()> {
+        let text = match json {
+            true => format!("{:#}\n", self.json),
+            false => self.text.clone(),
+        };
+        match self.exit {
+            Exit::WrongUse | Exit::Failed if !json => io::stderr().write_all(text.as_bytes()),
+            _ => io::stdout().write_all(text.as_bytes()),
+        }
+    }
+}
+
+/// Runs the command that the command line names.
+pub fn main() -> ExitCode {
+    let Options { json, command } = options().fallback_to_usage().run();
+    let output = actix_rt::System::new().block_on(run(command));
+    let output = output.unwrap_or_else(|err| err.output());
+    match output.print(json) {
+        Ok(()) => ExitCode::from(output.exit as u8),
+        Err(_) => ExitCode::from(Exit::Failed as u8),
+    }
+}
+
+async fn run(command: Command) -> Result<Output> {
+    match command {
+        Command::Check { file } => check_file(&file),
+        Command::DigestKey => digest_stdin(),
+        Command::Plan { store, file } => ctl_plan::run(&store.open(), &file).await,
+        Command::Apply {
+            store,
+            change,
+            file,
+        } => ctl_apply::run(&store.open(), &change, &file).await,
+        Command::Undo {
+            store,
+            change,
+            generation,
+        } => ctl_apply::undo(&store.open(), &change, generation).await,
+        Command::History { store, last } => ctl_history::run(&store.open(), last).await,
+        Command::Show { store, generation } => ctl_history::show(&store.open(), generation).await,
+        Command::Status { store, daemons } => ctl_status::run(store, &daemons).await,
+        Command::Report => ctl_report::run(),
+    }
+}
+
+/// Reads a configuration from a file and checks it as a whole.
+pub(crate) fn read_configuration(path: &Path) -> Result<Configuration> {
+    let text = match path.as_os_str() == "-" {
+        true => io::read_to_string(io::stdin()),
+        false => std::fs::read_to_string(path),
+    };
+    let text = text.map_err(|err| Error::Read {
+        path: path.into(),
+        err,
+    })?;
+    let read = serde_saphyr::from_str(&text);
+    let configuration = read.map_err(|err| Error::Invalid {
+        path: path.into(),
+        message: err.to_string(),
+    })?;
+    let findings = check(&configuration);
+    if findings.is_empty() {
+        return Ok(configuration);
+    }
+    Err(Error::Unacceptable {
+        path: path.into(),
+        findings,
+    })
+}
+
+fn check_file(path: &Path) -> Result<Output> {
+    let c = read_configuration(path)?;
+    let text = format!(
+        "{} is sound: {} endpoints in {} pools, {} organisations\n",
+        path.display(),
+        c.endpoints.len(),
+        c.pools.len(),
+        c.organisations.len()
+    );
+    Ok(Output::done(text, json!({ "findings": [] })))
+}
+
+fn digest_stdin() -> Result<Output> {
+    let mut key = String::new();
+    let read = io::stdin().read_to_string(&mut key);
+    read.map_err(|err| Error::Read {
+        path: "standard input".into(),
+        err,
+    })?;
+    let digest = digest_key(key.trim_end_matches(['\r', '\n']))?;
+    Ok(Output::done(
+        format!("{digest}\n"),
+        json!({ "digest": digest.to_string() }),
+    ))
+}
--- /dev/null
+++ b/crates/sesamehaven-daemons/src/ctl_plan.rs
@@ -0,0 +1,108 @@
+//! `sesamectl plan`: shows what would change.
+
+use std::path::Path;
+
+use serde_json::json;
+
+use sesamehaven::config::Configuration;
+use sesamehaven::id::Generation;
+use sesamehaven::parts::Head;
+use sesamehaven::plan::{self, Change};
+
+use crate::ctl::{Exit, Output, Result, read_configuration};
+use crate::ctl_store::Store;
+
+/// Compares a file with what is in force.
+pub(crate) async fn run(store: &Store, file: &Path) -> Result<Output> {
+    let after = read_configuration(file)?;
+    let head = store.head().await?.map(|in_force| in_force.head);
+    let before = match &head {
+        Some(head) => store.configuration(head).await?,
+        None => Configuration::default(),
+    };
+    let changes = plan::plan(&before, &after);
+    let base = head.as_ref().map_or(Generation(0), |h| h.generation);
+    let text = format!(
+        "Compared with {}:\n\n{}",
+        described(head.as_ref()),
+        plan::text(&changes)
+    );
+    let json = json!({ "base": base, "changes": changes });
+    if changes.is_empty() {
+        return Ok(Output::done(text, json));
+    }
+    let hint = format!(
+        "\nTo put it in force: sesamectl apply {} --base {base} --note TEXT\n",
+        file.display()
+    );
+    Ok(Output {
+        text: text + &hint,
+        json,
+        exit: Exit::Difference,
+    })
+}
+
+/// Describes a head in a few words.
+pub(crate) fn described(head: Option<&Head>) -> String {
+    match head {
+        None => "nothing, as no configuration is in force".into(),
+        Some(head) => format!(
+            "generation {}, applied by {}: {}",
+            head.generation, head.author, head.note
+        ),
+    }
+}
+
+/// Shows the loser of a race what the winner changed.
+pub(crate) async fn conflict(
+    store: &Store,
+    base: Generation,
+    ours: &Configuration,
+) -> Result<Output> {
+    let Some(in_force) = store.head().await? else {
+        let text = format!("Conflict: no configuration is in force, and not generation {base}.\n");
+        return Ok(Output {
+            text,
+            json: json!({ "conflict": { "base": base, "in_force": null } }),
+            exit: Exit::Difference,
+        });
+    };
+    let theirs = store.configuration(&in_force.head).await?;
+    let since = match store.historic(base).await? {
+        Some(head) => plan::plan(&store.configuration(&head).await?, &theirs),
+        None => Vec::new(),
+    };
+    let still = plan::plan(&theirs, ours);
+    Ok(Output {
+        text: conflict_text(base, &in_force.head, &since, &still),
+        json: json!({ "conflict": {
+            "base": base,
+            "in_force": in_force.head,
+            "changed_since_base": since,
+            "yours_against_in_force": still,
+        }}),
+        exit: Exit::Difference,
+    })
+}
+
+fn conflict_text(base: Generation, head: &Head, since: &[Change], still: &[Change]) -> String {
+    let mut text = format!(
+        "Conflict: you planned against generation {base}, but in force is {}.\nNothing was changed.\n",
+        described(Some(head))
+    );
+    if !since.is_empty() {
+        text += &format!(
+            "\nWhat changed since generation {base}:\n\n{}",
+            plan::text(since)
+        );
+    }
+    text += &format!(
+        "\nWhat your file would change now:\n\n{}",
+        plan::text(still)
+    );
+    text += &format!(
+        "\nTake the other change into your program, or apply with --base {}.\n",
+        head.generation
+    );
+    text
+}
--- a/crates/sesamehaven-daemons/src/lib.rs
+++ b/crates/sesamehaven-daemons/src/lib.rs
@@ -6,6 +6,14 @@
 
 pub mod admin;
 pub mod clock;
+pub mod ctl;
+mod ctl_apply;
+mod ctl_history;
+mod ctl_options;
+mod ctl_plan;
+mod ctl_report;
+mod ctl_status;
+mod ctl_store;
 pub mod feed;
 mod feed_shelf;
 pub mod logs;
--- a/crates/sesamehaven-daemons/src/platform.rs
+++ b/crates/sesamehaven-daemons/src/platform.rs
@@ -30,6 +30,9 @@
 const ANSWER_MAX_BYTES: usize = 16 << 20;
 const DEFAULT_RETRY_AFTER: Millis = Millis(1_000);
 
+/// The longest wait for the platform's answer.
+pub const PLATFORM_TIMEOUT: Millis = Millis(3_000);
+
 /// The result of calls of the platform.
 pub type Result<T> = std::result::Result<T, Error>;
 
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod id;
 pub mod outcome;
 pub mod parts;
+pub mod plan;
 pub mod tier;
 pub mod unit;
 
