--- a/crates/sesamehaven-daemons/src/lib.rs
+++ b/crates/sesamehaven-daemons/src/lib.rs
@@ -5,6 +5,11 @@
 //! [`agent`] stands before endpoints.
 
 pub mod admin;
+pub mod agent;
+pub mod agent_main;
+pub mod call;
+pub mod caller;
+pub mod cli;
 pub mod clock;
 pub mod ctl;
 mod ctl_apply;
@@ -14,9 +19,19 @@
 mod ctl_report;
 mod ctl_status;
 mod ctl_store;
+pub mod drain;
+pub mod entry;
+pub mod entry_main;
 pub mod feed;
 mod feed_shelf;
+pub mod front;
+pub mod header;
+pub mod intake;
 pub mod logs;
+pub mod peer;
 pub mod platform;
 pub mod ports;
+pub mod reply;
+pub mod run;
 pub mod settings;
+pub mod trace;
