--- a/crates/sesamehaven-daemons/src/platform.rs
+++ b/crates/sesamehaven-daemons/src/platform.rs
@@ -191,23 +191,28 @@
 #[derive(Clone)]
 pub struct Platform {
     client: Client,
-    address: SocketAddr,
+    url: SmolStr,
     timeout: Duration,
 }
 
 impl fmt::Debug for Platform {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mut f = f.debug_struct("Platform");
-        f.field("address", &self.address).finish_non_exhaustive()
+        f.field("url", &self.url).finish_non_exhaustive()
     }
 }
 
 impl Platform {
     /// Builds a client that waits at most `timeout` for each answer.
     pub fn new(address: SocketAddr, timeout: Millis) -> Self {
+        Self::at(&format!("http://{address}"), timeout)
+    }
+
+    /// Builds a client from a URL without a path, such as `http://10.0.0.1:80`.
+    pub fn at(url: &str, timeout: Millis) -> Self {
         Platform {
             client: Client::builder().disable_redirects().finish(),
-            address,
+            url: url.trim_end_matches('/').into(),
             timeout: timeout.duration(),
         }
     }
@@ -294,7 +299,7 @@
     }
 
     fn request(&self, method: Method, path_and_query: &str) -> ClientRequest {
-        let url = format!("http://{}{path_and_query}", self.address);
+        let url = format!("{}{path_and_query}", self.url);
         self.client.request(method, url).timeout(self.timeout)
     }
 
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod offer;
 pub mod outcome;
 pub mod parts;
+pub mod plan;
 pub mod prefix;
 pub mod quarantine;
 pub mod queue;
