Add a fault-injecting proxy for TCP and UDP, and a strict HTTP client

A connection that is cut in the middle of a chunked body went unnoticed by the test that cut it. The proxy was ruled out first: the engine's stand-in saw the end. awc ends a body without an error when the connection ends, whether or not its last chunk or its content-length has been reached. The client of the tools therefore makes the end of a connection that is being read an error; with it the test, which failed before, passes.

--- a/crates/sesamehaven-standins/src/lib.rs
+++ b/crates/sesamehaven-standins/src/lib.rs
@@ -15,8 +15,13 @@
 pub mod error;
 pub mod objects;
 pub mod platform;
+pub mod proxy;
+pub mod proxy_routes;
+pub mod proxy_tcp;
+pub mod proxy_udp;
 pub mod record;
 pub mod server;
 pub mod service;
+pub mod strict;
 
 pub use crate::error::{Error, Result};
--- /dev/null
+++ b/crates/sesamehaven-standins/src/proxy_tcp.rs
@@ -0,0 +1,104 @@
+//! The proxy's way with streams.
+
+use std::io;
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep_until};
+
+use crate::proxy::{Direction, Orders, Route};
+
+const READ_BYTES: usize = 16 << 10;
+const HELD_PARTS: usize = 256;
+
+/// Accepts connections of a route for ever.
+pub async fn accept(route: Arc<Route>, listener: TcpListener) {
+    loop {
+        if let Ok((caller, _)) = listener.accept().await {
+            actix_rt::spawn(pass(route.clone(), caller));
+        }
+    }
+}
+
+/// Passes one connection on until it ends or is cut.
+async fn pass(route: Arc<Route>, caller: TcpStream) -> io::Result<()> {
+    let (Some(mut orders), Some(address)) = (route.admit(), route.target()) else {
+        return Ok(());
+    };
+    let target = TcpStream::connect(address).await?;
+    caller.set_nodelay(true)?;
+    target.set_nodelay(true)?;
+    let (from_caller, to_caller) = caller.into_split();
+    let (from_target, to_target) = target.into_split();
+    let there = pump(from_caller, to_target, orders.clone(), Direction::ToTarget);
+    let back = pump(from_target, to_caller, orders.clone(), Direction::ToCaller);
+    tokio::select! {
+        ended = async { tokio::try_join!(there, back) } => ended.map(|_| ()),
+        _ = orders.wait_for(|o| o.cut) => Ok(()),
+    }
+}
+
+/// Passes one direction on, part by part, each held for the delay.
+async fn pump(
+    from: OwnedReadHalf,
+    to: OwnedWriteHalf,
+    orders: watch::Receiver<Orders>,
+    direction: Direction,
+) -> io::Result<()> {
+    let (tx, rx) = mpsc::channel(HELD_PARTS);
+    let reader = read(from, tx, orders.clone(), direction);
+    let writer = write(to, rx, orders, direction);
+    tokio::try_join!(reader, writer).map(|_| ())
+}
+
+async fn read(
+    mut from: OwnedReadHalf,
+    tx: mpsc::Sender<(Instant, Bytes)>,
+    mut orders: watch::Receiver<Orders>,
+    direction: Direction,
+) -> io::Result<()> {
+    loop {
+        let delay = heard(&mut orders, direction).await.faults.delay();
+        let mut buf = BytesMut::with_capacity(READ_BYTES);
+        if from.read_buf(&mut buf).await? == 0 {
+            return Ok(());
+        }
+        if tx
+            .send((Instant::now() + delay, buf.freeze()))
+            .await
+            .is_err()
+        {
+            return Ok(());
+        }
+    }
+}
+
+async fn write(
+    mut to: OwnedWriteHalf,
+    mut rx: mpsc::Receiver<(Instant, Bytes)>,
+    mut orders: watch::Receiver<Orders>,
+    direction: Direction,
+) -> io::Result<()> {
+    while let Some((due, part)) = rx.recv().await {
+        sleep_until(due).await;
+        heard(&mut orders, direction).await;
+        to.write_all(&part).await?;
+    }
+    heard(&mut orders, direction).await;
+    to.shutdown().await
+}
+
+/// Waits until a direction is not silent; for ever when nobody can lift it.
+async fn heard(orders: &mut watch::Receiver<Orders>, direction: Direction) -> Orders {
+    let passes = orders
+        .wait_for(|o| !o.faults.silent.covers(direction))
+        .await;
+    match passes {
+        Ok(orders) => *orders,
+        Err(_) => std::future::pending().await,
+    }
+}
--- a/crates/sesamehaven-system-tests/src/http.rs
+++ b/crates/sesamehaven-system-tests/src/http.rs
@@ -2,21 +2,20 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
 
+use awc::Client;
 use awc::http::Method;
-use awc::{Client, Connector};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use futures_util::stream::LocalBoxStream;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use sesamehaven_standins::strict;
+
 use crate::error::{Error, Result};
 use crate::wait;
 
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// The status, headers and body of an answer.
 #[derive(Debug, Clone)]
 pub struct Reply {
@@ -103,13 +102,7 @@
 impl Http {
     /// Builds a client without connections.
     pub fn new() -> Self {
-        let connector = Connector::new().timeout(CONNECT_TIMEOUT).limit(0);
-        let client = Client::builder()
-            .connector(connector)
-            .timeout(wait::LONGEST)
-            .disable_redirects()
-            .finish();
-        Http(client)
+        Http(strict::client(wait::LONGEST))
     }
 
     /// Sends a request and waits for the head of its answer.
--- a/crates/sesamehaven-system-tests/src/lib.rs
+++ b/crates/sesamehaven-system-tests/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod platform;
 pub mod process;
+pub mod proxy;
 pub mod sample;
 pub mod settings;
 pub mod wait;
