Add the engine's faults, its prefix cache, orders and records

Crashes, slow-downs, late and lossy cache events, lagging load, resume, KV export and import are what the decisions under load have to cope with. A crash sends an error into each stream before it drops it, since a stream that just ends looks whole to a client of chunked bodies. Records can go to a file, as a crash by exit would lose them.

--- a/crates/sesamehaven-standins/src/bin/standin-engine.rs
+++ b/crates/sesamehaven-standins/src/bin/standin-engine.rs
@@ -1,39 +1,62 @@
 //! The stand-in of a model engine, as a process.
 
+use std::fmt::Display;
+use std::path::PathBuf;
+use std::str::FromStr;
 use std::time::Duration;
 
 use bpaf::{OptionParser, Parser, construct, long};
 use sesamehaven_standins::batch::Speed;
 use sesamehaven_standins::engine::{Engine, EngineOptions};
+use sesamehaven_standins::engine_faults::{CrashMode, CrashOptions, Faults};
 use sesamehaven_standins::engine_routes;
 use sesamehaven_standins::server::{self, Listen, listen_options};
+use smol_str::SmolStr;
 
 struct Options {
     listen: Listen,
     engine: EngineOptions,
 }
 
+/// Parses a named number with a default.
+fn number<T>(name: &'static str, help: &'static str, default: T) -> impl Parser<T>
+where
+    T: FromStr + Display + Clone + 'static,
+    T::Err: Display,
+{
+    long(name)
+        .help(help)
+        .argument::<T>("NUMBER")
+        .fallback(default)
+        .display_fallback()
+}
+
+/// Parses a named span of time in milliseconds with a default.
+fn millis(name: &'static str, help: &'static str, default: u64) -> impl Parser<Duration> {
+    number(name, help, default).map(Duration::from_millis)
+}
+
 fn speed() -> impl Parser<Speed> {
-    let prefill_per_s = long("prefill-rate")
-        .help("Prompt tokens a second, shared by the prompts in the batch")
-        .argument::<f64>("RATE")
-        .fallback(20_000.0)
-        .display_fallback();
-    let decode_per_s = long("decode-rate")
-        .help("Answer tokens a second of a job that decodes alone")
-        .argument::<f64>("RATE")
-        .fallback(100.0)
-        .display_fallback();
-    let slowdown = long("slowdown")
-        .help("Share that each further decoding job adds to the time of a token")
-        .argument::<f64>("SHARE")
-        .fallback(0.02)
-        .display_fallback();
-    let max_batch = long("max-batch")
-        .help("Jobs computed side by side; the others wait, first come first served")
-        .argument::<usize>("JOBS")
-        .fallback(64)
-        .display_fallback();
+    let prefill_per_s = number(
+        "prefill-rate",
+        "Prompt tokens a second, shared by the prompts in the batch",
+        20_000.0,
+    );
+    let decode_per_s = number(
+        "decode-rate",
+        "Answer tokens a second of a job that decodes alone",
+        100.0,
+    );
+    let slowdown = number(
+        "slowdown",
+        "Share that each further decoding job adds to the time of a token",
+        0.02,
+    );
+    let max_batch = number(
+        "max-batch",
+        "Jobs computed side by side; the others wait, first come first served",
+        64,
+    );
     construct!(Speed {
         prefill_per_s,
         decode_per_s,
@@ -42,16 +65,93 @@
     })
 }
 
+fn crash() -> impl Parser<CrashOptions> {
+    let mark = long("crash-mark")
+        .help("Text in a body that crashes the engine once the run has started")
+        .argument::<SmolStr>("TEXT")
+        .fallback(SmolStr::default());
+    let mode = long("crash")
+        .help("What a crash does: `exit` ends the process, `refuse` closes connections")
+        .argument::<CrashMode>("MODE")
+        .fallback(CrashMode::Exit);
+    let down = millis("crash-down-ms", "How long a crash by `refuse` lasts", 1_000);
+    construct!(CrashOptions { mark, mode, down })
+}
+
+fn faults() -> impl Parser<Faults> {
+    let usual = Faults::default();
+    let load_lag_ms = number(
+        "load-lag-ms",
+        "How late the load is reported",
+        usual.load_lag_ms,
+    );
+    let events_lag_ms = number(
+        "events-lag-ms",
+        "How late cache events are told",
+        usual.events_lag_ms,
+    );
+    let events_gap_percent = number(
+        "events-gap-percent",
+        "Share of cache events that are never told",
+        usual.events_gap_percent,
+    );
+    let slow = number("slow", "How many times slower all is computed", usual.slow);
+    let (stall, refuse) = (bpaf::pure(usual.stall), bpaf::pure(usual.refuse));
+    construct!(Faults {
+        slow,
+        stall,
+        refuse,
+        load_lag_ms,
+        events_lag_ms,
+        events_gap_percent
+    })
+}
+
+fn engine() -> impl Parser<EngineOptions> {
+    let speed = speed();
+    let tick = millis("tick-ms", "Time between two steps of the batch", 2)
+        .map(|tick| tick.max(Duration::from_millis(1)));
+    let block_tokens = number("block-tokens", "Tokens in a block of the prefix cache", 16);
+    let cache_tokens = number("cache-tokens", "Size of the prefix cache", 200_000);
+    let resume_window = millis(
+        "resume-ms",
+        "How long a stream without a reader goes on and can be resumed",
+        0,
+    );
+    let kv_per_s = number(
+        "kv-rate",
+        "Prompt tokens a second that are exported or imported",
+        1_000_000.0,
+    );
+    let checks_fence = long("ignore-fencing")
+        .help("Carry out orders with an old fencing number")
+        .switch()
+        .map(|ignored| !ignored);
+    let load_time = millis("load-ms", "How long an order to load takes", 0);
+    let crash = crash();
+    let faults = faults();
+    let records = long("records")
+        .help("File that receives a JSON line for each start and end of a run")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    construct!(EngineOptions {
+        speed,
+        tick,
+        block_tokens,
+        cache_tokens,
+        resume_window,
+        kv_per_s,
+        checks_fence,
+        load_time,
+        crash,
+        faults,
+        records
+    })
+}
+
 fn options() -> OptionParser<Options> {
     let listen = listen_options();
-    let speed = speed();
-    let tick = long("tick-ms")
-        .help("Milliseconds between two steps of the batch")
-        .argument::<u64>("MS")
-        .fallback(2)
-        .display_fallback()
-        .map(|ms| Duration::from_millis(ms.max(1)));
-    let engine = construct!(EngineOptions { speed, tick });
+    let engine = engine();
     construct!(Options { listen, engine })
         .to_options()
         .descr("Stand-in of a model engine that batches continuously")
@@ -60,9 +160,9 @@
 
 #[actix_web::main]
 async fn main() -> sesamehaven_standins::Result<()> {
-    let options = options().run();
-    let listener = server::bind(&options.listen)?;
-    let engine = Engine::new(&options.engine);
+    let Options { listen, engine } = options().run();
+    let engine = Engine::new(engine, listen.seed)?;
+    let listener = server::bind(&listen)?;
     actix_rt::spawn(engine.clone().run());
     server::serve(listener, move |cfg| engine_routes::configure(&engine, cfg)).await
 }
--- a/crates/sesamehaven-standins/src/engine.rs
+++ b/crates/sesamehaven-standins/src/engine.rs
@@ -1,23 +1,18 @@
-//! The stand-in of a model engine: runs, their streams and the clock that drives them.
+//! The stand-in of a model engine, and the clock that drives it.
 
-use std::collections::HashMap;
-use std::io;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use serde::Serialize;
-use smol_str::{SmolStr, format_smolstr};
 use tokio::sync::Notify;
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::batch::{Batch, JobId, Progress, Speed};
-use crate::completion::{Answer, Completion, Style};
-use crate::record::{End, RunRecord, unix_ms};
-
-/// What the engine sends for a run: events, or the whole answer at once.
-pub type Parts = UnboundedReceiver<io::Result<Bytes>>;
+use crate::batch::Speed;
+use crate::engine_faults::{CrashOptions, FaultChange, Faults};
+use crate::engine_state::{Parts, Request, State};
+use crate::error::Result;
+use crate::load_history::Load;
+use crate::prefix_cache::Event;
 
 /// How an engine is built.
 #[derive(Debug, Clone)]
@@ -26,112 +21,24 @@
     pub speed: Speed,
     /// The time between two steps of the batch.
     pub tick: Duration,
-}
-
-/// The load as the engine reports it.
-#[derive(Debug, Clone, Copy, Default, Serialize)]
-pub struct Load {
-    /// Jobs in the batch.
-    pub running: usize,
-    /// Jobs that wait for a place.
-    pub waiting: usize,
-    /// Prompt tokens of the batch that are still to be computed.
-    pub prefill_tokens: u64,
-    /// Prompt tokens that the cache holds.
-    pub cached_tokens: u64,
-}
-
-#[derive(Debug)]
-struct Run {
-    record: usize,
-    answer: Answer,
-    stream: bool,
-    sent: u64,
-    tx: UnboundedSender<io::Result<Bytes>>,
-}
-
-#[derive(Debug)]
-struct State {
-    batch: Batch,
-    runs: HashMap<JobId, Run>,
-    by_request: HashMap<SmolStr, JobId>,
-    records: Vec<RunRecord>,
-    last_job: JobId,
-}
-
-impl State {
-    fn end(&mut self, id: JobId, end: End) {
-        let Some(run) = self.runs.remove(&id) else {
-            return;
-        };
-        self.batch.remove(id);
-        self.by_request.remove(&run.answer.id);
-        let record = &mut self.records[run.record];
-        record.end = end;
-        record.ended_ms = Some(unix_ms());
-    }
-
-    fn step(&mut self, span: Duration, progress: &mut Vec<Progress>) {
-        self.drop_disconnected();
-        self.batch.advance(span.as_secs_f64(), progress);
-        let now_ms = unix_ms();
-        for step in progress.iter() {
-            self.book(step, now_ms);
-        }
-        self.admit();
-    }
-
-    fn drop_disconnected(&mut self) {
-        let closed = self.runs.iter().filter(|(_, run)| run.tx.is_closed());
-        let closed: Vec<JobId> = closed.map(|(id, _)| *id).collect();
-        for id in closed {
-            self.end(id, End::Disconnected);
-        }
-    }
-
-    fn admit(&mut self) {
-        let now_ms = unix_ms();
-        let State {
-            batch,
-            runs,
-            records,
-            ..
-        } = self;
-        batch.admit(|id| {
-            let Some(run) = runs.get(&id) else {
-                return 0;
-            };
-            let record = &mut records[run.record];
-            record.started_ms = Some(now_ms);
-            record.prompt_tokens - record.cached_tokens
-        });
-    }
-
-    fn book(&mut self, step: &Progress, now_ms: f64) {
-        let Some(run) = self.runs.get_mut(&step.id) else {
-            return;
-        };
-        let record = &mut self.records[run.record];
-        record.prefilled_tokens += step.prefilled;
-        if step.decoded == 0 {
-            return;
-        }
-        record.first_token_ms.get_or_insert(now_ms);
-        let from = run.sent;
-        run.sent += step.decoded;
-        let part = match (run.stream, step.done) {
-            (true, _) => run.answer.events(from, run.sent),
-            (false, true) => run.answer.whole(),
-            (false, false) => Bytes::new(),
-        };
-        if !part.is_empty() && run.tx.send(Ok(part)).is_err() {
-            return self.end(step.id, End::Disconnected);
-        }
-        record.tokens_sent = run.sent;
-        if step.done {
-            self.end(step.id, End::Done);
-        }
-    }
+    /// The tokens in a block of the prefix cache.
+    pub block_tokens: usize,
+    /// The size of the prefix cache.
+    pub cache_tokens: usize,
+    /// How long a stream without a reader goes on and can be resumed.
+    pub resume_window: Duration,
+    /// The prompt tokens a second that are exported or imported.
+    pub kv_per_s: f64,
+    /// Whether orders with an old fencing number are refused.
+    pub checks_fence: bool,
+    /// How long an order to load takes.
+    pub load_time: Duration,
+    /// When and how the engine crashes.
+    pub crash: CrashOptions,
+    /// The faults at start.
+    pub faults: Faults,
+    /// The file that receives a JSON line for each start and end of a run.
+    pub records: Option<PathBuf>,
 }
 
 /// A model engine, shared by its handlers and its clock.
@@ -139,33 +46,43 @@
 pub struct Engine {
     state: Arc<Mutex<State>>,
     wake: Arc<Notify>,
-    tick: Duration,
+    options: Arc<EngineOptions>,
+    seed: u64,
 }
 
 impl Engine {
     /// Builds an idle engine.
-    pub fn new(options: &EngineOptions) -> Self {
-        Engine {
-            state: Arc::new(Mutex::new(State {
-                batch: Batch::new(options.speed),
-                runs: HashMap::new(),
-                by_request: HashMap::new(),
-                records: Vec::new(),
-                last_job: 0,
-            })),
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file for records cannot be opened.
+    pub fn new(options: EngineOptions, seed: u64) -> Result<Self> {
+        Ok(Engine {
+            state: Arc::new(Mutex::new(State::new(&options)?)),
             wake: Arc::new(Notify::new()),
-            tick: options.tick,
-        }
+            options: Arc::new(options),
+            seed,
+        })
+    }
+
+    /// Returns how the engine was built.
+    pub fn options(&self) -> &EngineOptions {
+        &self.options
+    }
+
+    /// Returns the state, for as long as the guard is held.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
 
     /// Computes, one step of the whole batch at a time, as long as it is polled.
     pub async fn run(self) {
         let mut progress = Vec::new();
-        let mut ticks = interval(self.tick);
+        let mut ticks = interval(self.options.tick);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut last = Instant::now();
         loop {
-            if self.state().batch.is_idle() {
+            if self.state().is_idle() {
                 self.wake.notified().await;
                 ticks.reset_immediately();
                 last = Instant::now();
@@ -179,80 +96,47 @@
     }
 
     /// Takes a request and returns where its answer will come from.
-    pub fn submit(
-        &self,
-        completion: &Completion,
-        style: Style,
-        request_id: Option<SmolStr>,
-        key: Option<SmolStr>,
-    ) -> Parts {
-        let (tx, rx) = unbounded_channel();
-        let mut state = self.state();
-        state.last_job += 1;
-        let id = state.last_job;
-        let request_id = request_id.unwrap_or_else(|| format_smolstr!("run-{id}"));
-        let record = RunRecord {
-            request_id: request_id.clone(),
-            key,
-            echo: completion.echo(),
-            model: completion.model.clone(),
-            received_ms: unix_ms(),
-            prompt_tokens: completion.words().count() as u64,
-            output_tokens: completion.output_tokens(),
-            ..RunRecord::default()
-        };
-        let answer = Answer {
-            style,
-            id: request_id.clone(),
-            model: record.model.clone(),
-            echo: record.echo.clone(),
-            prompt_tokens: record.prompt_tokens,
-            cached_tokens: 0,
-            output_tokens: record.output_tokens,
-        };
-        state.batch.submit(id, record.output_tokens);
-        let run = Run {
-            record: state.records.len(),
-            answer,
-            stream: completion.stream,
-            sent: 0,
-            tx,
-        };
-        state.records.push(record);
-        state.runs.insert(id, run);
-        state.by_request.insert(request_id, id);
-        drop(state);
+    pub fn submit(&self, request: &Request) -> Parts {
+        let parts = self.state().submit(request);
         self.wake.notify_one();
-        rx
+        parts
     }
 
-    /// Cancels a run, if there is one of this request id.
-    pub fn cancel(&self, request_id: &str) -> bool {
-        let mut state = self.state();
-        let Some(id) = state.by_request.get(request_id).copied() else {
-            return false;
-        };
-        state.end(id, End::Cancelled);
-        true
-    }
-
-    /// Returns the load of this moment.
+    /// Returns the load, as late as the faults in force say.
     pub fn load(&self) -> Load {
+        let now = Instant::now();
         let state = self.state();
-        Load {
-            running: state.batch.running(),
-            waiting: state.batch.waiting(),
-            prefill_tokens: state.batch.prefill_left(),
-            cached_tokens: 0,
-        }
+        state.loads.report(state.faults.load_lag(), now)
     }
 
-    /// Lists all runs so far.
-    pub fn records(&self) -> Vec<RunRecord> {
-        self.state().records.clone()
+    /// Lists cache events after `seq`, late and with gaps as the faults say.
+    pub fn events(&self, seq: u64) -> Vec<Event> {
+        let state = self.state();
+        let lag = state.faults.events_lag();
+        let mut events = state.cache.events(seq, lag, Instant::now());
+        let percent = state.faults.events_gap_percent;
+        events.retain(|event| draw(self.seed, event.seq) >= percent);
+        events
     }
 
-    fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    /// Changes the faults.
+    pub fn change(&self, change: &FaultChange) -> Faults {
+        let mut state = self.state();
+        change.apply(&mut state.faults);
+        if change.crash {
+            state.crash();
+        }
+        state.faults
     }
 }
+
+/// Draws a percentage that depends on the seed and the number alone, so that
+/// an event that is lost once is lost for every reader.
+fn draw(seed: u64, number: u64) -> f64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&seed.to_be_bytes());
+    hasher.update(&number.to_be_bytes());
+    let mut head = [0; 4];
+    hasher.finalize_xof().fill(&mut head);
+    f64::from(u32::from_be_bytes(head)) / f64::from(u32::MAX) * 100.0
+}
--- /dev/null
+++ b/crates/sesamehaven-standins/src/engine_state.rs
@@ -0,0 +1,360 @@
+//! The state of an engine: its runs, what they are given, and how they end.
+
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::process;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use smol_str::{SmolStr, format_smolstr};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+use crate::abort::broken;
+use crate::batch::{Batch, JobId, Progress};
+use crate::completion::{Answer, Completion, Style};
+use crate::engine::EngineOptions;
+use crate::engine_faults::{CrashMode, CrashOptions, Faults};
+use crate::error::Result;
+use crate::journal::Journal;
+use crate::load_history::{Load, LoadHistory};
+use crate::orders::Orders;
+use crate::prefix_cache::{BlockId, PrefixCache, blocks};
+use crate::record::{End, RunRecord, unix_ms};
+use crate::service::CRASH_STATUS;
+
+const FINISHED_MAX: usize = 4_096;
+
+/// What the engine sends for a run: events, or the whole answer at once.
+pub type Parts = UnboundedReceiver<io::Result<Bytes>>;
+
+/// A request with what its headers say.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// The body.
+    pub completion: Completion,
+    /// The interface that was called.
+    pub style: Style,
+    /// The `Request-Id` header.
+    pub request_id: Option<SmolStr>,
+    /// The `Idempotency-Key` header.
+    pub key: Option<SmolStr>,
+    /// Whether the body holds the text that crashes the engine.
+    pub crashes: bool,
+}
+
+#[derive(Debug)]
+struct Run {
+    record: usize,
+    chain: Vec<BlockId>,
+    answer: Answer,
+    stream: bool,
+    crashes: bool,
+    sent: u64,
+    tx: UnboundedSender<io::Result<Bytes>>,
+    detached: Option<Instant>,
+}
+
+/// Everything that an engine holds.
+#[derive(Debug)]
+pub struct State {
+    /// The faults in force.
+    pub faults: Faults,
+    /// The prefix cache.
+    pub cache: PrefixCache,
+    /// The orders.
+    pub orders: Orders,
+    /// The loads of the recent past.
+    pub loads: LoadHistory,
+    batch: Batch,
+    runs: HashMap<JobId, Run>,
+    by_request: HashMap<SmolStr, JobId>,
+    finished: VecDeque<Answer>,
+    records: Vec<RunRecord>,
+    journal: Option<Journal>,
+    last_job: JobId,
+    crash: CrashOptions,
+    resume_window: Duration,
+    down_until: Option<Instant>,
+}
+
+impl State {
+    /// Builds the state of an idle engine.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file for records cannot be opened.
+    pub fn new(options: &EngineOptions) -> Result<Self> {
+        let journal = options.records.as_deref().map(Journal::open).transpose()?;
+        Ok(State {
+            faults: options.faults,
+            cache: PrefixCache::new(options.block_tokens, options.cache_tokens),
+            orders: Orders::new(options.checks_fence),
+            loads: LoadHistory::default(),
+            batch: Batch::new(options.speed),
+            runs: HashMap::new(),
+            by_request: HashMap::new(),
+            finished: VecDeque::new(),
+            records: Vec::new(),
+            journal,
+            last_job: 0,
+            crash: options.crash.clone(),
+            resume_window: options.resume_window,
+            down_until: None,
+        })
+    }
+
+    /// Returns whether there is nothing to compute.
+    pub fn is_idle(&self) -> bool {
+        self.batch.is_idle()
+    }
+
+    /// Returns whether the engine has crashed and not come back.
+    pub fn is_down(&self) -> bool {
+        self.down_until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Lists all runs so far.
+    pub fn records(&self) -> &[RunRecord] {
+        &self.records
+    }
+
+    /// Takes a request and returns where its answer will come from.
+    pub fn submit(&mut self, request: &Request) -> Parts {
+        let (tx, rx) = unbounded_channel();
+        self.last_job += 1;
+        let id = self.last_job;
+        let record = record(request, id);
+        let answer = Answer {
+            style: request.style,
+            id: record.request_id.clone(),
+            model: record.model.clone(),
+            echo: record.echo.clone(),
+            prompt_tokens: record.prompt_tokens,
+            cached_tokens: 0,
+            output_tokens: record.output_tokens,
+        };
+        self.batch.submit(id, record.output_tokens);
+        self.by_request.insert(record.request_id.clone(), id);
+        let run = Run {
+            record: self.records.len(),
+            chain: blocks(request.completion.words(), self.cache.block_tokens()),
+            answer,
+            stream: request.completion.stream,
+            crashes: request.crashes,
+            sent: 0,
+            tx,
+            detached: None,
+        };
+        self.note(&record);
+        self.records.push(record);
+        self.runs.insert(id, run);
+        rx
+    }
+
+    /// Cancels a run, if there is one of this request id.
+    pub fn cancel(&mut self, request_id: &str) -> bool {
+        let Some(id) = self.by_request.get(request_id).copied() else {
+            return false;
+        };
+        self.end(id, End::Cancelled);
+        true
+    }
+
+    /// Attaches to a stream again, from the answer's token `after` on.
+    pub fn resume(&mut self, request_id: &str, after: u64) -> Option<Parts> {
+        let (tx, rx) = unbounded_channel();
+        let running = self.by_request.get(request_id).copied();
+        if let Some(run) = running.and_then(|id| self.runs.get_mut(&id)) {
+            if run.sent > after {
+                let _ = tx.send(Ok(run.answer.events(after, run.sent)));
+            }
+            run.tx = tx;
+            run.detached = None;
+            return Some(rx);
+        }
+        let answer = self.finished.iter().find(|a| a.id == request_id)?;
+        let _ = tx.send(Ok(answer.events(after, answer.output_tokens)));
+        Some(rx)
+    }
+
+    /// Ends all runs, as a crash does.
+    pub fn crash(&mut self) {
+        let ids: Vec<JobId> = self.runs.keys().copied().collect();
+        for id in ids {
+            self.end(id, End::Crashed);
+        }
+        self.flush();
+        if self.crash.mode == CrashMode::Exit {
+            process::exit(CRASH_STATUS);
+        }
+        self.cache.clear();
+        self.finished.clear();
+        self.down_until = Some(Instant::now() + self.crash.down);
+    }
+
+    /// Computes for a span of time.
+    pub fn step(&mut self, span: Duration, progress: &mut Vec<Progress>) {
+        let now = Instant::now();
+        self.drop_disconnected(now);
+        let span_s = span.as_secs_f64() * self.faults.pace();
+        self.batch.advance(span_s, progress);
+        let now_ms = unix_ms();
+        for step in progress.iter() {
+            self.book(step, now, now_ms);
+        }
+        if self.admit(now_ms) {
+            self.crash();
+        }
+        self.note_load(now);
+        self.flush();
+    }
+
+    /// Notes the load of this moment for later reports.
+    pub fn note_load(&mut self, now: Instant) {
+        let load = Load {
+            running: self.batch.running(),
+            waiting: self.batch.waiting(),
+            prefill_tokens: self.batch.prefill_left(),
+            cached_tokens: self.cache.tokens(),
+        };
+        self.loads.note(load, self.faults.load_lag(), now);
+    }
+
+    fn end(&mut self, id: JobId, end: End) {
+        let Some(run) = self.runs.remove(&id) else {
+            return;
+        };
+        if end == End::Crashed {
+            let _ = run.tx.send(Err(broken()));
+        }
+        self.batch.remove(id);
+        if self.by_request.get(&run.answer.id) == Some(&id) {
+            self.by_request.remove(&run.answer.id);
+        }
+        let record = &mut self.records[run.record];
+        record.end = end;
+        record.ended_ms = Some(unix_ms());
+        let record = record.clone();
+        self.note(&record);
+        if end == End::Done && run.stream && !self.resume_window.is_zero() {
+            self.finished.push_back(run.answer);
+            if self.finished.len() > FINISHED_MAX {
+                self.finished.pop_front();
+            }
+        }
+    }
+
+    /// Ends runs whose connection is closed, streams after the resume window.
+    fn drop_disconnected(&mut self, now: Instant) {
+        let window = self.resume_window;
+        let mut closed = Vec::new();
+        for (id, run) in self.runs.iter_mut().filter(|(_, r)| r.tx.is_closed()) {
+            let since = *run.detached.get_or_insert(now);
+            let kept = run.stream && now.saturating_duration_since(since) < window;
+            if !kept {
+                closed.push(*id);
+            }
+        }
+        for id in closed {
+            self.end(id, End::Disconnected);
+        }
+    }
+
+    /// Gives free places to waiting runs; returns whether one of them crashes the engine.
+    fn admit(&mut self, now_ms: f64) -> bool {
+        let State {
+            batch,
+            runs,
+            records,
+            cache,
+            ..
+        } = self;
+        let mut crashes = false;
+        batch.admit(|id| {
+            let Some(run) = runs.get_mut(&id) else {
+                return 0;
+            };
+            crashes |= run.crashes;
+            let record = &mut records[run.record];
+            record.started_ms = Some(now_ms);
+            record.cached_tokens = cache.hit(&run.chain).min(record.prompt_tokens);
+            run.answer.cached_tokens = record.cached_tokens;
+            record.prompt_tokens - record.cached_tokens
+        });
+        crashes
+    }
+
+    fn book(&mut self, step: &Progress, now: Instant, now_ms: f64) {
+        let Some(run) = self.runs.get_mut(&step.id) else {
+            return;
+        };
+        let record = &mut self.records[run.record];
+        record.prefilled_tokens += step.prefilled;
+        if step.decoded == 0 {
+            return;
+        }
+        if run.sent == 0 {
+            record.first_token_ms = Some(now_ms);
+            self.cache.insert(&run.chain, now);
+        }
+        let from = run.sent;
+        run.sent += step.decoded;
+        record.tokens_sent = run.sent;
+        let part = match (run.stream, step.done) {
+            (true, _) => run.answer.events(from, run.sent),
+            (false, true) => run.answer.whole(),
+            (false, false) => Bytes::new(),
+        };
+        let received = part.is_empty() || run.tx.send(Ok(part)).is_ok();
+        if step.done {
+            let kept = run.stream && !self.resume_window.is_zero();
+            let end = if received || kept {
+                End::Done
+            } else {
+                End::Disconnected
+            };
+            self.end(step.id, end);
+        }
+    }
+
+    /// Notes a record in the file, if there is one; a failure ends the process,
+    /// since checks rely on the file.
+    fn note(&mut self, record: &RunRecord) {
+        let Some(journal) = &mut self.journal else {
+            return;
+        };
+        if let Err(e) = journal.append(record) {
+            fail(&e.to_string());
+        }
+    }
+
+    fn flush(&mut self) {
+        let Some(journal) = &mut self.journal else {
+            return;
+        };
+        if let Err(e) = journal.flush() {
+            fail(&e.to_string());
+        }
+    }
+}
+
+fn fail(reason: &str) -> ! {
+    eprintln!("{reason}");
+    process::exit(1);
+}
+
+fn record(request: &Request, id: JobId) -> RunRecord {
+    let completion = &request.completion;
+    let run = format_smolstr!("{}-{id}", process::id());
+    RunRecord {
+        request_id: request.request_id.clone().unwrap_or_else(|| run.clone()),
+        run,
+        key: request.key.clone(),
+        echo: completion.echo(),
+        model: completion.model.clone(),
+        received_ms: unix_ms(),
+        prompt_tokens: completion.words().count() as u64,
+        output_tokens: completion.output_tokens(),
+        ..RunRecord::default()
+    }
+}
--- /dev/null
+++ b/crates/sesamehaven-standins/src/journal.rs
@@ -0,0 +1,89 @@
+//! Records as JSON lines in a file, which outlive the process.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader, BufWriter, Write};
+use std::path::{Path, PathBuf};
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::{Error, Result};
+
+/// A file that lines are appended to.
+#[derive(Debug)]
+pub struct Journal {
+    path: PathBuf,
+    file: BufWriter<File>,
+}
+
+impl Journal {
+    /// Opens the file, or creates it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be written.
+    pub fn open(path: &Path) -> Result<Self> {
+        let file = File::options().create(true).append(true).open(path);
+        let file = file.map_err(|source| failed(path, source))?;
+        Ok(Journal {
+            path: path.into(),
+            file: BufWriter::new(file),
+        })
+    }
+
+    /// Appends a line, which reaches the file at the next flush.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be written.
+    pub fn append(&mut self, record: &impl Serialize) -> Result<()> {
+        let write = |file: &mut BufWriter<File>| {
+            serde_json::to_writer(&mut *file, record)?;
+            file.write_all(b"\n")
+        };
+        write(&mut self.file).map_err(|source| failed(&self.path, source))
+    }
+
+    /// Writes out all lines.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be written.
+    pub fn flush(&mut self) -> Result<()> {
+        self.file
+            .flush()
+            .map_err(|source| failed(&self.path, source))
+    }
+}
+
+/// Reads all whole lines of a file; a last line that broke off is left out.
+///
+/// # Errors
+///
+/// Fails when the file cannot be read, or a line is not JSON of this type.
+pub fn read<T: DeserializeOwned>(path: &Path) -> Result<Vec<T>> {
+    let file = File::open(path).map_err(|source| failed(path, source))?;
+    let mut reader = BufReader::new(file);
+    let mut records = Vec::new();
+    let mut line = String::new();
+    loop {
+        line.clear();
+        let read = reader.read_line(&mut line);
+        read.map_err(|source| failed(path, source))?;
+        if !line.ends_with('\n') {
+            return Ok(records);
+        }
+        let record = serde_json::from_str(&line).map_err(|e| Error::Malformed {
+            path: path.into(),
+            reason: format!("line {}: {e}", records.len() + 1),
+        })?;
+        records.push(record);
+    }
+}
+
+fn failed(path: &Path, source: std::io::Error) -> Error {
+    Error::File {
+        path: path.into(),
+        source,
+    }
+}
--- a/crates/sesamehaven-standins/src/record.rs
+++ b/crates/sesamehaven-standins/src/record.rs
@@ -31,6 +31,8 @@
 /// One run of an engine.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct RunRecord {
+    /// The number of the run, unlike that of any run of another process.
+    pub run: SmolStr,
     /// The `Request-Id` header, or a number of the engine.
     pub request_id: SmolStr,
     /// The `Idempotency-Key` header.
--- a/crates/sesamehaven-standins/src/service.rs
+++ b/crates/sesamehaven-standins/src/service.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use crate::abort::abort;
-use crate::engine_routes::header;
+use crate::engine_routes::{header, holds};
 use crate::record::{CallRecord, unix_ms};
 
 /// How the service misbehaves; absent fields of a change stay as they are.
@@ -79,11 +79,6 @@
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    fn crashes(&self, body: &[u8]) -> bool {
-        let mark = self.crash_mark.as_bytes();
-        !mark.is_empty() && body.windows(mark.len()).any(|window| window == mark)
-    }
-
     /// Records the effect of a call and returns its number and the faults.
     fn begin(&self, req: &HttpRequest, body: &[u8]) -> (usize, Faults) {
         let mut state = self.state();
@@ -107,7 +102,7 @@
         return HttpResponse::ServiceUnavailable().finish();
     }
     let (number, faults) = service.begin(&req, &body);
-    if service.crashes(&body) {
+    if holds(&body, &service.crash_mark) {
         std::process::exit(CRASH_STATUS);
     }
     sleep(Duration::from_millis(faults.delay_ms)).await;
