Know prefixes by guesses, summaries and hashing

The route chose at random among endpoints within a slack that was wider than the prefill that a cached prefix saves, so the affinity was lost again; now only endpoints that hold as much are drawn from. What entries know is their own offers, the agents' Bloom summaries of what they dispatched, and a hash for prefixes that nobody holds.

--- a/crates/sesamehaven/examples/weigh/knowledge.rs
+++ b/crates/sesamehaven/examples/weigh/knowledge.rs
@@ -1,10 +1,12 @@
-//! Other kinds of prefix knowledge, to be weighed against guesses.
+//! Other kinds of prefix knowledge, to be weighed against the one in use.
 
 use std::collections::{BTreeMap, HashMap};
 
+use smallvec::SmallVec;
+
 use sesamehaven::bloom::Bloom;
 use sesamehaven::id::EndpointName;
-use sesamehaven::prefix::{PrefixGuesses, PrefixKnowledge};
+use sesamehaven::prefix::{Held, PrefixKnowledge, home};
 
 /// Knows nothing.
 pub(crate) struct Nothing;
@@ -16,50 +18,31 @@
 
     fn forget(&mut self, _endpoint: &EndpointName) {}
 
-    fn held(&self, _endpoint: &EndpointName, _prefixes: &[u64]) -> usize {
-        0
+    fn held(&self, endpoints: &[&EndpointName], _prefixes: &[u64]) -> Held {
+        SmallVec::from_elem(0, endpoints.len())
     }
 }
 
-/// Takes the endpoint that the first prefix hashes to as holding all of it.
-#[derive(Default)]
-pub(crate) struct Hashing {
-    endpoints: Vec<EndpointName>,
-}
+/// Takes the endpoint that the first prefix hashes to as holding all that may
+/// be shared.
+pub(crate) struct Hashing;
 
 impl PrefixKnowledge for Hashing {
     fn on_offer(&mut self, _endpoint: &EndpointName, _prefixes: &[u64]) {}
 
-    fn on_summary(&mut self, endpoint: &EndpointName, _summary: &[u8]) {
-        if !self.endpoints.contains(endpoint) {
-            self.endpoints.push(endpoint.clone());
-        }
-    }
+    fn on_summary(&mut self, _endpoint: &EndpointName, _summary: &[u8]) {}
 
-    fn forget(&mut self, endpoint: &EndpointName) {
-        self.endpoints.retain(|e| e != endpoint);
-    }
+    fn forget(&mut self, _endpoint: &EndpointName) {}
 
-    fn held(&self, endpoint: &EndpointName, prefixes: &[u64]) -> usize {
-        let Some(first) = prefixes.first() else {
-            return 0;
-        };
-        let home = self.endpoints.iter().max_by_key(|e| rank(e, *first));
-        match home == Some(endpoint) {
-            true => prefixes.len() - 1,
-            false => 0,
+    fn held(&self, endpoints: &[&EndpointName], prefixes: &[u64]) -> Held {
+        let mut held: Held = SmallVec::from_elem(0, endpoints.len());
+        if let Some(home) = home(endpoints, prefixes) {
+            held[home] = prefixes.len() - 1;
         }
+        held
     }
 }
 
-fn rank(endpoint: &EndpointName, prefix: u64) -> u64 {
-    let name = endpoint.as_str().bytes();
-    let seed = name.fold(prefix, |h, b| {
-        (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3)
-    });
-    (seed ^ (seed >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
-}
-
 /// Believes the agents' summaries of their engines' caches.
 #[derive(Default)]
 pub(crate) struct Blooms {
@@ -78,11 +61,10 @@
         self.endpoints.remove(endpoint);
     }
 
-    fn held(&self, endpoint: &EndpointName, prefixes: &[u64]) -> usize {
-        let Some(bloom) = self.endpoints.get(endpoint) else {
-            return 0;
-        };
-        prefixes.iter().take_while(|p| bloom.contains(**p)).count()
+    fn held(&self, endpoints: &[&EndpointName], prefixes: &[u64]) -> Held {
+        let count = |bloom: &Bloom| prefixes.iter().take_while(|p| bloom.contains(**p)).count();
+        let held = |e: &&EndpointName| self.endpoints.get(*e).map_or(0, count);
+        endpoints.iter().map(held).collect()
     }
 }
 
@@ -105,48 +87,20 @@
         self.members.remove(endpoint);
     }
 
-    fn held(&self, endpoint: &EndpointName, prefixes: &[u64]) -> usize {
-        let Some(place) = self.members.keys().position(|e| e == endpoint) else {
-            return 0;
-        };
-        let group: Vec<_> = self.members.iter().skip(place / 2 * 2).take(2).collect();
-        let Some(first) = prefixes.first() else {
-            return 0;
-        };
-        let home = group.iter().max_by_key(|(e, _)| rank(e, *first));
-        if home.is_none_or(|(e, _)| *e != endpoint) {
-            return 0;
+    fn held(&self, endpoints: &[&EndpointName], prefixes: &[u64]) -> Held {
+        let mut held: Held = SmallVec::from_elem(0, endpoints.len());
+        let members: Vec<_> = self.members.iter().collect();
+        for group in members.chunks(2) {
+            let names: Vec<_> = group.iter().map(|(name, _)| *name).collect();
+            let mut composite = group[0].1.clone();
+            group.iter().for_each(|(_, bloom)| composite.merge(bloom));
+            let count = prefixes.iter().take_while(|p| composite.contains(**p));
+            let count = count.count();
+            let home = home(&names, prefixes).map(|i| names[i]);
+            if let Some(i) = endpoints.iter().position(|e| Some(*e) == home) {
+                held[i] = count;
+            }
         }
-        let mut composite = group[0].1.clone();
-        group.iter().for_each(|(_, bloom)| composite.merge(bloom));
-        let held = prefixes.iter().take_while(|p| composite.contains(**p));
-        held.count()
-    }
-}
-
-/// Guesses, corrected by the agents' summaries.
-#[derive(Default)]
-pub(crate) struct GuessedBlooms {
-    guesses: PrefixGuesses,
-    blooms: Blooms,
-}
-
-impl PrefixKnowledge for GuessedBlooms {
-    fn on_offer(&mut self, endpoint: &EndpointName, prefixes: &[u64]) {
-        self.guesses.on_offer(endpoint, prefixes);
-    }
-
-    fn on_summary(&mut self, endpoint: &EndpointName, summary: &[u8]) {
-        self.blooms.on_summary(endpoint, summary);
-    }
-
-    fn forget(&mut self, endpoint: &EndpointName) {
-        self.guesses.forget(endpoint);
-        self.blooms.forget(endpoint);
-    }
-
-    fn held(&self, endpoint: &EndpointName, prefixes: &[u64]) -> usize {
-        let guessed = self.guesses.held(endpoint, prefixes);
-        guessed.max(self.blooms.held(endpoint, prefixes))
+        held
     }
 }
--- a/crates/sesamehaven/examples/weigh/main.rs
+++ b/crates/sesamehaven/examples/weigh/main.rs
@@ -7,10 +7,10 @@
 mod knowledge;
 mod world;
 
-use sesamehaven::prefix::{PrefixGuesses, PrefixKnowledge};
+use sesamehaven::prefix::{PrefixGuesses, PrefixKnowledge, PrefixSummaries};
 
 use crate::engine::Speed;
-use crate::knowledge::{Blooms, GroupBlooms, GuessedBlooms, Hashing, Nothing};
+use crate::knowledge::{Blooms, GroupBlooms, Hashing, Nothing};
 use crate::world::{Case, Outcome, Policy, Tally, World};
 
 /// Requests a second that the engines can just prefill.
@@ -56,6 +56,7 @@
         event_lag_ms: 500,
         event_loss: 0.05,
         summary_bytes: 512,
+        from_dispatches: true,
         prefix_weight: 1.0,
         reserve_percent: 10,
         preempt: false,
@@ -136,7 +137,7 @@
                 policy,
                 ..case.clone()
             };
-            let outcome = World::new(case, PrefixGuesses::default).run();
+            let outcome = World::new(case, PrefixSummaries::default).run();
             println!("{name} | {policy:?} | {}", row(&outcome));
         }
     }
@@ -144,11 +145,12 @@
 
 fn prefixes(seed: u64) {
     println!(
-        "cache blocks, events | knowledge | repeated prefill % | good % | p95 first0 ms | summary B/s per entry"
+        "cache blocks, event lag, event loss | knowledge | prefilled % of prompts | repeated % of prefill | good % | p95 first0 ms | summary B/s per entry"
     );
     for cached_blocks in [100, 400, 1_600] {
-        for (event_lag_ms, event_loss) in [(100, 0.0), (2_000, 0.2)] {
+        for (event_lag_ms, event_loss) in [(100, 0.0), (5_000, 0.3), (0, 1.0)] {
             let mut case = case(seed);
+            case.from_dispatches = false;
             case.requests_per_s *= 0.7;
             case.groups = 300;
             case.event_lag_ms = event_lag_ms;
@@ -158,14 +160,12 @@
                 .for_each(|s| s.cached_blocks = cached_blocks);
             let label = format!("{cached_blocks}, {event_lag_ms} ms, {event_loss}");
             weigh(&label, "none", &case, || Nothing);
-            weigh(&label, "hashing", &case, Hashing::default);
-            weigh(&label, "guesses 2048", &case, PrefixGuesses::default);
-            weigh(&label, "guesses 512", &case, || PrefixGuesses::new(512));
+            weigh(&label, "hashing", &case, || Hashing);
+            weigh(&label, "guesses", &case, PrefixGuesses::default);
+            weigh(&label, "bloom 512 B of events", &case, Blooms::default);
+            case.from_dispatches = true;
             for bytes in [128, 512, 2_048] {
-                let case = Case {
-                    summary_bytes: bytes,
-                    ..case.clone()
-                };
+                case.summary_bytes = bytes;
                 weigh(&label, &format!("bloom {bytes} B"), &case, Blooms::default);
                 weigh(
                     &label,
@@ -175,21 +175,28 @@
                 );
                 weigh(
                     &label,
-                    &format!("guesses in bloom {bytes} B"),
+                    &format!("summaries {bytes} B"),
                     &case,
-                    GuessedBlooms::default,
+                    PrefixSummaries::default,
                 );
             }
+            case.summary_bytes = 512;
+            case.prefix_weight = 0.2;
+            weigh(
+                &label,
+                "summaries 512 B, weight 0.2",
+                &case,
+                PrefixSummaries::default,
+            );
         }
     }
 }
 
 fn weigh<P: PrefixKnowledge>(label: &str, name: &str, case: &Case, knowledge: impl Fn() -> P) {
-    let probe = knowledge();
     let outcome = World::new(case.clone(), knowledge).run();
     let seconds = case.span_ms / 1_000;
-    let bytes = match probe.held(&"e0".parse().expect("a name"), &[]) {
-        _ if !uses_summaries(name) => 0,
+    let bytes = match name {
+        "none" | "hashing" | "guesses" => 0,
         _ if name.starts_with("group") => outcome.summary_bytes / 2,
         _ => outcome.summary_bytes,
     };
@@ -199,11 +206,8 @@
     let sent: u32 = outcome.tiers.iter().map(|t| t.sent).sum();
     let first = p95(&outcome.tiers[0]);
     let good = percent(good.into(), sent.into());
-    println!("{label} | {name} | {waste:.1} | {good:.1} | {first} | {bytes}");
-}
-
-fn uses_summaries(name: &str) -> bool {
-    name.contains("bloom")
+    let prefilled = percent(outcome.prefilled, outcome.prompts);
+    println!("{label} | {name} | {prefilled:.1} | {waste:.1} | {good:.1} | {first} | {bytes}");
 }
 
 fn row(outcome: &Outcome) -> String {
--- a/crates/sesamehaven/examples/weigh/world.rs
+++ b/crates/sesamehaven/examples/weigh/world.rs
@@ -7,7 +7,8 @@
 use smallvec::SmallVec;
 
 use sesamehaven::Tier;
-use sesamehaven::bloom::{Bloom, CountingBloom};
+use sesamehaven::bloom::Bloom;
+use sesamehaven::cache_view::CacheView;
 use sesamehaven::config::{Objective, PoolKind, Repeat};
 use sesamehaven::fair::OrganisationDigest;
 use sesamehaven::gate::{Ended, Gate, GateConfig, LoadView, Step, Verdict, Work};
@@ -48,6 +49,7 @@
     pub(crate) event_lag_ms: u64,
     pub(crate) event_loss: f64,
     pub(crate) summary_bytes: usize,
+    pub(crate) from_dispatches: bool,
     pub(crate) prefix_weight: f64,
     pub(crate) reserve_percent: u8,
     pub(crate) preempt: bool,
@@ -68,6 +70,7 @@
 pub(crate) struct Outcome {
     pub(crate) tiers: [Tally; 4],
     pub(crate) small: Tally,
+    pub(crate) prompts: u64,
     pub(crate) prefilled: u64,
     pub(crate) wasted: u64,
     pub(crate) offers: u64,
@@ -100,7 +103,7 @@
     names: Vec<EndpointName>,
     engines: Vec<Engine>,
     gates: Vec<Gate>,
-    summaries: Vec<CountingBloom>,
+    views: Vec<CacheView>,
     events: VecDeque<(u64, usize, CacheEvent)>,
     reports: VecDeque<Report>,
     routes: Vec<Route<P>>,
@@ -137,7 +140,7 @@
                 .iter()
                 .map(|_| Gate::new(cfg.clone()))
                 .collect(),
-            summaries: vec![CountingBloom::new(case.summary_bytes); case.engines.len()],
+            views: case.engines.iter().map(|_| CacheView::new(2_048)).collect(),
             events: VecDeque::new(),
             reports: VecDeque::new(),
             routes: routes.collect(),
@@ -179,8 +182,12 @@
                 return;
             };
             match event {
-                CacheEvent::Add(prefix) => self.summaries[engine].insert(prefix),
-                CacheEvent::Evict(prefix) => self.summaries[engine].remove(prefix),
+                CacheEvent::Add(prefix) => {
+                    self.views[engine].add(&[prefix]);
+                }
+                CacheEvent::Evict(prefix) => {
+                    self.views[engine].evict(prefix);
+                }
             }
         }
         if now.is_multiple_of(REPORT_MS) || now == STEP_MS {
@@ -192,7 +199,7 @@
                     now + self.case.report_lag_ms
                 };
                 let view = self.gates[engine].load(self.now);
-                let summary = self.summaries[engine].summary();
+                let summary = self.views[engine].summary(self.case.summary_bytes);
                 self.reports.push_back(Report {
                     due,
                     engine,
@@ -209,10 +216,8 @@
             let name = &self.names[report.engine];
             for route in &mut self.routes {
                 route.on_report(name, report.view, self.seq, self.now);
-                if now.is_multiple_of(1_000) {
-                    route
-                        .prefixes_mut()
-                        .on_summary(name, report.summary.as_bytes());
+                if self.seq.is_multiple_of(5) {
+                    route.on_prefixes(name, report.summary.as_bytes());
                     self.outcome.summary_bytes += self.case.summary_bytes as u64;
                 }
             }
@@ -381,9 +386,13 @@
         let len = job.prefixes.len();
         let held = engine.holds(&job.prefixes);
         let fresh = |held: usize| job.prompt.0 - job.prompt.0 * held as u64 / len as u64;
+        if self.case.from_dispatches {
+            self.views[request.engine].add(&job.prefixes);
+        }
         engine.submit(id, job.prompt.0, job.output.0, &job.prefixes);
         let elsewhere = self.engines.iter().map(|e| e.holds(&job.prefixes)).max();
         self.outcome.wasted += fresh(held) - fresh(elsewhere.unwrap_or(held));
+        self.outcome.prompts += job.prompt.0;
         request.fresh = fresh(held).max(1);
         self.outstanding[request.entry][request.engine] += 1;
         self.requests.insert(id, request);
--- a/crates/sesamehaven/src/prefix.rs
+++ b/crates/sesamehaven/src/prefix.rs
@@ -1,14 +1,21 @@
-//! What the prefix caches of endpoints are taken to hold.
+//! What entries take the prefix caches of endpoints to hold.
 //!
 //! See [`docs/POLICY.md`](../../../docs/POLICY.md#prefix-affinity).
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 
+use smallvec::SmallVec;
+
+use crate::bloom::Bloom;
 use crate::id::EndpointName;
+use crate::lru::Lru;
 
 /// The prefixes that are remembered of each endpoint.
 const REMEMBERED: usize = 2_048;
 
+/// How many of a prompt's prefixes each endpoint is taken to hold.
+pub type Held = SmallVec<[usize; 16]>;
+
 /// Knowledge of the prompt prefixes that endpoints hold.
 ///
 /// Prefixes are digests of the start of a prompt, the shortest first, each
@@ -17,39 +24,32 @@
     /// Notes that a prompt with these prefixes goes to an endpoint.
     fn on_offer(&mut self, endpoint: &EndpointName, prefixes: &[u64]);
 
-    /// Takes in what the endpoint's agent reported about its cache.
+    /// Takes in a summary of the endpoint's cache, which replaces earlier ones.
     fn on_summary(&mut self, endpoint: &EndpointName, summary: &[u8]);
 
     /// Forgets an endpoint whose cache is gone.
     fn forget(&mut self, endpoint: &EndpointName);
 
-    /// Returns how many of the prefixes the endpoint is taken to hold.
-    fn held(&self, endpoint: &EndpointName, prefixes: &[u64]) -> usize;
+    /// Returns how many of the prefixes each of the endpoints is taken to hold.
+    fn held(&self, endpoints: &[&EndpointName], prefixes: &[u64]) -> Held;
 }
 
 /// A guess at the prefixes that endpoints hold, from what they were offered.
 ///
 /// Each endpoint's cache is imitated by a least-recently-used list of the
 /// prefixes that this process sent there.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct PrefixGuesses {
-    remembered: usize,
     endpoints: HashMap<EndpointName, Lru>,
 }
 
-impl Default for PrefixGuesses {
-    fn default() -> Self {
-        PrefixGuesses::new(REMEMBERED)
-    }
-}
-
 impl PrefixGuesses {
-    /// Starts with nothing known; `remembered` bounds the list of each endpoint.
-    pub fn new(remembered: usize) -> Self {
-        PrefixGuesses {
-            remembered,
-            endpoints: HashMap::new(),
-        }
+    fn held_by(&self, endpoint: &EndpointName, prefixes: &[u64]) -> usize {
+        let Some(lru) = self.endpoints.get(endpoint) else {
+            return 0;
+        };
+        let longest = prefixes.iter().rposition(|p| lru.contains(*p));
+        longest.map_or(0, |i| i + 1)
     }
 }
 
@@ -65,7 +65,7 @@
             return;
         };
         for prefix in prefixes.iter().rev() {
-            lru.touch(*prefix, self.remembered);
+            lru.touch(*prefix, REMEMBERED);
         }
     }
 
@@ -75,33 +75,71 @@
         self.endpoints.remove(endpoint);
     }
 
-    fn held(&self, endpoint: &EndpointName, prefixes: &[u64]) -> usize {
-        let Some(lru) = self.endpoints.get(endpoint) else {
-            return 0;
-        };
-        let longest = prefixes.iter().rposition(|p| lru.ages.contains_key(p));
-        longest.map_or(0, |i| i + 1)
+    fn held(&self, endpoints: &[&EndpointName], prefixes: &[u64]) -> Held {
+        let held = endpoints.iter().map(|e| self.held_by(e, prefixes));
+        held.collect()
     }
 }
 
+/// Guesses, the agents' summaries, and hashing for what neither knows.
+///
+/// The summaries tell an entry what others have sent to an endpoint, and the
+/// guesses what it sent itself since the last summary. A prefix that nobody
+/// holds goes by preference to the endpoint that it hashes to, so that entries
+/// which do not know of each other's offers agree.
 #[derive(Debug, Default)]
-struct Lru {
-    ages: HashMap<u64, u64>,
-    order: BTreeMap<u64, u64>,
-    count: u64,
+pub struct PrefixSummaries {
+    guesses: PrefixGuesses,
+    summaries: HashMap<EndpointName, Bloom>,
 }
 
-impl Lru {
-    fn touch(&mut self, prefix: u64, most: usize) {
-        self.count += 1;
-        if let Some(old) = self.ages.insert(prefix, self.count) {
-            self.order.remove(&old);
+impl PrefixSummaries {
+    fn summarised(&self, endpoint: &EndpointName, prefixes: &[u64]) -> usize {
+        let Some(bloom) = self.summaries.get(endpoint) else {
+            return 0;
+        };
+        prefixes.iter().take_while(|p| bloom.contains(**p)).count()
+    }
+}
+
+impl PrefixKnowledge for PrefixSummaries {
+    fn on_offer(&mut self, endpoint: &EndpointName, prefixes: &[u64]) {
+        self.guesses.on_offer(endpoint, prefixes);
+    }
+
+    fn on_summary(&mut self, endpoint: &EndpointName, summary: &[u8]) {
+        let bloom = Bloom::from_bytes(summary);
+        self.summaries.insert(endpoint.clone(), bloom);
+    }
+
+    fn forget(&mut self, endpoint: &EndpointName) {
+        self.guesses.forget(endpoint);
+        self.summaries.remove(endpoint);
+    }
+
+    fn held(&self, endpoints: &[&EndpointName], prefixes: &[u64]) -> Held {
+        let mut held = self.guesses.held(endpoints, prefixes);
+        for (held, endpoint) in held.iter_mut().zip(endpoints) {
+            *held = self.summarised(endpoint, prefixes).max(*held);
         }
-        self.order.insert(self.count, prefix);
-        if self.ages.len() > most
-            && let Some((_, oldest)) = self.order.pop_first()
+        if held.iter().all(|n| *n == 0)
+            && let Some(home) = home(endpoints, prefixes)
         {
-            self.ages.remove(&oldest);
+            // Half of what may be shared, as the endpoint has yet to prefill it.
+            held[home] = prefixes.len().saturating_sub(1) / 2;
         }
+        held
     }
 }
+
+/// Returns the position of the endpoint that a prompt's first prefix hashes to.
+pub fn home(endpoints: &[&EndpointName], prefixes: &[u64]) -> Option<usize> {
+    let first = *prefixes.first()?;
+    (0..endpoints.len()).max_by_key(|i| rank(endpoints[*i], first))
+}
+
+fn rank(endpoint: &EndpointName, prefix: u64) -> u64 {
+    let mix = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3);
+    let hash = endpoint.as_str().bytes().fold(prefix, mix);
+    (hash ^ (hash >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
--- a/crates/sesamehaven/src/route.rs
+++ b/crates/sesamehaven/src/route.rs
@@ -10,7 +10,7 @@
 use crate::gate::{Ended, LoadView};
 use crate::id::{EndpointName, RequestId};
 use crate::outcome::{Refusal, Refused};
-use crate::prefix::{PrefixGuesses, PrefixKnowledge};
+use crate::prefix::{PrefixKnowledge, PrefixSummaries};
 use crate::replica::Replica;
 use crate::tier::Tier;
 use crate::unit::{Instant, Millis, Tokens};
@@ -75,7 +75,7 @@
 
 /// What one entry knows of the endpoints of one pool.
 #[derive(Debug)]
-pub struct Route<P = PrefixGuesses> {
+pub struct Route<P = PrefixSummaries> {
     kind: PoolKind,
     prefix_weight: f64,
     replicas: HashMap<EndpointName, Replica>,
@@ -88,7 +88,7 @@
     ///
     /// `prefix_weight` is [`Pool::prefix_weight`].
     pub fn new(prefix_weight: f64) -> Self {
-        Route::with_knowledge(prefix_weight, PrefixGuesses::default())
+        Route::with_knowledge(prefix_weight, PrefixSummaries::default())
     }
 
     /// Starts without any endpoint of the given pool.
@@ -111,11 +111,6 @@
         }
     }
 
-    /// Returns the knowledge of prefixes, to take in summaries of caches.
-    pub fn prefixes_mut(&mut self) -> &mut P {
-        &mut self.prefixes
-    }
-
     /// Takes in a load report; reports that are overtaken by later ones are dropped.
     ///
     /// `seq` orders the reports of an endpoint also across restarts of its
@@ -131,6 +126,15 @@
         }
     }
 
+    /// Takes in a summary of the prefixes that an endpoint's cache holds.
+    ///
+    /// Reports without a summary leave the last one in place.
+    pub fn on_prefixes(&mut self, endpoint: &EndpointName, summary: &[u8]) {
+        if !summary.is_empty() {
+            self.prefixes.on_summary(endpoint, summary);
+        }
+    }
+
     /// Forgets an endpoint that is leaving or gone.
     pub fn forget(&mut self, endpoint: &EndpointName) {
         self.replicas.remove(endpoint);
@@ -238,32 +242,37 @@
     /// Chooses where a request goes; `draw` is a random number.
     pub fn choose(&self, job: &Job, draw: u64, now: Instant) -> Choice {
         let candidates = self.candidates(job, now);
-        let Some(best) = candidates.first().map(|c| c.score) else {
+        let Some(best) = candidates.first() else {
             return Choice::Refuse(self.refuse(job, draw, now));
         };
         if job.suspect {
             return Choice::Offer(least_running(&candidates).clone());
         }
-        let allowed = best * (1.0 + SLACK_SHARE) + SLACK_MS;
-        let close = candidates.iter().take(CHOICES);
-        let close = close.take_while(|c| c.score <= allowed).count().max(1);
-        let pick = (draw % close as u64) as usize;
-        Choice::Offer(candidates[pick].endpoint.clone())
+        let allowed = best.score * (1.0 + SLACK_SHARE) + SLACK_MS;
+        let close = |c: &&Candidate<'_>| c.score <= allowed && c.held >= best.held;
+        let close: SmallVec<[_; CHOICES]> = candidates.iter().filter(close).take(CHOICES).collect();
+        let pick = (draw % close.len().max(1) as u64) as usize;
+        Choice::Offer(close.get(pick).unwrap_or(&best).endpoint.clone())
     }
 
     /// Lists the endpoints that the request may be offered to, the best first.
     fn candidates<'a>(&'a self, job: &'a Job, now: Instant) -> Candidates<'a> {
-        let present = || self.replicas.iter().filter(|(_, r)| r.is_present(now));
-        let ejected = present().filter(|(_, r)| r.is_ejected(now)).count();
+        let present = self.replicas.iter().filter(|(_, r)| r.is_present(now));
+        let present: SmallVec<[_; 16]> = present.collect();
+        let ejected = present.iter().filter(|(_, r)| r.is_ejected(now)).count();
         let eject = ejected * 2 <= self.replicas.len();
-        let open = present().filter(|(_, r)| !(eject && r.is_ejected(now)));
-        let open = open.filter(|(_, r)| !r.is_closed_to(job.tier, now));
-        let open = open.filter(|(name, _)| !job.excluded.contains(name));
-        let held = |name| self.held(name, job);
-        let most = present().map(|(name, _)| held(name)).max().unwrap_or(0);
-        let mut candidates: Candidates<'_> = open
-            .map(|(name, r)| self.rate(name, r, job, held(name), most, now))
-            .collect();
+        let held = self.held(&present, job);
+        let most = held.iter().max().copied().unwrap_or(0);
+        let is_open = |name: &EndpointName, r: &Replica| {
+            let ejected = eject && r.is_ejected(now);
+            !ejected && !r.is_closed_to(job.tier, now) && !job.excluded.contains(name)
+        };
+        let mut candidates = Candidates::new();
+        for ((name, replica), held) in present.into_iter().zip(held) {
+            if is_open(name, replica) {
+                candidates.push(self.rate(name, replica, job, held, most, now));
+            }
+        }
         candidates.sort_by(|a, b| {
             let order = a.score.total_cmp(&b.score);
             order.then_with(|| a.endpoint.cmp(b.endpoint))
@@ -291,15 +300,19 @@
         candidates
     }
 
-    /// Estimates the prompt tokens that the endpoint holds already.
+    /// Estimates the prompt tokens that each endpoint holds already.
     ///
     /// The prefixes are taken to divide the prompt evenly.
-    fn held(&self, endpoint: &EndpointName, job: &Job) -> u64 {
+    fn held(&self, present: &[(&EndpointName, &Replica)], job: &Job) -> SmallVec<[u64; 16]> {
         if job.prefixes.is_empty() || self.kind == PoolKind::Service {
-            return 0;
+            return SmallVec::from_elem(0, present.len());
         }
-        let held = self.prefixes.held(endpoint, &job.prefixes);
-        job.prompt.0 * held as u64 / job.prefixes.len() as u64
+        let names: SmallVec<[_; 16]> = present.iter().map(|(name, _)| *name).collect();
+        let held = self.prefixes.held(&names, &job.prefixes);
+        let len = job.prefixes.len() as u64;
+        held.iter()
+            .map(|n| job.prompt.0 * *n as u64 / len)
+            .collect()
     }
 
     /// Returns the prompt and the answer in the units of the reports.
@@ -330,6 +343,7 @@
         Candidate {
             endpoint,
             score: self.prefix_weight * cost + repeated,
+            held,
             finish: first_token + decode,
             running: replica.running(),
         }
@@ -370,6 +384,7 @@
 struct Candidate<'a> {
     endpoint: &'a EndpointName,
     score: f64,
+    held: u64,
     finish: f64,
     running: u32,
 }
