Tell all mistakes in settings at once, and steer daemons at run time

A derived deserializer stops at the first mistake, and flattened or untagged types lose their lines. The text is read into a tree of nodes with lines instead, and each field is taken from it by name and type, so every mistake is told with line, field and remedy; plain scalars keep their text, so that a key of digits is not read as a number. Wrong use of the command line exits with 2 as wrong settings do, where bpaf's own run exits with 1. The log level changes by PUT /log-level and SIGHUP.

--- a/crates/sesamehaven-daemons/src/admin.rs
+++ b/crates/sesamehaven-daemons/src/admin.rs
@@ -10,6 +10,7 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use serde_json::{Value, json};
 
+use crate::fields::Value as _;
 use crate::logs;
 use crate::settings::LogLevel;
 
@@ -103,6 +104,7 @@
             .route("/healthz", web::get().to(HttpResponse::Ok))
             .route("/readyz", web::get().to(readiness))
             .route("/status", web::get().to(report))
+            .route("/log-level", web::get().to(log_level))
             .route("/log-level", web::put().to(set_log_level))
     })
     .workers(1)
@@ -130,7 +132,19 @@
     HttpResponse::Ok().json(status.update(|facts| facts.report.clone()))
 }
 
-async fn set_log_level(level: web::Json<LogLevel>) -> HttpResponse {
-    logs::set_level(level.into_inner());
-    HttpResponse::NoContent().finish()
+async fn log_level() -> HttpResponse {
+    HttpResponse::Ok().json(logs::level().map(LogLevel::as_str))
+}
+
+/// Takes the level as a word or as a JSON string.
+async fn set_log_level(body: String) -> HttpResponse {
+    match LogLevel::parse(body.trim().trim_matches('"')) {
+        Ok(level) => {
+            logs::set_level(level);
+            HttpResponse::NoContent().finish()
+        }
+        Err(message) => HttpResponse::BadRequest().json(json!({
+            "error": { "code": "malformed_level", "message": message }
+        })),
+    }
 }
--- a/crates/sesamehaven-daemons/src/agent_main.rs
+++ b/crates/sesamehaven-daemons/src/agent_main.rs
@@ -27,6 +27,7 @@
 use crate::peer;
 use crate::platform::{PLATFORM_TIMEOUT, Platform, Vm, VmState};
 use crate::ports::Ports;
+use crate::reload;
 use crate::settings::AgentSettings;
 
 /// How often the platform's list of VMs is read.
@@ -45,6 +46,7 @@
 
 async fn serve(settings: Arc<AgentSettings>) -> io::Result<()> {
     logs::init(&settings.log).map_err(io::Error::other)?;
+    reload::on_hangup::<AgentSettings>(&settings.file)?;
     let status = Status::new("no configuration yet");
     let recorder = admin::install_recorder()?;
     let listener = TcpListener::bind(settings.link).await?;
--- a/crates/sesamehaven-daemons/src/cli.rs
+++ b/crates/sesamehaven-daemons/src/cli.rs
@@ -4,14 +4,21 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use bpaf::{OptionParser, Parser, construct, long};
-use serde::de::DeserializeOwned;
+use bpaf::{Args, OptionParser, ParseFailure, Parser, ShellComp, construct, long};
 
-use crate::settings;
+use crate::settings::{self, Settings};
 
 /// The exit code for wrong use and for settings that are not valid.
 const WRONG_USE: u8 = 2;
 
+/// The width that help is laid out for.
+const HELP_COLUMNS: usize = 100;
+
+const FOOTER: &str = "The addresses in use, metrics, health and readiness are served at the \
+admin address of the settings. SIGTERM drains and stops the process; SIGHUP reads the log level \
+again. For completion in the shell, add the output of --bpaf-complete-style-bash (or -zsh, -fish, \
+-elvish) to its start-up files.";
+
 #[derive(Debug, Clone)]
 struct Options {
     settings: PathBuf,
@@ -22,23 +29,42 @@
     let settings = long("settings")
         .short('s')
         .help("The YAML file that says where this process runs and how much it may use")
-        .argument::<PathBuf>("FILE");
+        .argument::<PathBuf>("FILE")
+        .complete_shell(ShellComp::File {
+            mask: Some("*.yaml"),
+        });
     let check = long("check")
         .help("Only validate the settings; exit with 0 when they are valid and with 2 otherwise")
         .switch();
     construct!(Options { settings, check })
         .to_options()
         .descr(about)
+        .footer(FOOTER)
         .version(env!("CARGO_PKG_VERSION"))
 }
 
+/// Prints help, a completion or what is wrong with the command line.
+fn print(stop: ParseFailure) -> ExitCode {
+    stop.print_message(HELP_COLUMNS);
+    match stop.exit_code() {
+        0 => ExitCode::SUCCESS,
+        _ => ExitCode::from(WRONG_USE),
+    }
+}
+
 /// Reads the command line and the settings, then runs the daemon until it stops.
-pub fn run<S: DeserializeOwned>(
+pub fn run<S: Settings>(
     name: &'static str,
     about: &'static str,
     daemon: impl FnOnce(S) -> io::Result<()>,
 ) -> ExitCode {
-    let options = options(about).fallback_to_usage().run();
+    let options = match options(about)
+        .fallback_to_usage()
+        .run_inner(Args::current_args())
+    {
+        Ok(options) => options,
+        Err(stop) => return print(stop),
+    };
     let settings = match settings::read::<S>(&options.settings) {
         Ok(settings) => settings,
         Err(err) => {
--- a/crates/sesamehaven-daemons/src/entry_main.rs
+++ b/crates/sesamehaven-daemons/src/entry_main.rs
@@ -23,6 +23,7 @@
 use crate::peer;
 use crate::platform::{PLATFORM_TIMEOUT, Platform};
 use crate::ports::Ports;
+use crate::reload;
 use crate::settings::EntrySettings;
 
 /// Runs an entry until it has been told to stop and is drained.
@@ -36,6 +37,7 @@
 
 async fn serve(settings: Arc<EntrySettings>) -> io::Result<()> {
     logs::init(&settings.log).map_err(io::Error::other)?;
+    reload::on_hangup::<EntrySettings>(&settings.file)?;
     let status = Status::new("no configuration yet");
     let recorder = admin::install_recorder()?;
     let listener = TcpListener::bind(settings.listen)?;
--- a/crates/sesamehaven-daemons/src/logs.rs
+++ b/crates/sesamehaven-daemons/src/logs.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use metrics::counter;
 use spdlog::formatter::{Formatter, FullFormatter, JsonFormatter};
 use spdlog::sink::{Sink, StdStream, StdStreamSink};
 use spdlog::{Level, LevelFilter, Logger};
@@ -27,7 +28,20 @@
 
 /// Changes the least grave level that is written, at run time.
 pub fn set_level(level: LogLevel) {
+    if self::level() == Some(level) {
+        return;
+    }
+    counter!("log_level_changes_total").increment(1);
     spdlog::default_logger().set_level_filter(filter(level));
+    spdlog::info!("the log level is {} from now on", level.as_str());
+}
+
+/// Returns the least grave level that is written.
+pub fn level() -> Option<LogLevel> {
+    let in_force = spdlog::default_logger().level_filter();
+    LogLevel::ALL
+        .into_iter()
+        .find(|level| filter(*level) == in_force)
 }
 
 fn stderr(formatter: impl Formatter + 'static) -> spdlog::Result<Arc<StdStreamSink>> {
