--- a/crates/sesamehaven-daemons/src/entry.rs
+++ b/crates/sesamehaven-daemons/src/entry.rs
@@ -336,6 +336,9 @@
             }
             ToEntry::Refused(refused) => {
                 active.refused = Some(refused);
+                if refused.reason.is_for_room() {
+                    active.excluded.pop();
+                }
                 if let Some(route) = route {
                     route.on_refused(id, &refused, now);
                 }
@@ -594,6 +597,7 @@
             output: self.job.output,
             prefixes: self.job.prefixes.clone(),
             deadline: self.job.deadline,
+            suspect: false,
             excluded: self.excluded.clone(),
             refused: self.refused,
         }
--- a/crates/sesamehaven/src/gate.rs
+++ b/crates/sesamehaven/src/gate.rs
@@ -14,16 +14,18 @@
 use crate::queue::{Queue, Queued};
 use crate::running::{Run, Running};
 use crate::tier::Tier;
-use crate::unit::{Instant, Millis};
+use crate::unit::{Instant, Millis, TokenRate};
 
 /// How long a gate that refused a tier as full queues nothing less urgent.
-pub const PROMISE: Millis = Millis(150);
+pub const PROMISE: Millis = Millis(250);
 /// The prefill that the most urgent tier may have waiting at the engine.
 const URGENT_PREFILL: Millis = Millis(300);
 /// The prefill that other tiers may have waiting at the engine.
 const OTHER_PREFILL: Millis = Millis(150);
 /// The requests that are dispatched at once before anything was measured.
 const START_REQUESTS: f64 = 8.0;
+/// The decode rate that is reported for plain services, which have no tokens.
+const NO_DECODING: TokenRate = TokenRate(1e9);
 /// The least limit, in requests of mean size.
 const FLOOR_REQUESTS: f64 = 2.0;
 /// Work is long from this many times the mean.
@@ -149,11 +151,10 @@
     /// Notes the first token of a run, or the head of a plain service's answer.
     pub fn on_first_token(&mut self, id: RequestId, now: Instant) {
         let counted = self.running.counted() as f64;
-        let Some(run) = self.running.first_token(id, now) else {
+        let Some((run, prefill)) = self.running.first_token(id, now) else {
             return;
         };
-        self.forecast
-            .on_first_token(run.prompt, run.dispatched, now);
+        self.forecast.on_prefill(run.prompt, prefill);
         if !run.long && !run.late {
             let span = now.since(run.dispatched).0 as f64;
             self.limit.observe_first_token(span, counted, now);
@@ -162,10 +163,10 @@
 
     /// Notes further tokens of a run.
     pub fn on_tokens(&mut self, id: RequestId, count: u32, now: Instant) {
-        let Some(gap) = self.running.tokens(id, now) else {
+        let Some((count, gap)) = self.running.tokens(id, count, now) else {
             return;
         };
-        if count == 0 || self.cfg.kind == PoolKind::Service {
+        if self.cfg.kind == PoolKind::Service {
             return;
         }
         self.forecast.on_tokens(count, gap);
@@ -176,11 +177,18 @@
 
     /// Notes the end of a run, which makes room.
     pub fn on_end(&mut self, id: RequestId, ended: Ended, now: Instant) {
-        let Some(run) = self.running.remove(id) else {
+        let Some(run) = self.running.remove(id, now) else {
             return;
         };
-        if ended == Ended::Whole {
-            self.forecast.on_run(now.since(run.dispatched));
+        if ended != Ended::Whole {
+            return;
+        }
+        let span = now.since(run.dispatched);
+        self.forecast.on_run(span);
+        let unheard = run.first_token.is_none() && !run.late;
+        if self.cfg.kind == PoolKind::Service && unheard {
+            let counted = (self.running.counted() + run.counted) as f64;
+            self.limit.observe_first_token(span.0 as f64, counted, now);
         }
     }
 
@@ -199,16 +207,33 @@
     }
 
     /// Returns the load as it is reported.
+    ///
+    /// Queued work is given in prompt tokens that take as long to prefill as
+    /// the work takes to drain, and for a plain service in requests.
     pub fn load(&self, now: Instant) -> LoadView {
-        let queued = self.queue.prompts();
+        let (prefill_rate, decode_rate) = match self.cfg.kind {
+            PoolKind::Model => (self.forecast.prefill_rate(), self.forecast.decode_rate()),
+            PoolKind::Service => (self.forecast.drain_rate(self.drained_limit()), NO_DECODING),
+        };
+        let limit = self.drained_limit();
+        let equivalent = |(cost, prompt): (u64, u64)| {
+            let drain = self.forecast.drain_time(cost as f64, limit);
+            let drain = drain * prefill_rate.0 / 1_000.0;
+            drain.max(prompt as f64) as u32
+        };
+        let work = self.queue.costs().into_iter().zip(self.queue.prompts());
+        let mut queued = [0; Tier::COUNT];
+        for (to, from) in queued.iter_mut().zip(work) {
+            *to = equivalent(from);
+        }
         let requests = (self.limit() / self.forecast.mean_cost()) as u32;
         LoadView {
             healthy: self.healthy,
             running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
-            queued: queued.map(|n| u32::try_from(n).unwrap_or(u32::MAX)),
+            queued,
             admits: self.admits(now),
-            prefill_rate: self.forecast.prefill_rate(),
-            decode_rate: self.forecast.decode_rate(),
+            prefill_rate,
+            decode_rate,
             limit: requests.clamp(1, self.cfg.concurrency.max(1)),
         }
     }
@@ -360,8 +385,10 @@
             repeat: work.repeat,
             fingerprint: work.fingerprint,
             dispatched: now,
+            served: 0.0,
             first_token: None,
             last_token: now,
+            unmeasured: 0,
             cancelling: false,
             late: false,
         };
--- a/crates/sesamehaven/src/route.rs
+++ b/crates/sesamehaven/src/route.rs
@@ -6,10 +6,11 @@
 
 use smallvec::SmallVec;
 
+use crate::config::{Pool, PoolKind};
 use crate::gate::{Ended, LoadView};
 use crate::id::{EndpointName, RequestId};
 use crate::outcome::{Refusal, Refused};
-use crate::prefix::PrefixGuesses;
+use crate::prefix::{PrefixGuesses, PrefixKnowledge};
 use crate::replica::Replica;
 use crate::tier::Tier;
 use crate::unit::{Instant, Millis, Tokens};
@@ -22,6 +23,8 @@
 const SLACK_SHARE: f64 = 0.25;
 /// How much a millisecond of decoding counts beside one of waiting.
 const DECODE_WEIGHT: f64 = 0.1;
+/// How much a millisecond beyond the deadline counts beside one of waiting.
+const LATE_WEIGHT: f64 = 4.0;
 /// An offer is spared when the deadline would be missed by this factor.
 const HOPELESS_FACTOR: f64 = 2.0;
 /// The failures that a lost link counts for.
@@ -42,7 +45,10 @@
     pub prefixes: SmallVec<[u64; 8]>,
     /// When the answer is due.
     pub deadline: Instant,
-    /// The endpoints that have refused the request or lost it before dispatch.
+    /// Whether the content was near a crash of an endpoint before.
+    pub suspect: bool,
+    /// The endpoints that have lost the request before dispatch, or refused it
+    /// for a reason other than [`Refusal::is_for_room`].
     pub excluded: SmallVec<[EndpointName; 4]>,
     /// The last refusal of the request by an agent.
     pub refused: Option<Refused>,
@@ -69,26 +75,47 @@
 
 /// What one entry knows of the endpoints of one pool.
 #[derive(Debug)]
-pub struct Route {
+pub struct Route<P = PrefixGuesses> {
+    kind: PoolKind,
     prefix_weight: f64,
     replicas: HashMap<EndpointName, Replica>,
     offered: HashMap<RequestId, Offered>,
-    prefixes: PrefixGuesses,
+    prefixes: P,
 }
 
 impl Route {
-    /// Starts without any endpoint.
+    /// Starts without any endpoint of a model pool.
     ///
-    /// `prefix_weight` is [`crate::config::Pool::prefix_weight`].
+    /// `prefix_weight` is [`Pool::prefix_weight`].
     pub fn new(prefix_weight: f64) -> Self {
+        Route::with_knowledge(prefix_weight, PrefixGuesses::default())
+    }
+
+    /// Starts without any endpoint of the given pool.
+    pub fn for_pool(pool: &Pool) -> Self {
+        let mut route = Route::new(pool.prefix_weight);
+        route.kind = pool.kind;
+        route
+    }
+}
+
+impl<P: PrefixKnowledge> Route<P> {
+    /// Starts without any endpoint, with another kind of prefix knowledge.
+    pub fn with_knowledge(prefix_weight: f64, prefixes: P) -> Self {
         Route {
+            kind: PoolKind::Model,
             prefix_weight,
             replicas: HashMap::new(),
             offered: HashMap::new(),
-            prefixes: PrefixGuesses::default(),
+            prefixes,
         }
     }
 
+    /// Returns the knowledge of prefixes, to take in summaries of caches.
+    pub fn prefixes_mut(&mut self) -> &mut P {
+        &mut self.prefixes
+    }
+
     /// Takes in a load report; reports that are overtaken by later ones are dropped.
     ///
     /// `seq` orders the reports of an endpoint also across restarts of its
@@ -112,11 +139,11 @@
 
     /// Notes that the request is being offered.
     pub fn on_offer(&mut self, endpoint: &EndpointName, id: RequestId, job: &Job, now: Instant) {
-        let prompt = job.prompt.0 as f64;
+        let (prompt, _) = self.size(job);
         if let Some(replica) = self.replicas.get_mut(endpoint) {
             replica.on_offer(job.tier, prompt, now);
         }
-        self.prefixes.insert(endpoint, &job.prefixes);
+        self.prefixes.on_offer(endpoint, &job.prefixes);
         let offered = Offered {
             endpoint: endpoint.clone(),
             tier: job.tier,
@@ -127,6 +154,11 @@
         self.offered.insert(id, offered);
     }
 
+    /// Returns the endpoint that a request was last offered to.
+    pub fn endpoint_of(&self, id: RequestId) -> Option<&EndpointName> {
+        self.offered.get(&id).map(|o| &o.endpoint)
+    }
+
     /// Notes that the agent queued the request.
     pub fn on_accepted(&mut self, id: RequestId, first_token: Millis, now: Instant) {
         let Some(offered) = self.offered.get(&id) else {
@@ -209,6 +241,9 @@
         let Some(best) = candidates.first().map(|c| c.score) else {
             return Choice::Refuse(self.refuse(job, draw, now));
         };
+        if job.suspect {
+            return Choice::Offer(least_running(&candidates).clone());
+        }
         let allowed = best * (1.0 + SLACK_SHARE) + SLACK_MS;
         let close = candidates.iter().take(CHOICES);
         let close = close.take_while(|c| c.score <= allowed).count().max(1);
@@ -217,30 +252,64 @@
     }
 
     /// Lists the endpoints that the request may be offered to, the best first.
-    fn candidates<'a>(&'a self, job: &'a Job, now: Instant) -> Vec<Candidate<'a>> {
-        let present = || {
-            let replicas = self.replicas.iter();
-            replicas.filter(|(name, r)| r.is_present(now) && !job.excluded.contains(name))
-        };
-        let known = self.replicas.len();
+    fn candidates<'a>(&'a self, job: &'a Job, now: Instant) -> Candidates<'a> {
+        let present = || self.replicas.iter().filter(|(_, r)| r.is_present(now));
         let ejected = present().filter(|(_, r)| r.is_ejected(now)).count();
-        let eject = ejected * 2 <= known;
+        let eject = ejected * 2 <= self.replicas.len();
         let open = present().filter(|(_, r)| !(eject && r.is_ejected(now)));
         let open = open.filter(|(_, r)| !r.is_closed_to(job.tier, now));
-        let held = |name| self.prefixes.held(name, &job.prefixes, job.prompt);
+        let open = open.filter(|(name, _)| !job.excluded.contains(name));
+        let held = |name| self.held(name, job);
         let most = present().map(|(name, _)| held(name)).max().unwrap_or(0);
-        let remaining = job.deadline.since(now).0 as f64;
-        let mut candidates: Vec<Candidate<'_>> = open
+        let mut candidates: Candidates<'_> = open
             .map(|(name, r)| self.rate(name, r, job, held(name), most, now))
-            .filter(|c| c.finish <= remaining * HOPELESS_FACTOR)
             .collect();
         candidates.sort_by(|a, b| {
             let order = a.score.total_cmp(&b.score);
             order.then_with(|| a.endpoint.cmp(b.endpoint))
         });
+        self.without_hopeless(job, candidates, now)
+    }
+
+    /// Drops the endpoints where the deadline is missed by far.
+    ///
+    /// A request that no agent has judged yet is offered to one all the same,
+    /// since the reports may be out of date.
+    fn without_hopeless<'a>(
+        &self,
+        job: &Job,
+        mut candidates: Candidates<'a>,
+        now: Instant,
+    ) -> Candidates<'a> {
+        let most = job.deadline.since(now).0 as f64 * HOPELESS_FACTOR;
+        let hopeful = candidates.iter().any(|c| c.finish <= most);
+        if hopeful || job.refused.is_some() {
+            candidates.retain(|c| c.finish <= most);
+        } else {
+            candidates.truncate(1);
+        }
         candidates
     }
 
+    /// Estimates the prompt tokens that the endpoint holds already.
+    ///
+    /// The prefixes are taken to divide the prompt evenly.
+    fn held(&self, endpoint: &EndpointName, job: &Job) -> u64 {
+        if job.prefixes.is_empty() || self.kind == PoolKind::Service {
+            return 0;
+        }
+        let held = self.prefixes.held(endpoint, &job.prefixes);
+        job.prompt.0 * held as u64 / job.prefixes.len() as u64
+    }
+
+    /// Returns the prompt and the answer in the units of the reports.
+    fn size(&self, job: &Job) -> (f64, f64) {
+        match self.kind {
+            PoolKind::Model => (job.prompt.0 as f64, job.output.0 as f64),
+            PoolKind::Service => (1.0, 0.0),
+        }
+    }
+
     fn rate<'a>(
         &self,
         endpoint: &'a EndpointName,
@@ -250,15 +319,19 @@
         most: u64,
         now: Instant,
     ) -> Candidate<'a> {
-        let fresh = job.prompt.0.saturating_sub(held) as f64;
+        let (prompt, output) = self.size(job);
         let rate = replica.prefill_rate();
-        let first_token = replica.wait(job.tier, now) + rate.millis_for(fresh);
+        let fresh = rate.millis_for(prompt - held as f64);
+        let first_token = replica.wait(job.tier, now) + fresh;
         let repeated = rate.millis_for(most.saturating_sub(held) as f64);
-        let decode = replica.decode_rate().millis_for(job.output.0 as f64);
+        let decode = replica.decode_rate().millis_for(output);
+        let overdue = first_token + decode - job.deadline.since(now).0 as f64;
+        let cost = first_token + DECODE_WEIGHT * decode + LATE_WEIGHT * overdue.max(0.0);
         Candidate {
             endpoint,
-            score: self.prefix_weight * (first_token + DECODE_WEIGHT * decode) + repeated,
+            score: self.prefix_weight * cost + repeated,
             finish: first_token + decode,
+            running: replica.running(),
         }
     }
 
@@ -291,9 +364,18 @@
     Millis(span.0 + draw % (quarter + 1))
 }
 
+type Candidates<'a> = SmallVec<[Candidate<'a>; 16]>;
+
 /// An endpoint with its predicted cost, in milliseconds.
 struct Candidate<'a> {
     endpoint: &'a EndpointName,
     score: f64,
     finish: f64,
+    running: u32,
+}
+
+/// Returns the endpoint where a crash would hurt the fewest requests.
+fn least_running<'a>(candidates: &[Candidate<'a>]) -> &'a EndpointName {
+    let least = candidates.iter().min_by_key(|c| c.running);
+    least.map_or(candidates[0].endpoint, |c| c.endpoint)
 }
