Set how links are kept in the settings

The heartbeat, the limit of silence and of frames were fixed in the wire crate. Their defaults stay; a body that no frame would carry is refused when the settings are read.

--- a/crates/sesamehaven-daemons/src/agent_main.rs
+++ b/crates/sesamehaven-daemons/src/agent_main.rs
@@ -54,13 +54,14 @@
     let (admin_addr, admin_server) = admin::serve(settings.admin, status.clone(), recorder)?;
     actix_rt::spawn(admin_server);
 
-    let links_cfg = peer::link_config(
+    let mut links_cfg = peer::link_config(
         Role::Agent,
         &settings.name,
         &settings.data_centre,
         clock::incarnation(),
         settings.link_key,
     );
+    settings.links.apply(&mut links_cfg);
     let platform = Platform::new(settings.platform, PLATFORM_TIMEOUT);
     let (reports, reports_rx) = mpsc::channel(REPORTS_QUEUED);
     let sender = ReportSender::bind(local_udp(bound), links_cfg.psk.as_ref())
--- a/crates/sesamehaven-daemons/src/entry_main.rs
+++ b/crates/sesamehaven-daemons/src/entry_main.rs
@@ -46,13 +46,14 @@
     actix_rt::spawn(admin_server);
 
     let incarnation = clock::incarnation();
-    let links_cfg = peer::link_config(
+    let mut links_cfg = peer::link_config(
         Role::Entry,
         &settings.name,
         &settings.data_centre,
         incarnation,
         settings.link_key,
     );
+    settings.links.apply(&mut links_cfg);
     let reports = ReportReceiver::bind(settings.reports, links_cfg.psk.as_ref())
         .await
         .map_err(io::Error::other)?;
--- a/crates/sesamehaven-daemons/src/lib.rs
+++ b/crates/sesamehaven-daemons/src/lib.rs
@@ -36,4 +36,5 @@
 pub mod reply;
 pub mod run;
 pub mod settings;
+mod settings_build;
 pub mod trace;
--- a/crates/sesamehaven-daemons/tests/settings.rs
+++ b/crates/sesamehaven-daemons/tests/settings.rs
@@ -58,7 +58,7 @@
   level: loud
 listens: 127.0.0.1:8080
 ";
-    let unknown_fields = "name, data_centre, listen, admin, reports, platform, link_key, limits, drain, log, ports_file";
+    let unknown_fields = "name, data_centre, listen, admin, reports, platform, link_key, limits, links, drain, log, ports_file";
     let expected = [
         "line 1: `platform`: missing: this field has no default".into(),
         "line 1: `name`: daemon `-entry` is not valid: use 1 to 63 characters out of a-z, A-Z, 0-9, `.`, `_` and `-`, the first a letter or digit".into(),
@@ -102,6 +102,10 @@
     "limits:\n  all_answers: 1 KiB",
     "line 2: `limits.all_answers`: use at least `answer_buffer`"
 )]
+#[case::hasty(
+    "links:\n  silent_after: 600 ms",
+    "line 2: `links.silent_after`: use at least 2 times `heartbeat`, which is `1 s`"
+)]
 #[case::seldom(
     "limits:\n  report_interval: 1 h",
     "line 2: `limits.report_interval`: use `10 ms` to `2 s`"
@@ -111,6 +115,13 @@
     assert!(found.iter().any(|p| p.contains(problem)), "{found:#?}");
 }
 
+#[test]
+fn a_body_has_to_fit_into_a_frame() {
+    let text = ENTRY.replace("body: 2 MiB", "body: 8 MiB");
+    let problem = "`limits`: `body` may be at most `7936 KiB`, since `links.frame` is `8 MiB`";
+    assert!(problems::<EntrySettings>(&text)[0].contains(problem));
+}
+
 /// Keys and names keep their text, even where YAML would take them for numbers.
 #[test]
 fn plain_scalars_keep_their_text() {
