--- a/crates/sesamehaven-daemons/src/settings.rs
+++ b/crates/sesamehaven-daemons/src/settings.rs
@@ -9,11 +9,12 @@
 use std::path::{Path, PathBuf};
 
 use quick_error::quick_error;
-use serde::Deserialize;
-use serde::de::DeserializeOwned;
 
 use sesamehaven::id::{DaemonName, DataCentreName, Digest};
 use sesamehaven::unit::{Bytes, Millis};
+use sesamehaven_wire::LinkConfig;
+
+use crate::fields::{self, Fields, Problem};
 
 /// The result of reading settings.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -29,15 +30,31 @@
             display("cannot read the settings {}: {err}", path.display())
         }
         /// The text is not valid settings.
-        Invalid { path: PathBuf, message: String } {
-            display("{}: {message}", path.display())
+        Invalid { path: PathBuf, problems: Vec<Problem> } {
+            display("{}", listed(path, problems))
         }
     }
 }
 
+fn listed(path: &Path, problems: &[Problem]) -> String {
+    let lines = problems.iter().map(|p| format!("{}: {p}", path.display()));
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+/// What a daemon reads at its start.
+pub trait Settings: Sized {
+    /// Takes the fields, and reports those that are missing or do not fit.
+    fn build(fields: &mut Fields<'_>) -> Option<Self>;
+
+    /// Returns what is logged, and how.
+    fn log(&self) -> &Log;
+
+    /// Remembers where the settings were read.
+    fn set_file(&mut self, file: &Path);
+}
+
 /// The settings of `sesame-entry`.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone)]
 pub struct EntrySettings {
     /// The name, as in the configuration.
     pub name: DaemonName,
@@ -54,22 +71,21 @@
     /// The pre-shared key of links and reports, as 64 hexadecimal digits.
     pub link_key: Digest,
     /// How much callers may use.
-    #[serde(default)]
     pub limits: EntryLimits,
+    /// How links are kept.
+    pub links: Links,
     /// How the process stops.
-    #[serde(default)]
     pub drain: Drain,
     /// What is logged, and how.
-    #[serde(default)]
     pub log: Log,
     /// A file to write the addresses in use to.
-    #[serde(default)]
     pub ports_file: Option<PathBuf>,
+    /// The file that the settings were read from.
+    pub file: PathBuf,
 }
 
 /// Bounds on what callers may use at an entry.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Debug, Clone)]
 pub struct EntryLimits {
     /// The largest request body.
     pub body: Bytes,
@@ -98,9 +114,39 @@
     }
 }
 
+/// How the links between daemons are kept.
+#[derive(Debug, Clone)]
+pub struct Links {
+    /// How often a ping is sent.
+    pub heartbeat: Millis,
+    /// How long a peer may leave pings unanswered.
+    pub silent_after: Millis,
+    /// The longest frame.
+    pub frame: Bytes,
+}
+
+impl Default for Links {
+    fn default() -> Self {
+        Links {
+            heartbeat: Millis(500),
+            silent_after: Millis(2_000),
+            frame: Bytes(8 << 20),
+        }
+    }
+}
+
+impl Links {
+    /// Takes the settings over into those of the wire.
+    pub fn apply(&self, cfg: &mut LinkConfig) {
+        cfg.heartbeat = self.heartbeat.duration();
+        cfg.silent_after = self.silent_after.duration();
+        cfg.handshake_timeout = self.silent_after.duration();
+        cfg.max_frame_bytes = self.frame.len();
+    }
+}
+
 /// How a process stops after SIGTERM.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Debug, Clone)]
 pub struct Drain {
     /// How long an entry goes on accepting, until the balancer has noticed.
     pub grace: Millis,
@@ -118,8 +164,7 @@
 }
 
 /// The settings of `sesame-agent`.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone)]
 pub struct AgentSettings {
     /// The name, as in the configuration.
     pub name: DaemonName,
@@ -128,34 +173,31 @@
     /// Where entries' links are accepted.
     pub link: SocketAddr,
     /// The address that entries are told, when it differs from `link`.
-    #[serde(default)]
     pub advertise: Option<SocketAddr>,
     /// Where operators are served.
     pub admin: SocketAddr,
     /// Where entries receive reports; the platform's list adds to these.
-    #[serde(default)]
     pub entries: Vec<SocketAddr>,
     /// Where the platform's object API is.
     pub platform: SocketAddr,
     /// The pre-shared key of links and reports, as 64 hexadecimal digits.
     pub link_key: Digest,
     /// How much runs may use.
-    #[serde(default)]
     pub limits: AgentLimits,
+    /// How links are kept.
+    pub links: Links,
     /// How the process stops.
-    #[serde(default)]
     pub drain: Drain,
     /// What is logged, and how.
-    #[serde(default)]
     pub log: Log,
     /// A file to write the addresses in use to.
-    #[serde(default)]
     pub ports_file: Option<PathBuf>,
+    /// The file that the settings were read from.
+    pub file: PathBuf,
 }
 
 /// Bounds on what runs may use at an agent.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Debug, Clone)]
 pub struct AgentLimits {
     /// The part of one answer that is kept for attaching and resuming.
     pub answer_buffer: Bytes,
@@ -185,8 +227,7 @@
 }
 
 /// What is logged, and how.
-#[derive(Debug, Clone, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Debug, Clone, Default)]
 pub struct Log {
     /// The least grave lines that are written.
     pub level: LogLevel,
@@ -195,8 +236,7 @@
 }
 
 /// How grave a line has to be to be written.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum LogLevel {
     /// Failures that need an operator.
     Error,
@@ -210,8 +250,7 @@
 }
 
 /// The form of log lines.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum LogFormat {
     /// For people.
     #[default]
@@ -220,19 +259,42 @@
     Json,
 }
 
+impl LogLevel {
+    /// All levels, the gravest first.
+    pub const ALL: [LogLevel; 4] = [
+        LogLevel::Error,
+        LogLevel::Warn,
+        LogLevel::Info,
+        LogLevel::Debug,
+    ];
+
+    /// Returns the word that stands for the level in settings.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            LogLevel::Error => "error",
+            LogLevel::Warn => "warn",
+            LogLevel::Info => "info",
+            LogLevel::Debug => "debug",
+        }
+    }
+}
+
 /// Reads settings from a file.
 ///
 /// # Errors
 ///
-/// Fails when the file cannot be read or is not valid; the message names the
-/// line, the field and what to write instead.
-pub fn read<T: DeserializeOwned>(path: &Path) -> Result<T> {
+/// Fails when the file cannot be read or is not valid; the message lists every
+/// mistake with its line, its field and what to write instead.
+pub fn read<T: Settings>(path: &Path) -> Result<T> {
     let text = std::fs::read_to_string(path).map_err(|err| Error::Read {
         path: path.into(),
         err,
     })?;
-    serde_saphyr::from_str(&text).map_err(|err| Error::Invalid {
+    let read = fields::read(&text, T::build);
+    let mut settings = read.map_err(|problems| Error::Invalid {
         path: path.into(),
-        message: err.to_string(),
-    })
+        problems,
+    })?;
+    settings.set_file(path);
+    Ok(settings)
 }
