--- a/crates/sesamehaven-daemons/src/ctl.rs
+++ b/crates/sesamehaven-daemons/src/ctl.rs
@@ -8,6 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+use bpaf::Args;
 use quick_error::quick_error;
 use serde_json::{Value, json};
 
@@ -25,6 +26,9 @@
 use crate::ctl_status;
 use crate::platform;
 
+/// The width of help texts.
+const HELP_COLUMNS: usize = 100;
+
 /// The result of commands.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -157,7 +161,20 @@
 
 /// Runs the command that the command line names.
 pub fn main() -> ExitCode {
-    let Options { json, command } = options().fallback_to_usage().run();
+    let parsed = options()
+        .fallback_to_usage()
+        .run_inner(Args::current_args());
+    let Options { json, command } = match parsed {
+        Ok(options) => options,
+        Err(failure) => {
+            failure.print_message(HELP_COLUMNS);
+            // Help and completion are what was asked for, a parse error is not.
+            return match failure.exit_code() {
+                0 => ExitCode::SUCCESS,
+                _ => ExitCode::from(Exit::WrongUse as u8),
+            };
+        }
+    };
     let output = actix_rt::System::new().block_on(run(command));
     let output = output.unwrap_or_else(|err| err.output());
     match output.print(json) {
