Add the load generator, the baselines and a checker of what callers were told

Measurements need an open loop: a request is sent when it is due, however late the answers are, and its times count from then. Every request carries a reference that the stand-in engines repeat in each answer word, so that a partial answer or that of another request shows without trust in any header. The checker joins what callers were told with what endpoints recorded.

--- /dev/null
+++ b/crates/sesamehaven-standins/src/arrival.rs
@@ -0,0 +1,186 @@
+//! When requests are sent and what is in them, from the seed alone.
+
+use std::f64::consts::TAU;
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smol_str::{SmolStr, format_smolstr};
+use uuid::Builder;
+
+use crate::completion::ECHO_MARK;
+use crate::load_plan::{Burst, KeyForm, Length, Plan, StreamPlan};
+use crate::told::Prefix;
+
+const NANOS_PER_SECOND: f64 = 1e9;
+
+/// A request that is due.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// When it is due, from the start of the run.
+    pub at: Duration,
+    /// The index of its stream in the plan.
+    pub stream: usize,
+    /// The seed of its content; a request that is sent again has the same.
+    pub seed: u64,
+    /// When it was due for the first time.
+    pub first_at: Duration,
+}
+
+impl Arrival {
+    /// Returns whether the request is sent again.
+    pub fn is_resend(&self) -> bool {
+        self.at != self.first_at
+    }
+}
+
+/// Lists all requests of a run in order of time.
+///
+/// Each stream draws from a generator of its own, so that a change of one
+/// stream leaves the others as they were.
+pub fn arrivals(plan: &Plan, seed: u64, rate_factor: f64, duration: Duration) -> Vec<Arrival> {
+    let mut all = Vec::new();
+    for (index, stream) in plan.streams.iter().enumerate() {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(index as u64 + 1);
+        let mut at_s = 0.0;
+        while let Some(next_s) = next(stream, rate_factor, at_s, duration, &mut rng) {
+            at_s = next_s;
+            push(&mut all, stream, index, at_s, &mut rng);
+        }
+    }
+    all.sort_by_key(|arrival| arrival.at);
+    all
+}
+
+/// Draws the time of the next request of a Poisson process whose rate changes.
+///
+/// Candidates come at the greatest rate and are thinned out by the rate in force.
+fn next(
+    stream: &StreamPlan,
+    rate_factor: f64,
+    mut at_s: f64,
+    duration: Duration,
+    rng: &mut ChaCha8Rng,
+) -> Option<f64> {
+    let factors = stream.bursts.iter().map(|burst| burst.factor);
+    let greatest = factors.fold(1.0, f64::max);
+    let rate = stream.rate * rate_factor * greatest;
+    if rate <= 0.0 {
+        return None;
+    }
+    loop {
+        let uniform: f64 = rng.random();
+        at_s -= (1.0 - uniform).ln() / rate;
+        if at_s >= duration.as_secs_f64() {
+            return None;
+        }
+        if rng.random::<f64>() * greatest < factor_at(&stream.bursts, at_s) {
+            return Some(at_s);
+        }
+    }
+}
+
+fn factor_at(bursts: &[Burst], at_s: f64) -> f64 {
+    let covers = |burst: &&Burst| {
+        let from_s = burst.at.duration().as_secs_f64();
+        at_s >= from_s && at_s < from_s + burst.length.duration().as_secs_f64()
+    };
+    bursts.iter().find(covers).map_or(1.0, |burst| burst.factor)
+}
+
+fn push(
+    all: &mut Vec<Arrival>,
+    stream: &StreamPlan,
+    index: usize,
+    at_s: f64,
+    rng: &mut ChaCha8Rng,
+) {
+    let first_at = Duration::from_nanos((at_s * NANOS_PER_SECOND) as u64);
+    let seed = rng.random();
+    let resent = rng.random::<f64>() * 100.0 < stream.resend_percent;
+    let times = [first_at, first_at + stream.resend_after.duration()];
+    let sends = if resent { 2 } else { 1 };
+    all.extend(times.into_iter().take(sends).map(|at| Arrival {
+        at,
+        stream: index,
+        seed,
+        first_at,
+    }));
+}
+
+/// The content of a request.
+#[derive(Debug, Clone)]
+pub struct Content {
+    /// The word that tells this request from all others.
+    pub echo: SmolStr,
+    /// The idempotency key.
+    pub key: Option<SmolStr>,
+    /// The shared prefix.
+    pub prefix: Option<Prefix>,
+    /// The prompt, without the mark.
+    pub prompt: String,
+    /// The length of the answer.
+    pub output_tokens: u64,
+}
+
+impl Content {
+    /// Draws the content of an arrival; `start_ms` is the start of the run in
+    /// milliseconds since 1970, for keys that carry a time.
+    pub fn new(stream: &StreamPlan, arrival: &Arrival, start_ms: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(arrival.seed);
+        let echo = format_smolstr!("{ECHO_MARK}{:016x}", arrival.seed);
+        let prefix = prefix(stream, &mut rng);
+        let output_tokens = draw(&stream.output_tokens, &mut rng);
+        let own_tokens = draw(&stream.prompt_tokens, &mut rng);
+        let mut prompt = String::new();
+        if let Some(Prefix { name, tokens }) = &prefix {
+            (0..*tokens).for_each(|word| prompt.push_str(&format!("{name}.{word} ")));
+        }
+        for _ in 1..own_tokens {
+            prompt.push_str(&format!("w{:x} ", rng.random::<u16>()));
+        }
+        prompt.push_str(&echo);
+        let key = key(stream.key, arrival, start_ms, &mut rng);
+        Content {
+            echo,
+            key,
+            prefix,
+            prompt,
+            output_tokens,
+        }
+    }
+}
+
+/// Draws one of the prefixes that the organisation's prompts share.
+fn prefix(stream: &StreamPlan, rng: &mut ChaCha8Rng) -> Option<Prefix> {
+    let shared = stream.prefix?;
+    let number = rng.random_range(0..shared.count.max(1));
+    let owner = blake3::hash(stream.api_key.as_bytes()).to_hex();
+    Some(Prefix {
+        name: format_smolstr!("p{}.{number}", &owner[..4]),
+        tokens: shared.tokens,
+    })
+}
+
+fn key(form: KeyForm, arrival: &Arrival, start_ms: u64, rng: &mut ChaCha8Rng) -> Option<SmolStr> {
+    match form {
+        KeyForm::None => None,
+        KeyForm::Text => Some(format_smolstr!("key-{:016x}", arrival.seed)),
+        KeyForm::Uuid7 => {
+            let at_ms = start_ms + arrival.first_at.as_millis() as u64;
+            let random: [u8; 10] = rng.random();
+            let uuid = Builder::from_unix_timestamp_millis(at_ms, &random).into_uuid();
+            Some(format_smolstr!("{uuid}"))
+        }
+    }
+}
+
+fn draw(length: &Length, rng: &mut ChaCha8Rng) -> u64 {
+    let (radius, angle): (f64, f64) = (rng.random(), rng.random());
+    let normal = (-2.0 * (1.0 - radius).ln()).sqrt() * (TAU * angle).cos();
+    let long = rng.random::<f64>() * 100.0 < length.long_percent;
+    let factor = if long { length.long_factor } else { 1.0 };
+    let tokens = length.median as f64 * (normal * length.spread).exp() * factor;
+    (tokens.round() as u64).max(1)
+}
--- /dev/null
+++ b/crates/sesamehaven-standins/src/bin/standin-check.rs
@@ -0,0 +1,121 @@
+//! Checks what callers were told against the records of engines and services.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::{OptionParser, Parser, construct, long};
+use serde::de::DeserializeOwned;
+use sesamehaven_standins::check::{EngineRuns, check};
+use sesamehaven_standins::record::CallRecord;
+use sesamehaven_standins::server::check_loopback;
+use sesamehaven_standins::{Error, Result, journal, strict};
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
+
+const RECORDS_MAX_BYTES: usize = 1 << 30;
+/// The violations that are printed one by one; the JSON file has all.
+const SHOWN_MAX: usize = 20;
+const RECORDS_TIMEOUT: Duration = Duration::from_secs(60);
+
+struct Options {
+    log: PathBuf,
+    files: Vec<PathBuf>,
+    engines: Vec<SocketAddr>,
+    services: Vec<SocketAddr>,
+    json: Option<PathBuf>,
+}
+
+fn options() -> OptionParser<Options> {
+    let log = long("log")
+        .help("Log of sesame-load")
+        .argument::<PathBuf>("FILE");
+    let files = long("records")
+        .help("File of an engine's records, one for each engine")
+        .argument::<PathBuf>("FILE")
+        .many();
+    let engines = long("engine")
+        .help("Address of an engine that keeps its records in memory")
+        .argument::<SocketAddr>("ADDRESS")
+        .many();
+    let services = long("service")
+        .help("Address of a plain service")
+        .argument::<SocketAddr>("ADDRESS")
+        .many();
+    let json = long("json")
+        .help("File that receives the findings as JSON")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    construct!(Options {
+        log,
+        files,
+        engines,
+        services,
+        json
+    })
+    .to_options()
+    .descr("Checks what callers were told against what endpoints did")
+    .version(env!("CARGO_PKG_VERSION"))
+}
+
+async fn fetch<T: DeserializeOwned>(address: SocketAddr) -> Result<T> {
+    check_loopback(address)?;
+    let url = format_smolstr!("http://{address}/control/records");
+    let failed = |reason: String| Error::Request {
+        url: url.clone(),
+        reason,
+    };
+    let client = strict::client(RECORDS_TIMEOUT);
+    let sent = client.get(url.as_str()).send().await;
+    let mut answer = sent.map_err(|e| failed(e.to_string()))?;
+    let body = answer.body().limit(RECORDS_MAX_BYTES).await;
+    let body = body.map_err(|e| failed(e.to_string()))?;
+    serde_json::from_slice(&body).map_err(|e| failed(e.to_string()))
+}
+
+async fn run(options: Options) -> Result<bool> {
+    let mut engines = Vec::new();
+    for path in &options.files {
+        engines.push(EngineRuns {
+            engine: SmolStr::from(path.display().to_string()),
+            runs: journal::read(path)?,
+        });
+    }
+    for address in options.engines {
+        engines.push(EngineRuns {
+            engine: address.to_smolstr(),
+            runs: fetch(address).await?,
+        });
+    }
+    let mut calls: Vec<CallRecord> = Vec::new();
+    for address in options.services {
+        calls.extend(fetch::<Vec<CallRecord>>(address).await?);
+    }
+    let findings = check(&journal::read(&options.log)?, &engines, &calls);
+    println!("{} requests, {} runs", findings.sent, findings.runs);
+    println!("prefill: {:?}", findings.prefill);
+    let shown = findings.violations.iter().take(SHOWN_MAX);
+    shown.for_each(|violation| println!("{violation}"));
+    println!("{} violations", findings.violations.len());
+    for (kind, count) in findings.counts() {
+        println!("    {kind}: {count}");
+    }
+    if let Some(path) = options.json {
+        let json = serde_json::to_vec_pretty(&findings).unwrap_or_default();
+        fs::write(&path, json).map_err(|source| Error::File { path, source })?;
+    }
+    Ok(findings.violations.is_empty())
+}
+
+#[actix_web::main]
+async fn main() -> ExitCode {
+    match run(options().run()).await {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(e) => {
+            eprintln!("standin-check: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/sesamehaven-standins/src/lib.rs
+++ b/crates/sesamehaven-standins/src/lib.rs
@@ -8,7 +8,11 @@
 //! on this one.
 
 pub mod abort;
+pub mod answer_check;
+pub mod arrival;
 pub mod batch;
+pub mod caller;
+pub mod check;
 pub mod completion;
 pub mod engine;
 pub mod engine_faults;
@@ -16,7 +20,9 @@
 pub mod engine_state;
 pub mod error;
 pub mod journal;
+pub mod load;
 pub mod load_history;
+pub mod load_plan;
 pub mod objects;
 pub mod orders;
 pub mod platform;
@@ -28,6 +34,10 @@
 pub mod record;
 pub mod server;
 pub mod service;
+pub mod sse;
 pub mod strict;
+pub mod tally;
+pub mod target;
+pub mod told;
 
 pub use crate::error::{Error, Result};
--- /dev/null
+++ b/crates/sesamehaven-standins/src/load.rs
@@ -0,0 +1,112 @@
+//! An open-loop load run: requests are sent when they are due, however late answers are.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use tokio::time::{Instant, sleep_until};
+
+use crate::arrival::{Arrival, arrivals};
+use crate::caller::Callers;
+use crate::error::{Error, Result};
+use crate::load_plan::Plan;
+use crate::record::unix_ms;
+use crate::strict;
+use crate::tally::{Report, RunInfo, Tallies};
+use crate::target::Targets;
+use crate::told::Told;
+
+const START_DELAY: Duration = Duration::from_millis(200);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(3_600);
+
+/// How a run is done.
+#[derive(Debug, Clone)]
+pub struct LoadOptions {
+    /// The seed.
+    pub seed: u64,
+    /// How long requests are sent.
+    pub duration: Duration,
+    /// How many times the plan's rates are sent.
+    pub rate_factor: f64,
+    /// The threads that send.
+    pub threads: usize,
+}
+
+/// Runs a plan and returns the report and what each caller was told.
+///
+/// # Errors
+///
+/// Fails when a thread of the tool fails.
+pub fn run(plan: Plan, targets: Targets, options: &LoadOptions) -> Result<(Report, Vec<Told>)> {
+    let LoadOptions {
+        seed,
+        duration,
+        rate_factor,
+        threads,
+    } = *options;
+    let threads = threads.max(1);
+    let policy = targets.policy().to_string();
+    let all = arrivals(&plan, seed, rate_factor, duration);
+    let (plan, targets) = (Arc::new(plan), Arc::new(targets));
+    let start = Instant::now() + START_DELAY;
+    let start_ms = unix_ms() as u64 + START_DELAY.as_millis() as u64;
+    let workers: Vec<_> = (0..threads)
+        .map(|thread| {
+            let own = all.iter().skip(thread).step_by(threads).cloned();
+            let own: Vec<Arrival> = own.collect();
+            let (plan, targets) = (plan.clone(), targets.clone());
+            thread::spawn(move || {
+                actix_rt::System::new().block_on(async move {
+                    let callers = Callers {
+                        client: strict::client(ANSWER_TIMEOUT),
+                        plan,
+                        targets,
+                        start,
+                        start_ms,
+                    };
+                    send(callers, own).await
+                })
+            })
+        })
+        .collect();
+    let mut tallies = Tallies::default();
+    let mut log = Vec::new();
+    for worker in workers {
+        let (own, told) = worker.join().map_err(|_| Error::Request {
+            url: "load".into(),
+            reason: "a sending thread failed".into(),
+        })?;
+        tallies.merge(&own);
+        log.extend(told);
+    }
+    log.sort_by(|a, b| a.due_ms.total_cmp(&b.due_ms));
+    let info = RunInfo {
+        seed,
+        policy,
+        duration_s: duration.as_secs_f64(),
+        rate_factor,
+    };
+    Ok((tallies.report(info), log))
+}
+
+/// Sends each request when it is due, and waits for all in the end.
+async fn send(callers: Callers, own: Vec<Arrival>) -> (Tallies, Vec<Told>) {
+    let callers = Rc::new(callers);
+    let results = Rc::new(RefCell::new((Tallies::default(), Vec::new())));
+    let mut calls = Vec::with_capacity(own.len());
+    for arrival in own {
+        sleep_until(callers.start + arrival.at).await;
+        let (callers, results) = (callers.clone(), results.clone());
+        calls.push(actix_rt::spawn(async move {
+            let finished = callers.call(arrival).await;
+            let (tallies, log) = &mut *results.borrow_mut();
+            tallies.add(&finished);
+            log.push(finished.told);
+        }));
+    }
+    join_all(calls).await;
+    results.take()
+}
--- /dev/null
+++ b/crates/sesamehaven-standins/tests/check.rs
@@ -0,0 +1,142 @@
+//! The checker finds broken promises, and nothing where all were kept.
+
+use rstest::rstest;
+use sesamehaven_standins::check::{EngineRuns, Prefill, Violation, check};
+use sesamehaven_standins::record::{CallRecord, End, RunRecord};
+use sesamehaven_standins::told::{Outcome, Prefix, Told, Verdict};
+
+fn told(outcome: Outcome, sent_ms: f64) -> Told {
+    Told {
+        echo: "#a".into(),
+        key: Some("k".into()),
+        outcome,
+        sent_ms,
+        verdict: match outcome {
+            Outcome::Answered => Verdict::Whole,
+            _ => Verdict::None,
+        },
+        good: outcome == Outcome::Answered,
+        status: 503,
+        retry_after_s: Some(1),
+        ..Told::default()
+    }
+}
+
+fn call(effect_ms: f64) -> CallRecord {
+    CallRecord {
+        path: "/calls?ref=a".into(),
+        effect_ms,
+        ..CallRecord::default()
+    }
+}
+
+fn ran_twice() -> Vec<Violation> {
+    vec![Violation::RanTwice {
+        echo: "#a".into(),
+        runs: 2,
+    }]
+}
+
+fn ran_after_not_run() -> Vec<Violation> {
+    vec![Violation::RanAfterNotRun {
+        echo: "#a".into(),
+        code: "".into(),
+    }]
+}
+
+#[rstest]
+#[case::one_run(&[(Outcome::Answered, 0.0)], &[1.0], vec![])]
+#[case::refused_and_not_run(&[(Outcome::NotRun, 0.0)], &[], vec![])]
+#[case::refused_but_ran(&[(Outcome::NotRun, 0.0)], &[1.0], ran_after_not_run())]
+#[case::refused_then_sent_again(
+    &[(Outcome::NotRun, 0.0), (Outcome::Answered, 5.0)], &[6.0], vec![]
+)]
+#[case::ran_before_it_was_sent_again(
+    &[(Outcome::NotRun, 0.0), (Outcome::Unknown, 5.0)], &[3.0], ran_after_not_run()
+)]
+#[case::attached_to_its_run(
+    &[(Outcome::Answered, 0.0), (Outcome::Answered, 5.0)], &[1.0], vec![]
+)]
+#[case::ran_again_when_sent_again(
+    &[(Outcome::Answered, 0.0), (Outcome::Answered, 5.0)], &[1.0, 6.0], ran_twice()
+)]
+fn runs_match_what_callers_were_told(
+    #[case] sends: &[(Outcome, f64)],
+    #[case] runs: &[f64],
+    #[case] expected: Vec<Violation>,
+) {
+    let told: Vec<Told> = sends
+        .iter()
+        .map(|(outcome, at)| told(*outcome, *at))
+        .collect();
+    let calls: Vec<CallRecord> = runs.iter().map(|at| call(*at)).collect();
+    assert_eq!(check(&told, &[], &calls).violations, expected);
+
+    let repeatable = told.into_iter().map(|told| Told {
+        repeatable: true,
+        ..told
+    });
+    let repeatable: Vec<Told> = repeatable.collect();
+    let findings = check(&repeatable, &[], &calls);
+    let twice = |v: &Violation| matches!(v, Violation::RanTwice { .. });
+    assert!(!findings.violations.iter().any(twice));
+}
+
+#[rstest]
+#[case(Verdict::Partial, Violation::PartialAnswer { echo: "#a".into() })]
+#[case(Verdict::Another, Violation::AnothersAnswer { echo: "#a".into() })]
+fn wrong_answers_are_found(#[case] verdict: Verdict, #[case] expected: Violation) {
+    let wrong = Told {
+        verdict,
+        ..told(Outcome::Answered, 0.0)
+    };
+    assert_eq!(check(&[wrong], &[], &[]).violations, [expected]);
+}
+
+#[test]
+fn prefill_is_wasted_when_unheard_or_held_elsewhere() {
+    let request = |echo: &str, good: bool| Told {
+        echo: echo.into(),
+        good,
+        prefix: Some(Prefix {
+            name: "p".into(),
+            tokens: 60,
+        }),
+        ..told(Outcome::Answered, 0.0)
+    };
+    let run = |echo: &str, received_ms: f64| RunRecord {
+        run: echo.into(),
+        echo: echo.into(),
+        received_ms,
+        prefilled_tokens: 100,
+        end: End::Done,
+        ..RunRecord::default()
+    };
+    let engine = |name: &str, runs: Vec<RunRecord>| EngineRuns {
+        engine: name.into(),
+        runs,
+    };
+    let log = [
+        request("#a", true),
+        request("#b", true),
+        request("#c", false),
+    ];
+    let unfinished = RunRecord {
+        prefilled_tokens: 0,
+        end: End::Running,
+        ..run("#b", 2.0)
+    };
+    let engines = [
+        engine("one", vec![run("#a", 1.0), run("#c", 3.0)]),
+        engine("two", vec![unfinished, run("#b", 2.0)]),
+    ];
+    let findings = check(&log, &engines, &[]);
+    assert_eq!(findings.runs, 3);
+    let expected = Prefill {
+        computed: 300,
+        unheard: 100,
+        repeated: 60,
+        wasted_percent: 160.0 / 3.0,
+    };
+    assert_eq!(findings.prefill, expected);
+}
