--- /dev/null
+++ b/crates/sesamehaven/src/route.rs
@@ -0,0 +1,381 @@
+//! The choice of an endpoint for a request, on reports that are already stale.
+//!
+//! See [`docs/POLICY.md`](../../../docs/POLICY.md#route).
+
+use std::collections::HashMap;
+
+use smallvec::SmallVec;
+
+use crate::config::{Pool, PoolKind};
+use crate::gate::{Ended, LoadView};
+use crate::id::{EndpointName, RequestId};
+use crate::outcome::{Refusal, Refused};
+use crate::prefix::{PrefixGuesses, PrefixKnowledge};
+use crate::replica::Replica;
+use crate::tier::Tier;
+use crate::unit::{Instant, Millis, Tokens};
+
+/// The endpoints among which the choice is made.
+const CHOICES: usize = 3;
+/// A choice may be worse than the best by this much, in milliseconds.
+const SLACK_MS: f64 = 25.0;
+/// A choice may be worse than the best by this share.
+const SLACK_SHARE: f64 = 0.25;
+/// How much a millisecond of decoding counts beside one of waiting.
+const DECODE_WEIGHT: f64 = 0.1;
+/// How much a millisecond beyond the deadline counts beside one of waiting.
+const LATE_WEIGHT: f64 = 4.0;
+/// An offer is spared when the deadline would be missed by this factor.
+const HOPELESS_FACTOR: f64 = 2.0;
+/// The failures that a lost link counts for.
+const LINK_LOST_FAILURES: u32 = 3;
+/// When to come back if no agent said so.
+const RETRY_OTHERWISE: Millis = Millis(2_000);
+
+/// A request that needs an endpoint.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// The rank.
+    pub tier: Tier,
+    /// The estimated length of the prompt.
+    pub prompt: Tokens,
+    /// The estimated length of the answer.
+    pub output: Tokens,
+    /// The digests of the prompt's prefixes, the shortest first.
+    pub prefixes: SmallVec<[u64; 8]>,
+    /// When the answer is due.
+    pub deadline: Instant,
+    /// Whether the content was near a crash of an endpoint before.
+    pub suspect: bool,
+    /// The endpoints that have lost the request before dispatch, or refused it
+    /// for a reason other than [`Refusal::is_for_room`].
+    pub excluded: SmallVec<[EndpointName; 4]>,
+    /// The last refusal of the request by an agent.
+    pub refused: Option<Refused>,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Choice {
+    /// Offer it to the agent of this endpoint.
+    Offer(EndpointName),
+    /// No endpoint of the pool can take it.
+    Refuse(Refused),
+}
+
+/// An offer that has not come to its end.
+#[derive(Debug, Clone)]
+struct Offered {
+    endpoint: EndpointName,
+    tier: Tier,
+    prompt: f64,
+    sent: Instant,
+    dispatched: bool,
+}
+
+/// What one entry knows of the endpoints of one pool.
+#[derive(Debug)]
+pub struct Route<P = PrefixGuesses> {
+    kind: PoolKind,
+    prefix_weight: f64,
+    replicas: HashMap<EndpointName, Replica>,
+    offered: HashMap<RequestId, Offered>,
+    prefixes: P,
+}
+
+impl Route {
+    /// Starts without any endpoint of a model pool.
+    ///
+    /// `prefix_weight` is [`Pool::prefix_weight`].
+    pub fn new(prefix_weight: f64) -> Self {
+        Route::with_knowledge(prefix_weight, PrefixGuesses::default())
+    }
+
+    /// Starts without any endpoint of the given pool.
+    pub fn for_pool(pool: &Pool) -> Self {
+        let mut route = Route::new(pool.prefix_weight);
+        route.kind = pool.kind;
+        route
+    }
+}
+
+impl<P: PrefixKnowledge> Route<P> {
+    /// Starts without any endpoint, with another kind of prefix knowledge.
+    pub fn with_knowledge(prefix_weight: f64, prefixes: P) -> Self {
+        Route {
+            kind: PoolKind::Model,
+            prefix_weight,
+            replicas: HashMap::new(),
+            offered: HashMap::new(),
+            prefixes,
+        }
+    }
+
+    /// Returns the knowledge of prefixes, to take in summaries of caches.
+    pub fn prefixes_mut(&mut self) -> &mut P {
+        &mut self.prefixes
+    }
+
+    /// Takes in a load report; reports that are overtaken by later ones are dropped.
+    ///
+    /// `seq` orders the reports of an endpoint also across restarts of its
+    /// agent, so the holder starts a new run of numbers with
+    /// [`Route::forget`].
+    pub fn on_report(&mut self, endpoint: &EndpointName, view: LoadView, seq: u64, now: Instant) {
+        match self.replicas.get_mut(endpoint) {
+            Some(replica) => replica.on_report(view, seq, now),
+            None => {
+                let replica = Replica::new(view, seq, now);
+                self.replicas.insert(endpoint.clone(), replica);
+            }
+        }
+    }
+
+    /// Forgets an endpoint that is leaving or gone.
+    pub fn forget(&mut self, endpoint: &EndpointName) {
+        self.replicas.remove(endpoint);
+        self.prefixes.forget(endpoint);
+    }
+
+    /// Notes that the request is being offered.
+    pub fn on_offer(&mut self, endpoint: &EndpointName, id: RequestId, job: &Job, now: Instant) {
+        let (prompt, _) = self.size(job);
+        if let Some(replica) = self.replicas.get_mut(endpoint) {
+            replica.on_offer(job.tier, prompt, now);
+        }
+        self.prefixes.on_offer(endpoint, &job.prefixes);
+        let offered = Offered {
+            endpoint: endpoint.clone(),
+            tier: job.tier,
+            prompt,
+            sent: now,
+            dispatched: false,
+        };
+        self.offered.insert(id, offered);
+    }
+
+    /// Returns the endpoint that a request was last offered to.
+    pub fn endpoint_of(&self, id: RequestId) -> Option<&EndpointName> {
+        self.offered.get(&id).map(|o| &o.endpoint)
+    }
+
+    /// Notes that the agent queued the request.
+    pub fn on_accepted(&mut self, id: RequestId, first_token: Millis, now: Instant) {
+        let Some(offered) = self.offered.get(&id) else {
+            return;
+        };
+        let Some(replica) = self.replicas.get_mut(&offered.endpoint) else {
+            return;
+        };
+        replica.on_accepted(offered.tier, offered.prompt, first_token, now);
+    }
+
+    /// Notes that the agent did not take the request, or handed it back.
+    pub fn on_refused(&mut self, id: RequestId, refused: &Refused, now: Instant) {
+        let Some(offered) = self.offered.remove(&id) else {
+            return;
+        };
+        let Some(replica) = self.replicas.get_mut(&offered.endpoint) else {
+            return;
+        };
+        replica.on_not_queued(offered.tier, offered.prompt);
+        match refused.reason {
+            Refusal::Full => replica.on_refused_full(offered.tier, *refused, offered.sent),
+            Refusal::Unavailable => replica.on_failure(1, now),
+            _ => {}
+        }
+    }
+
+    /// Notes that the request was withdrawn before dispatch.
+    pub fn on_withdrawn(&mut self, id: RequestId) {
+        let Some(offered) = self.offered.remove(&id) else {
+            return;
+        };
+        if let Some(replica) = self.replicas.get_mut(&offered.endpoint) {
+            replica.on_not_queued(offered.tier, offered.prompt);
+        }
+    }
+
+    /// Notes that the request has been handed to the endpoint.
+    pub fn on_dispatched(&mut self, id: RequestId, _now: Instant) {
+        let Some(offered) = self.offered.get_mut(&id).filter(|o| !o.dispatched) else {
+            return;
+        };
+        offered.dispatched = true;
+        if let Some(replica) = self.replicas.get_mut(&offered.endpoint) {
+            replica.on_not_queued(offered.tier, offered.prompt);
+            replica.on_dispatched();
+        }
+    }
+
+    /// Notes how the run ended.
+    pub fn on_end(&mut self, id: RequestId, ended: Ended, now: Instant) {
+        let Some(offered) = self.offered.remove(&id) else {
+            return;
+        };
+        let Some(replica) = self.replicas.get_mut(&offered.endpoint) else {
+            return;
+        };
+        if offered.dispatched {
+            replica.on_stopped();
+        } else {
+            replica.on_not_queued(offered.tier, offered.prompt);
+        }
+        match ended {
+            Ended::Whole => replica.on_success(),
+            Ended::Broken | Ended::Stalled => replica.on_failure(1, now),
+            Ended::Cancelled => {}
+        }
+    }
+
+    /// Notes that the link to the endpoint's agent broke or went silent.
+    pub fn on_link_lost(&mut self, endpoint: &EndpointName, now: Instant) {
+        if let Some(replica) = self.replicas.get_mut(endpoint) {
+            replica.on_failure(LINK_LOST_FAILURES, now);
+        }
+    }
+
+    /// Chooses where a request goes; `draw` is a random number.
+    pub fn choose(&self, job: &Job, draw: u64, now: Instant) -> Choice {
+        let candidates = self.candidates(job, now);
+        let Some(best) = candidates.first().map(|c| c.score) else {
+            return Choice::Refuse(self.refuse(job, draw, now));
+        };
+        if job.suspect {
+            return Choice::Offer(least_running(&candidates).clone());
+        }
+        let allowed = best * (1.0 + SLACK_SHARE) + SLACK_MS;
+        let close = candidates.iter().take(CHOICES);
+        let close = close.take_while(|c| c.score <= allowed).count().max(1);
+        let pick = (draw % close as u64) as usize;
+        Choice::Offer(candidates[pick].endpoint.clone())
+    }
+
+    /// Lists the endpoints that the request may be offered to, the best first.
+    fn candidates<'a>(&'a self, job: &'a Job, now: Instant) -> Candidates<'a> {
+        let present = || self.replicas.iter().filter(|(_, r)| r.is_present(now));
+        let ejected = present().filter(|(_, r)| r.is_ejected(now)).count();
+        let eject = ejected * 2 <= self.replicas.len();
+        let open = present().filter(|(_, r)| !(eject && r.is_ejected(now)));
+        let open = open.filter(|(_, r)| !r.is_closed_to(job.tier, now));
+        let open = open.filter(|(name, _)| !job.excluded.contains(name));
+        let held = |name| self.held(name, job);
+        let most = present().map(|(name, _)| held(name)).max().unwrap_or(0);
+        let mut candidates: Candidates<'_> = open
+            .map(|(name, r)| self.rate(name, r, job, held(name), most, now))
+            .collect();
+        candidates.sort_by(|a, b| {
+            let order = a.score.total_cmp(&b.score);
+            order.then_with(|| a.endpoint.cmp(b.endpoint))
+        });
+        self.without_hopeless(job, candidates, now)
+    }
+
+    /// Drops the endpoints where the deadline is missed by far.
+    ///
+    /// A request that no agent has judged yet is offered to one all the same,
+    /// since the reports may be out of date.
+    fn without_hopeless<'a>(
+        &self,
+        job: &Job,
+        mut candidates: Candidates<'a>,
+        now: Instant,
+    ) -> Candidates<'a> {
+        let most = job.deadline.since(now).0 as f64 * HOPELESS_FACTOR;
+        let hopeful = candidates.iter().any(|c| c.finish <= most);
+        if hopeful || job.refused.is_some() {
+            candidates.retain(|c| c.finish <= most);
+        } else {
+            candidates.truncate(1);
+        }
+        candidates
+    }
+
+    /// Estimates the prompt tokens that the endpoint holds already.
+    ///
+    /// The prefixes are taken to divide the prompt evenly.
+    fn held(&self, endpoint: &EndpointName, job: &Job) -> u64 {
+        if job.prefixes.is_empty() || self.kind == PoolKind::Service {
+            return 0;
+        }
+        let held = self.prefixes.held(endpoint, &job.prefixes);
+        job.prompt.0 * held as u64 / job.prefixes.len() as u64
+    }
+
+    /// Returns the prompt and the answer in the units of the reports.
+    fn size(&self, job: &Job) -> (f64, f64) {
+        match self.kind {
+            PoolKind::Model => (job.prompt.0 as f64, job.output.0 as f64),
+            PoolKind::Service => (1.0, 0.0),
+        }
+    }
+
+    fn rate<'a>(
+        &self,
+        endpoint: &'a EndpointName,
+        replica: &Replica,
+        job: &Job,
+        held: u64,
+        most: u64,
+        now: Instant,
+    ) -> Candidate<'a> {
+        let (prompt, output) = self.size(job);
+        let rate = replica.prefill_rate();
+        let fresh = rate.millis_for(prompt - held as f64);
+        let first_token = replica.wait(job.tier, now) + fresh;
+        let repeated = rate.millis_for(most.saturating_sub(held) as f64);
+        let decode = replica.decode_rate().millis_for(output);
+        let overdue = first_token + decode - job.deadline.since(now).0 as f64;
+        let cost = first_token + DECODE_WEIGHT * decode + LATE_WEIGHT * overdue.max(0.0);
+        Candidate {
+            endpoint,
+            score: self.prefix_weight * cost + repeated,
+            finish: first_token + decode,
+            running: replica.running(),
+        }
+    }
+
+    /// Words the refusal of a request that no endpoint can take.
+    fn refuse(&self, job: &Job, draw: u64, now: Instant) -> Refused {
+        if let Some(refused) = job.refused {
+            return refused;
+        }
+        let present = || self.replicas.values().filter(|r| r.is_present(now));
+        let closed = present().filter(|r| r.is_closed_to(job.tier, now));
+        let full = closed.filter_map(Replica::full);
+        let soonest = full.min_by_key(|r| r.retry_after);
+        let reason = match soonest {
+            Some(_) => Refusal::Full,
+            None if present().next().is_some() => Refusal::Doomed,
+            None => Refusal::Unavailable,
+        };
+        let span = soonest.map_or(RETRY_OTHERWISE, |r| r.retry_after);
+        Refused {
+            reason,
+            retry_after: spread(span, draw),
+            admits: soonest.and_then(|r| r.admits),
+        }
+    }
+}
+
+/// Spreads a span by up to a quarter, so that callers do not return together.
+fn spread(span: Millis, draw: u64) -> Millis {
+    let quarter = span.0 / 4;
+    Millis(span.0 + draw % (quarter + 1))
+}
+
+type Candidates<'a> = SmallVec<[Candidate<'a>; 16]>;
+
+/// An endpoint with its predicted cost, in milliseconds.
+struct Candidate<'a> {
+    endpoint: &'a EndpointName,
+    score: f64,
+    finish: f64,
+    running: u32,
+}
+
+/// Returns the endpoint where a crash would hurt the fewest requests.
+fn least_running<'a>(candidates: &[Candidate<'a>]) -> &'a EndpointName {
+    let least = candidates.iter().min_by_key(|c| c.running);
+    least.map_or(candidates[0].endpoint, |c| c.endpoint)
+}
