Try bad input on every port, and notice callers who hang up

The test in which callers hang up found that the entry ran a queued request after its caller was gone, and computed an unstreamed answer for ten seconds until the caller's test gave up. The agent was ruled out: it was never told. The HTTP server keeps serving a connection whose reading end is closed, unless half-closed connections are not allowed; now they are not, and the test passes.

The header timeout of the HTTP server is counted on a clock that moves in steps of half a second, so that the tests use one and a half seconds.

--- a/crates/sesamehaven-daemons/src/front.rs
+++ b/crates/sesamehaven-daemons/src/front.rs
@@ -82,6 +82,8 @@
     .max_connections(limits.connections)
     .client_request_timeout(limits.header_timeout.duration())
     .keep_alive(limits.idle_timeout.duration())
+    // A caller that has closed its end is gone, and its request with it.
+    .h1_allow_half_closed(false)
     .disable_signals()
     .shutdown_timeout(longest.whole_secs())
     .listen(listener)?;
--- /dev/null
+++ b/crates/sesamehaven-system-tests/tests/bad_input.rs
@@ -0,0 +1,373 @@
+//! What callers and strangers may send that is wrong, and what becomes of it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::{Rng, RngCore, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpStream, UdpSocket};
+use tokio::time::{Instant, sleep};
+
+use sesamehaven_system_tests::http::{Reply, expect_ok};
+use sesamehaven_system_tests::{Fleet, Result, wait};
+
+const AUTHORIZATION: (&str, &str) = ("authorization", "Bearer key-of-org-1");
+const SEED: u64 = 11;
+
+/// Bounds that a test reaches quickly; the HTTP library's clock for the header
+/// timeout moves in steps of half a second.
+const LIMITS: &str = "limits: { body: 4 KiB, header_timeout: 1500 ms, idle_timeout: 60 s }";
+
+/// Starts an entry and an agent before one engine and one plain service.
+async fn fleet(engine_args: &[&str]) -> Result<Fleet> {
+    let mut fleet = Fleet::new().await?;
+    fleet
+        .add_engine("engine-1", "model-a", "agent-1", engine_args)
+        .await?;
+    fleet
+        .add_service("service-1", "booking", "agent-1", &[])
+        .await?;
+    fleet.configure_entries(&["entry-1"]);
+    fleet.apply().await?;
+    fleet.start_entry("entry-1", LIMITS).await?;
+    fleet.start_agent("agent-1", "").await?;
+    fleet.ready().await?;
+    fleet.serving("entry-1", 2).await?;
+    Ok(fleet)
+}
+
+/// What is wrong, the headers and the body that are sent, and the status that is due.
+type Case<'a> = (&'a str, &'a [(&'a str, &'a str)], &'a str, u16);
+
+fn entry(fleet: &Fleet) -> SocketAddr {
+    fleet.daemon("entry-1").address()
+}
+
+async fn runs(fleet: &Fleet) -> Result<Vec<Value>> {
+    let engine = fleet.standin("engine-1").address();
+    fleet.http.get_json(engine, "/control/records").await
+}
+
+async fn complete(fleet: &Fleet, headers: &[(&str, &str)], body: &str) -> Result<Reply> {
+    let url = format!("http://{}/v1/completions", entry(fleet));
+    fleet
+        .http
+        .send("POST", &url, headers, body.to_owned())
+        .await
+}
+
+/// Sends a good request, which shows that the path still works.
+async fn serves(fleet: &Fleet) -> Result<()> {
+    let body = json!({ "model": "model-a", "prompt": "a", "max_tokens": 1 }).to_string();
+    let reply = complete(fleet, &[AUTHORIZATION], &body).await?;
+    expect_ok("a good request", &reply)
+}
+
+fn assert_refused(what: &str, reply: &Reply, status: u16) {
+    assert_eq!(reply.status, status, "{what}: {}", reply.text());
+    assert_eq!(reply.header("request-outcome"), Some("not-run"), "{what}");
+    let error: Value = reply.json().unwrap_or_default();
+    let text = |field: &str| {
+        error["error"][field]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    };
+    assert_eq!(text("outcome"), "not-run", "{what}: {error}");
+    assert!(!text("code").is_empty(), "{what}: {error}");
+    assert!(!text("message").is_empty(), "{what}: {error}");
+}
+
+#[actix_rt::test]
+async fn malformed_requests_are_refused_and_not_run() {
+    let fleet = fleet(&[]).await.unwrap();
+    let good = json!({ "model": "model-a", "prompt": "a", "max_tokens": 1 }).to_string();
+    let large = json!({ "model": "model-a", "prompt": "a ".repeat(8_192) }).to_string();
+    let long_key = "k".repeat(256);
+    let authorization = [AUTHORIZATION];
+    let with = |name, value| [AUTHORIZATION, (name, value)];
+    let wrong_key = [("authorization", "Bearer nobody")];
+    let no_scheme = [("authorization", "key-of-org-1")];
+
+    let cases: [Case<'_>; _] = [
+        ("broken JSON", &authorization, "{\"model\":", 400),
+        ("an empty body", &authorization, "", 400),
+        ("a list", &authorization, "[]", 400),
+        (
+            "a number as model",
+            &authorization,
+            r#"{"model":1,"prompt":"a"}"#,
+            400,
+        ),
+        (
+            "a number as prompt",
+            &authorization,
+            r#"{"model":"model-a","prompt":1}"#,
+            400,
+        ),
+        (
+            "negative max_tokens",
+            &authorization,
+            r#"{"model":"model-a","prompt":"a","max_tokens":-1}"#,
+            400,
+        ),
+        (
+            "text as stream",
+            &authorization,
+            r#"{"model":"model-a","prompt":"a","stream":"yes"}"#,
+            400,
+        ),
+        ("no prompt", &authorization, r#"{"model":"model-a"}"#, 400),
+        (
+            "an unknown model",
+            &authorization,
+            r#"{"model":"model-z","prompt":"a"}"#,
+            404,
+        ),
+        (
+            "a service as model",
+            &authorization,
+            r#"{"model":"booking","prompt":"a"}"#,
+            404,
+        ),
+        ("no key", &[], &good, 401),
+        ("a wrong key", &wrong_key, &good, 401),
+        ("a key without scheme", &no_scheme, &good, 401),
+        (
+            "a deadline of zero",
+            &with("request-timeout", "0"),
+            &good,
+            400,
+        ),
+        (
+            "a negative deadline",
+            &with("request-timeout", "-1"),
+            &good,
+            400,
+        ),
+        (
+            "a deadline of NaN",
+            &with("request-timeout", "NaN"),
+            &good,
+            400,
+        ),
+        (
+            "a deadline in words",
+            &with("request-timeout", "soon"),
+            &good,
+            400,
+        ),
+        ("an unknown class", &with("work-class", "board"), &good, 400),
+        (
+            "an empty idempotency key",
+            &with("idempotency-key", ""),
+            &good,
+            400,
+        ),
+        (
+            "a long idempotency key",
+            &with("idempotency-key", &long_key),
+            &good,
+            400,
+        ),
+        ("a body over the limit", &authorization, &large, 413),
+    ];
+    for (what, headers, body, status) in cases {
+        let reply = complete(&fleet, headers, body).await;
+        assert_refused(what, &reply.unwrap(), status);
+    }
+    let paths = [
+        ("GET", "/v1/unknown"),
+        ("POST", "/services/unknown/a"),
+        ("POST", "/services/model-a/a"),
+        ("POST", "/services/..%2f..%2fcontrol/a"),
+    ];
+    for (method, path) in paths {
+        let url = format!("http://{}{path}", entry(&fleet));
+        let reply = fleet.http.send(method, &url, &authorization, "").await;
+        assert_refused(path, &reply.unwrap(), 404);
+    }
+    assert_eq!(runs(&fleet).await.unwrap(), [] as [Value; 0]);
+    serves(&fleet).await.unwrap();
+}
+
+#[actix_rt::test]
+async fn a_deadline_of_a_year_is_served() {
+    let fleet = fleet(&[]).await.unwrap();
+    let body = json!({ "model": "model-a", "prompt": "a", "max_tokens": 1 }).to_string();
+    for seconds in ["31536000", "1e300"] {
+        let headers = [AUTHORIZATION, ("request-timeout", seconds)];
+        let reply = complete(&fleet, &headers, &body).await.unwrap();
+        assert_eq!(reply.status, 200, "{seconds}: {}", reply.text());
+    }
+}
+
+/// Sends bytes one by one until the entry closes the connection or answers.
+async fn drip(entry: SocketAddr, bytes: &[u8]) -> Result<String> {
+    const PAUSE: Duration = Duration::from_millis(100);
+    let mut stream = TcpStream::connect(entry).await?;
+    let mut answer = Vec::new();
+    let end = Instant::now() + wait::LONGEST;
+    for byte in bytes.iter().cycle() {
+        assert!(Instant::now() < end, "the entry never gave up");
+        if stream.write_all(&[*byte]).await.is_err() {
+            break;
+        }
+        let mut buf = [0; 512];
+        tokio::select! {
+            read = stream.read(&mut buf) => match read {
+                Ok(len) if len > 0 => {
+                    answer.extend_from_slice(&buf[..len]);
+                    break;
+                }
+                _ => break,
+            },
+            () = sleep(PAUSE) => {}
+        }
+    }
+    Ok(String::from_utf8_lossy(&answer).into_owned())
+}
+
+#[actix_rt::test]
+async fn slow_senders_are_given_up() {
+    let fleet = fleet(&[]).await.unwrap();
+    let head = drip(entry(&fleet), b"POST /v1/completions HTTP/1.1\r\nx: ")
+        .await
+        .unwrap();
+    assert!(
+        head.is_empty() || head.starts_with("HTTP/1.1 408"),
+        "{head}"
+    );
+
+    let mut stream = TcpStream::connect(entry(&fleet)).await.unwrap();
+    let request = "POST /v1/completions HTTP/1.1\r\nhost: a\r\n\
+        authorization: Bearer key-of-org-1\r\ncontent-length: 100\r\n\r\n{";
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = vec![0; 4_096];
+    let len = stream.read(&mut answer).await.unwrap();
+    let answer = String::from_utf8_lossy(&answer[..len]).to_lowercase();
+    assert!(answer.contains("request-outcome: not-run"), "{answer}");
+    assert_eq!(runs(&fleet).await.unwrap(), [] as [Value; 0]);
+    serves(&fleet).await.unwrap();
+}
+
+/// Waits until the entry holds no request.
+async fn idle(fleet: &Fleet) -> Result<()> {
+    let admin = fleet.daemon("entry-1").admin();
+    wait::until("the entry to hold no request", async || {
+        let status: Value = fleet.http.get_json(admin, "/status").await.ok()?;
+        (status["requests"] == 0).then_some(())
+    })
+    .await
+}
+
+/// Opens a connection, sends a request of `len` tokens and leaves the answer unread.
+async fn send_raw(fleet: &Fleet, tokens: u64, stream: bool) -> Result<TcpStream> {
+    let body = json!({
+        "model": "model-a", "prompt": "a", "max_tokens": tokens, "stream": stream,
+    });
+    let body = body.to_string();
+    let mut connection = TcpStream::connect(entry(fleet)).await?;
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\
+         authorization: Bearer key-of-org-1\r\n\r\n{body}",
+        body.len()
+    );
+    connection.write_all(request.as_bytes()).await?;
+    Ok(connection)
+}
+
+async fn running(fleet: &Fleet, count: usize) -> Result<()> {
+    wait::until("runs to have started", async || {
+        let runs = runs(fleet).await.ok()?;
+        let started = runs.iter().filter(|run| run["started_ms"].is_number());
+        (started.count() == count).then_some(())
+    })
+    .await
+}
+
+#[actix_rt::test]
+async fn callers_who_hang_up_leave_nothing_behind() {
+    let mut fleet = fleet(&[]).await.unwrap();
+    fleet.configuration.endpoints[0].concurrency = 1;
+    fleet.apply().await.unwrap();
+
+    // While the body is on its way.
+    let mut halfway = TcpStream::connect(entry(&fleet)).await.unwrap();
+    let request = "POST /v1/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\r\n{";
+    halfway.write_all(request.as_bytes()).await.unwrap();
+    drop(halfway);
+
+    // While the answer is streamed, and while another request is queued.
+    let mut streaming = send_raw(&fleet, 100_000, true).await.unwrap();
+    running(&fleet, 1).await.unwrap();
+    let mut buf = [0; 64];
+    streaming.read_exact(&mut buf).await.unwrap();
+    let queued = send_raw(&fleet, 1, false).await.unwrap();
+    drop(queued);
+    drop(streaming);
+    idle(&fleet).await.unwrap();
+
+    // While an answer that is not streamed is computed.
+    let whole = send_raw(&fleet, 100_000, false).await.unwrap();
+    running(&fleet, 2).await.unwrap();
+    drop(whole);
+    idle(&fleet).await.unwrap();
+
+    wait::until("the engine to be idle", async || {
+        let runs = runs(&fleet).await.ok()?;
+        runs.iter().all(|run| run["end"] != "running").then_some(())
+    })
+    .await
+    .unwrap();
+    let runs = runs(&fleet).await.unwrap();
+    assert!(runs.iter().all(|run| run["end"] != "done"), "{runs:?}");
+    serves(&fleet).await.unwrap();
+}
+
+#[actix_rt::test]
+async fn random_bytes_on_every_port_do_no_harm() {
+    println!("seed {SEED}");
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let fleet = fleet(&[]).await.unwrap();
+    let (entry, agent) = (fleet.daemon("entry-1"), fleet.daemon("agent-1"));
+    let mut streams = Vec::new();
+    for _ in 0..200 {
+        for address in [
+            entry.address(),
+            agent.address(),
+            entry.admin(),
+            agent.admin(),
+        ] {
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            let mut noise = vec![0; rng.random_range(1..2_000)];
+            rng.fill_bytes(&mut noise);
+            // The other end may close in the middle, which is as it should be.
+            let _ = stream.write_all(&noise).await;
+            if rng.random_bool(0.1) {
+                streams.push(stream);
+            }
+        }
+    }
+    let reports = entry.ports().udp.unwrap();
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    for _ in 0..2_000 {
+        let mut noise = vec![0; rng.random_range(0..1_400)];
+        rng.fill_bytes(&mut noise);
+        socket.send_to(&noise, reports).await.unwrap();
+    }
+    serves(&fleet).await.unwrap();
+    fleet.serving("entry-1", 2).await.unwrap();
+    let metrics = fleet
+        .http
+        .get(entry.admin(), "/metrics")
+        .await
+        .unwrap()
+        .text();
+    assert!(
+        metrics.contains("report"),
+        "dropped datagrams are counted:\n{metrics}"
+    );
+}
