--- a/crates/sesamehaven-daemons/src/lib.rs
+++ b/crates/sesamehaven-daemons/src/lib.rs
@@ -26,6 +26,7 @@
 mod feed_shelf;
 pub mod fields;
 pub mod front;
+pub mod gossip;
 pub mod header;
 pub mod intake;
 pub mod logs;
