--- a/crates/sesamehaven-daemons/src/feed.rs
+++ b/crates/sesamehaven-daemons/src/feed.rs
@@ -5,30 +5,29 @@
 //! daemons join to their links. The rules are described in
 //! [`docs/CONFIGURATION.md`](../../../docs/CONFIGURATION.md).
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::pin::Pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
-use futures_util::{StreamExt, TryStreamExt};
 use metrics::{counter, gauge};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::time;
 
 use sesamehaven::config::Index;
-use sesamehaven::delivery::{Delivery, Mark, Policy, Read, Step, Verdict, watchers};
-use sesamehaven::id::{DaemonName, Digest, Generation};
+use sesamehaven::delivery::{Delivery, Mark, Policy, Read, Step, Verdict};
+use sesamehaven::election::watchers;
+use sesamehaven::id::{DaemonName, Generation};
 use sesamehaven::parts::{self, Head};
 use sesamehaven::unit::{Instant, Millis};
 
+use crate::feed_peer::{Assembled, Assembly};
+use crate::feed_read::read_all;
 use crate::feed_shelf::{Candidate, Shelf, mark_of};
 use crate::platform::{self, Object, Platform, Version};
 
-/// The path of the head object.
-pub const HEAD_PATH: &str = "config/head";
-
-/// How many parts are read from the platform at once.
-const PARALLEL_READS: usize = 32;
+pub use crate::feed_peer::{FromPeer, Peers, ToPeer};
+pub use crate::feed_read::{HEAD_PATH, history_path, part_path};
 
 /// How a process follows the configuration.
 #[derive(Debug, Clone)]
@@ -41,69 +40,6 @@
     pub policy: Policy,
 }
 
-/// What the links tell the feed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum FromPeer {
-    /// A message of any kind carried the generation that the peer serves.
-    Generation {
-        /// Who sent it.
-        peer: DaemonName,
-        /// What it serves.
-        generation: Generation,
-    },
-    /// The peer asks for the configuration.
-    Asked {
-        /// Who asks.
-        peer: DaemonName,
-        /// What it serves, zero for nothing.
-        generation: Generation,
-    },
-    /// The peer sent a configuration, or a share of its parts.
-    Config {
-        /// Who sent it.
-        peer: DaemonName,
-        /// The head, as it is stored.
-        head: Bytes,
-        /// Some of its parts.
-        parts: Vec<Bytes>,
-    },
-    /// The last link to the peer is gone.
-    Gone {
-        /// Who is gone.
-        peer: DaemonName,
-    },
-}
-
-/// What the feed asks the links to send.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ToPeer {
-    /// Ask the peer for its configuration.
-    Ask {
-        /// Whom to ask.
-        peer: DaemonName,
-        /// What this process serves, zero for nothing.
-        generation: Generation,
-    },
-    /// Send the peer a configuration, or a share of its parts.
-    Config {
-        /// Who asked.
-        peer: DaemonName,
-        /// The head, as it is stored.
-        head: Bytes,
-        /// Some of its parts.
-        parts: Vec<Bytes>,
-    },
-}
-
-/// The two ends that join the feed to the links.
-#[derive(Debug)]
-pub struct Peers {
-    /// What the links tell.
-    pub rx: mpsc::Receiver<FromPeer>,
-    /// What the links are to send; messages are dropped when it is full.
-    pub tx: mpsc::Sender<ToPeer>,
-}
-
 type Reading = Pin<Box<dyn Future<Output = Done>>>;
 
 /// What came of reading the platform.
@@ -112,12 +48,6 @@
     Parts(Read, Result<Candidate, &'static str>),
 }
 
-/// Parts of a peer's configuration, as long as they are not complete.
-struct Assembly {
-    mark: Mark,
-    parts: HashMap<Digest, Bytes>,
-}
-
 /// The task that follows the configuration.
 pub struct Feed {
     cfg: FeedConfig,
@@ -330,29 +260,22 @@
             return self.delivery.peer_answered(peer);
         }
         let assembly = match &mut self.assembly {
-            Some(assembly) if assembly.mark == mark => assembly,
-            other => other.insert(Assembly {
-                mark,
-                parts: HashMap::new(),
-            }),
+            Some(assembly) if assembly.mark() == mark => assembly,
+            other => other.insert(Assembly::new(head, raw)),
         };
-        for bytes in parts {
-            let digest = Digest::of(&bytes);
-            if !head.parts.contains(&digest) {
+        match assembly.add(parts, &self.shelf) {
+            Assembled::Waiting => {}
+            Assembled::Foreign => {
                 refuse("digest_mismatch");
                 self.assembly = None;
-                return self.delivery.peer_failed(peer, now);
+                self.delivery.peer_failed(peer, now);
+            }
+            Assembled::Whole(candidate) => {
+                self.assembly = None;
+                self.delivery.peer_answered(peer);
+                self.offer(candidate, "peer");
             }
-            assembly.parts.insert(digest, bytes);
         }
-        let find = |d| assembly.parts.get(d).or_else(|| self.shelf.part(d));
-        let found: Option<Vec<Bytes>> = head.parts.iter().map(|d| find(d).cloned()).collect();
-        let Some(parts) = found else {
-            return;
-        };
-        self.assembly = None;
-        self.delivery.peer_answered(peer);
-        self.offer(Candidate { head, raw, parts }, "peer");
     }
 
     fn offer(&mut self, candidate: Candidate, source: &'static str) {
@@ -451,40 +374,6 @@
     }
 }
 
-/// Reads the parts that are not in hand, several at once.
-async fn read_all(
-    platform: &Platform,
-    wanted: Vec<(Digest, Option<Bytes>)>,
-) -> Result<Vec<Bytes>, &'static str> {
-    let reads = wanted.into_iter().map(|(digest, bytes)| async move {
-        match bytes {
-            Some(bytes) => Ok(bytes),
-            None => read_part(platform, digest).await,
-        }
-    });
-    let reads = futures_util::stream::iter(reads).buffered(PARALLEL_READS);
-    reads.try_collect().await
-}
-
-async fn read_part(platform: &Platform, digest: Digest) -> Result<Bytes, &'static str> {
-    let read = platform.get(&part_path(digest)).await;
-    let object = read.map_err(|_| "part_unread")?.ok_or("part_missing")?;
-    match parts::verify(digest, &object.value) {
-        Ok(()) => Ok(object.value),
-        Err(_) => Err("digest_mismatch"),
-    }
-}
-
-/// Returns the path of a part.
-pub fn part_path(digest: Digest) -> String {
-    format!("config/parts/{digest}")
-}
-
-/// Returns the path under which the head of a generation is kept.
-pub fn history_path(generation: Generation) -> String {
-    format!("config/history/{generation}")
-}
-
 fn refuse(reason: &'static str) {
     counter!("config_refusals_total", "reason" => reason).increment(1);
 }
--- /dev/null
+++ b/crates/sesamehaven-daemons/src/feed_peer.rs
@@ -0,0 +1,130 @@
+//! What the feed says to its peers and hears from them.
+
+use std::collections::HashMap;
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+
+use sesamehaven::delivery::Mark;
+use sesamehaven::id::{DaemonName, Digest, Generation};
+use sesamehaven::parts::Head;
+
+use crate::feed_shelf::{Candidate, Shelf, mark_of};
+
+/// What the links tell the feed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FromPeer {
+    /// A message of any kind carried the generation that the peer serves.
+    Generation {
+        /// Who sent it.
+        peer: DaemonName,
+        /// What it serves.
+        generation: Generation,
+    },
+    /// The peer asks for the configuration.
+    Asked {
+        /// Who asks.
+        peer: DaemonName,
+        /// What it serves, zero for nothing.
+        generation: Generation,
+    },
+    /// The peer sent a configuration, or a share of its parts.
+    Config {
+        /// Who sent it.
+        peer: DaemonName,
+        /// The head, as it is stored.
+        head: Bytes,
+        /// Some of its parts.
+        parts: Vec<Bytes>,
+    },
+    /// The last link to the peer is gone.
+    Gone {
+        /// Who is gone.
+        peer: DaemonName,
+    },
+}
+
+/// What the feed asks the links to send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ToPeer {
+    /// Ask the peer for its configuration.
+    Ask {
+        /// Whom to ask.
+        peer: DaemonName,
+        /// What this process serves, zero for nothing.
+        generation: Generation,
+    },
+    /// Send the peer a configuration, or a share of its parts.
+    Config {
+        /// Who asked.
+        peer: DaemonName,
+        /// The head, as it is stored.
+        head: Bytes,
+        /// Some of its parts.
+        parts: Vec<Bytes>,
+    },
+}
+
+/// The two ends that join the feed to the links.
+#[derive(Debug)]
+pub struct Peers {
+    /// What the links tell.
+    pub rx: mpsc::Receiver<FromPeer>,
+    /// What the links are to send; messages are dropped when it is full.
+    pub tx: mpsc::Sender<ToPeer>,
+}
+
+/// Parts of a peer's configuration, as long as they are not complete.
+#[derive(Debug)]
+pub(crate) struct Assembly {
+    head: Head,
+    raw: Bytes,
+    parts: HashMap<Digest, Bytes>,
+}
+
+/// What came of adding parts.
+#[derive(Debug)]
+pub(crate) enum Assembled {
+    /// Some parts are missing.
+    Waiting,
+    /// A part is not one that the head names.
+    Foreign,
+    /// All parts are in hand.
+    Whole(Candidate),
+}
+
+impl Assembly {
+    /// Begins with a head, as it was parsed and as it is stored.
+    pub(crate) fn new(head: Head, raw: Bytes) -> Self {
+        Assembly {
+            head,
+            raw,
+            parts: HashMap::new(),
+        }
+    }
+
+    pub(crate) fn mark(&self) -> Mark {
+        mark_of(&self.head)
+    }
+
+    /// Adds parts, and looks for those that are still missing on the shelf.
+    pub(crate) fn add(&mut self, parts: Vec<Bytes>, shelf: &Shelf) -> Assembled {
+        for bytes in parts {
+            let digest = Digest::of(&bytes);
+            if !self.head.parts.contains(&digest) {
+                return Assembled::Foreign;
+            }
+            self.parts.insert(digest, bytes);
+        }
+        let find = |d| self.parts.get(d).or_else(|| shelf.part(d));
+        let found = self.head.parts.iter().map(|d| find(d).cloned());
+        match found.collect() {
+            None => Assembled::Waiting,
+            Some(parts) => Assembled::Whole(Candidate {
+                head: self.head.clone(),
+                raw: self.raw.clone(),
+                parts,
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamehaven-daemons/src/feed_read.rs
@@ -0,0 +1,49 @@
+//! Where the platform keeps the configuration, and how its parts are read.
+
+use bytes::Bytes;
+use futures_util::{StreamExt, TryStreamExt};
+
+use sesamehaven::id::{Digest, Generation};
+use sesamehaven::parts;
+
+use crate::platform::Platform;
+
+/// The path of the head object.
+pub const HEAD_PATH: &str = "config/head";
+
+/// How many parts are read from the platform at once.
+const PARALLEL_READS: usize = 32;
+
+/// Reads the parts that are not in hand, several at once.
+pub(crate) async fn read_all(
+    platform: &Platform,
+    wanted: Vec<(Digest, Option<Bytes>)>,
+) -> Result<Vec<Bytes>, &'static str> {
+    let reads = wanted.into_iter().map(|(digest, bytes)| async move {
+        match bytes {
+            Some(bytes) => Ok(bytes),
+            None => read_part(platform, digest).await,
+        }
+    });
+    let reads = futures_util::stream::iter(reads).buffered(PARALLEL_READS);
+    reads.try_collect().await
+}
+
+async fn read_part(platform: &Platform, digest: Digest) -> Result<Bytes, &'static str> {
+    let read = platform.get(&part_path(digest)).await;
+    let object = read.map_err(|_| "part_unread")?.ok_or("part_missing")?;
+    match parts::verify(digest, &object.value) {
+        Ok(()) => Ok(object.value),
+        Err(_) => Err("digest_mismatch"),
+    }
+}
+
+/// Returns the path of a part.
+pub fn part_path(digest: Digest) -> String {
+    format!("config/parts/{digest}")
+}
+
+/// Returns the path under which the head of a generation is kept.
+pub fn history_path(generation: Generation) -> String {
+    format!("config/history/{generation}")
+}
--- a/crates/sesamehaven/src/delivery.rs
+++ b/crates/sesamehaven/src/delivery.rs
@@ -1,7 +1,7 @@
 //! Decides which configuration a process serves and from where it fetches it.
 //!
 //! A few watchers in each data centre watch the platform; they are elected by
-//! rendezvous hashing over the configured daemons, without a message. Everyone
+//! [`watchers`](crate::election::watchers), without a message. Everyone
 //! else hears of a new generation from the messages of its peers, fetches from
 //! the peer that is ahead, and polls the platform rarely, in case all watchers
 //! are lost. Whatever the source, a process never serves a generation below
@@ -13,7 +13,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use crate::config::Index;
+use crate::election::rank;
 use crate::id::{DaemonName, Digest, Generation};
 use crate::unit::{Instant, Millis};
 
@@ -396,35 +396,3 @@
         Millis(pause.0 + rank(&self.me, &self.me) % quarter)
     }
 }
-
-/// Elects the watchers of a daemon's data centre, without a message.
-///
-/// Every process that serves the same configuration elects the same ones.
-/// `is_lost` names daemons that are known to be gone, so that the next in rank
-/// takes over; processes that differ in it elect a watcher too many for a while,
-/// which costs a call and nothing else.
-pub fn watchers<'a>(
-    index: &'a Index,
-    me: &DaemonName,
-    count: usize,
-    is_lost: impl Fn(&DaemonName) -> bool,
-) -> Vec<&'a DaemonName> {
-    let c = &index.configuration;
-    let daemons = || c.entries.iter().chain(&c.agents);
-    let Some(mine) = daemons().find(|d| d.name == *me) else {
-        return Vec::new();
-    };
-    let near = daemons().filter(|d| d.data_centre == mine.data_centre);
-    let live = near.filter(|d| d.name == *me || !is_lost(&d.name));
-    let mut ranked: Vec<_> = live.map(|d| &d.name).collect();
-    ranked.sort_by_key(|name| rank(name, name));
-    ranked.truncate(count);
-    ranked
-}
-
-/// Ranks `name` in the eyes of `viewer`, evenly over all pairs.
-fn rank(viewer: &DaemonName, name: &DaemonName) -> u64 {
-    let text = format!("{viewer}/{name}");
-    let Digest([a, b, c, d, e, f, g, h, ..]) = Digest::of(text.as_bytes());
-    u64::from_be_bytes([a, b, c, d, e, f, g, h])
-}
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -13,6 +13,7 @@
 mod check_grants;
 pub mod config;
 pub mod delivery;
+pub mod election;
 pub mod error;
 pub mod estimate;
 pub mod fair;
--- a/crates/sesamehaven/tests/delivery.rs
+++ b/crates/sesamehaven/tests/delivery.rs
@@ -5,7 +5,8 @@
 use proptest::prelude::*;
 use rstest::rstest;
 
-use sesamehaven::delivery::{Delivery, Mark, Policy, Read, Step, Verdict, watchers};
+use sesamehaven::delivery::{Delivery, Mark, Policy, Read, Step, Verdict};
+use sesamehaven::election::watchers;
 use sesamehaven::id::{DaemonName, Digest, Generation};
 use sesamehaven::unit::Instant;
 
