--- a/crates/sesamehaven-daemons/src/agent.rs
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -14,14 +14,16 @@
 use awc::Client;
 use metrics::{counter, gauge};
 use serde_json::json;
+use smallvec::SmallVec;
 use spdlog::{info, warn};
 use tokio::sync::{mpsc, oneshot};
 
 use sesamehaven::config::{Endpoint, Index, PoolKind, Repeat};
 use sesamehaven::fair::OrganisationDigest;
 use sesamehaven::gate::{Ended, Gate, GateConfig, Step, Verdict, Withdrawal, Work};
-use sesamehaven::id::{EndpointName, Generation, Incarnation, PoolName, RequestId};
+use sesamehaven::id::{DaemonName, EndpointName, Generation, Incarnation, PoolName, RequestId};
 use sesamehaven::outcome::{Refusal, Refused};
+use sesamehaven::quarantine::{CrashId, Quarantine, Standing};
 use sesamehaven::unit::{Instant, Millis};
 use sesamehaven_wire::link::{Link, LinkConfig, Sender};
 use sesamehaven_wire::message::{End, Frame, Load, Offer, Report, ToAgent, ToEntry};
@@ -29,6 +31,8 @@
 use crate::admin::Status;
 use crate::call::{Call, CallEnd, CallEvent, Progress};
 use crate::clock;
+use crate::feed::{FromPeer, ToPeer};
+use crate::gossip;
 use crate::peer::{self, LinkEvent, LinkId};
 use crate::run::{Reader, Run};
 use crate::settings::AgentSettings;
@@ -43,6 +47,10 @@
 const TOMBSTONE_RETENTION: Millis = Millis(600_000);
 /// When to come back to an endpoint that is not there.
 const ABSENT_RETRY_AFTER: Millis = Millis(1_000);
+/// How long after a broken call its endpoint is looked at.
+const JUDGE_DELAY: Duration = Duration::from_millis(50);
+/// The notices that are sent at once.
+const NOTICES_MAX: usize = 64;
 /// The pause between two tries to connect to an endpoint that does not answer.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -53,6 +61,8 @@
     kind: PoolKind,
     gate: Gate,
     healthy: bool,
+    /// The contents of calls that broke off and have not been judged.
+    broken: SmallVec<[u64; 4]>,
 }
 
 /// The actor that holds the agent's state.
@@ -66,7 +76,10 @@
     index: Arc<Index>,
     doors: BTreeMap<EndpointName, Door>,
     runs: HashMap<RequestId, Run>,
-    links: HashMap<LinkId, Sender>,
+    links: HashMap<LinkId, (DaemonName, Sender)>,
+    quarantine: Quarantine,
+    crashes: u64,
+    feed: mpsc::Sender<FromPeer>,
     tombstones: HashMap<RequestId, Instant>,
     next_link: u64,
     report_seq: u64,
@@ -89,6 +102,14 @@
 #[rtype(result = "()")]
 struct Recovered(EndpointName);
 
+/// What a probe found out about an endpoint whose calls broke off.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct Judge {
+    name: EndpointName,
+    answers: bool,
+}
+
 /// Asks the agent to refuse new work and hand back what is queued.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -108,6 +129,7 @@
         client: Client,
         status: Status,
         reports: mpsc::Sender<Report>,
+        feed: mpsc::Sender<FromPeer>,
     ) -> Self {
         Agent {
             incarnation: links_cfg.me.incarnation,
@@ -120,6 +142,9 @@
             doors: BTreeMap::new(),
             runs: HashMap::new(),
             links: HashMap::new(),
+            quarantine: Quarantine::default(),
+            crashes: 0,
+            feed,
             tombstones: HashMap::new(),
             next_link: 0,
             report_seq: 0,
@@ -129,10 +154,20 @@
     }
 
     fn on_frame(&mut self, link: LinkId, frame: Frame, cx: &mut Context<Self>) {
-        let Frame::Request(id, msg) = frame else {
-            return;
-        };
         let now = clock::now();
+        let (id, msg) = match frame {
+            Frame::Request(id, msg) => (id, msg),
+            Frame::Notices(notices) => {
+                self.quarantine.merge(&notices, now);
+                return;
+            }
+            frame => {
+                let Some((peer, _)) = self.links.get(&link) else {
+                    return;
+                };
+                return self.tell_feed(gossip::from_frame(peer.clone(), frame));
+            }
+        };
         match msg {
             ToAgent::Offer(offer) => self.on_offer(link, id, offer, now, cx),
             ToAgent::Withdraw => self.on_withdraw(link, id, now),
@@ -151,7 +186,7 @@
         cx: &mut Context<Self>,
     ) {
         counter!("agent_offers_total").increment(1);
-        let Some(tx) = self.links.get(&link).cloned() else {
+        let Some((_, tx)) = self.links.get(&link).cloned() else {
             return;
         };
         if self.tombstones.contains_key(&id) {
@@ -165,9 +200,17 @@
             let refused = absent(Refusal::Unavailable);
             return self.reply(link, id, ToEntry::Refused(refused));
         };
+        let standing = self.quarantine.standing(offer.fingerprint, now);
+        if standing == Standing::Quarantined {
+            let mut refused = absent(Refusal::Quarantined);
+            refused.retry_after = self.quarantine.remaining(offer.fingerprint, now);
+            count_refusal(refused.reason);
+            return self.reply(link, id, ToEntry::Refused(refused));
+        }
         let class = self.index.class(&offer.class);
         let repeat = class.map_or(Repeat::AtMostOnce, |class| class.repeat);
-        let work = work_of(id, &offer, repeat, now);
+        let mut work = work_of(id, &offer, repeat, now);
+        work.suspect = standing == Standing::Suspect;
         let name = door.endpoint.name.clone();
         let verdict = door.gate.offer(work, now);
         let kind = door.kind;
@@ -251,7 +294,7 @@
 
     fn on_resume(&mut self, link: LinkId, id: RequestId, next: u64, upto: u64, now: Instant) {
         counter!("agent_resumes_total").increment(1);
-        let Some(tx) = self.links.get(&link).cloned() else {
+        let Some((_, tx)) = self.links.get(&link).cloned() else {
             return;
         };
         let Some(run) = self.runs.get_mut(&id) else {
@@ -278,7 +321,7 @@
     }
 
     fn reply(&self, link: LinkId, id: RequestId, reply: ToEntry) {
-        let Some(tx) = self.links.get(&link) else {
+        let Some((_, tx)) = self.links.get(&link) else {
             return;
         };
         if tx.try_send(Frame::Reply(id, reply)).is_err() {
@@ -391,6 +434,7 @@
             return self.end_in_gate_of_none(id, now);
         };
         let name = run.endpoint.clone();
+        let fingerprint = run.fingerprint;
         let (ended, told) = match end {
             CallEnd::Whole => (Ended::Whole, End::Whole),
             CallEnd::Broken | CallEnd::NotSent => (Ended::Broken, End::Broken),
@@ -398,6 +442,14 @@
             CallEnd::Cancelled => (Ended::Cancelled, End::Cancelled),
         };
         counter!("agent_calls_total", "end" => end_label(told)).increment(1);
+        match end {
+            CallEnd::Whole => self.quarantine.on_finished(fingerprint),
+            CallEnd::Broken => self.judge_later(&name, fingerprint, cx),
+            CallEnd::NotSent | CallEnd::Stalled | CallEnd::Cancelled => {}
+        }
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
         if let Some(door) = self.doors.get_mut(&name) {
             door.gate.on_end(id, ended, now);
         }
@@ -414,6 +466,69 @@
         self.poll(&name, now, cx);
     }
 
+    /// Looks shortly after a call broke off whether its endpoint has crashed.
+    fn judge_later(&mut self, name: &EndpointName, fingerprint: u64, cx: &mut Context<Self>) {
+        let Some(door) = self.doors.get_mut(name) else {
+            return;
+        };
+        door.broken.push(fingerprint);
+        if door.broken.len() > 1 {
+            return;
+        }
+        let address = door.endpoint.address;
+        let agent = cx.address();
+        let name = name.clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep(JUDGE_DELAY).await;
+            let answers = tokio::net::TcpStream::connect(address).await.is_ok();
+            agent.do_send(Judge { name, answers });
+        });
+    }
+
+    /// Decides whether calls broke off because their endpoint crashed.
+    ///
+    /// An endpoint that restarts at once is known by none of its calls going on.
+    fn judge(&mut self, name: &EndpointName, answers: bool, cx: &mut Context<Self>) {
+        let now = clock::now();
+        let Some(door) = self.doors.get_mut(name) else {
+            return;
+        };
+        let mut suspects = std::mem::take(&mut door.broken);
+        if answers && door.gate.running() > 0 {
+            return;
+        }
+        suspects.extend(door.gate.fingerprints());
+        self.crashes += 1;
+        counter!("agent_endpoint_crashes_total").increment(1);
+        let crash = CrashId::new(name, self.incarnation, self.crashes);
+        self.quarantine.on_crash(crash, &suspects, now);
+        self.spread_notices(now);
+        if !answers {
+            self.set_unhealthy(name, cx);
+        }
+    }
+
+    /// Tells the entries what has changed about requests near crashes.
+    fn spread_notices(&mut self, now: Instant) {
+        let notices = self.quarantine.take_news(NOTICES_MAX, now);
+        if notices.is_empty() {
+            return;
+        }
+        for (_, tx) in self.links.values() {
+            // An entry that misses this learns of it with the next link.
+            let _ = tx.try_send(Frame::Notices(notices.clone()));
+        }
+    }
+
+    fn tell_feed(&self, msg: Option<FromPeer>) {
+        let Some(msg) = msg else {
+            return;
+        };
+        if self.feed.try_send(msg).is_err() {
+            counter!("feed_messages_lost_total").increment(1);
+        }
+    }
+
     /// Refuses work for an endpoint until it can be connected to again.
     fn set_unhealthy(&mut self, name: &EndpointName, cx: &mut Context<Self>) {
         let Some(door) = self.doors.get_mut(name) else {
@@ -440,8 +555,12 @@
     }
 
     fn on_link_lost(&mut self, link: LinkId) {
-        self.links.remove(&link);
         let now = clock::now();
+        if let Some((peer, _)) = self.links.remove(&link)
+            && !self.links.values().any(|(name, _)| *name == peer)
+        {
+            self.tell_feed(Some(FromPeer::Gone { peer }));
+        }
         for run in self.runs.values_mut() {
             let was_last = run.detach(link);
             // A keyed answer may still be asked for by the same caller elsewhere.
@@ -479,6 +598,7 @@
                 Withdrawal::Unknown => {}
             }
         }
+        self.spread_notices(now);
         // A link whose queue was full when something was due is tried again.
         for (id, run) in &mut self.runs {
             run.pump(*id);
@@ -579,6 +699,7 @@
                     kind: pool.kind,
                     gate: Gate::new(cfg.clone()),
                     healthy: true,
+                    broken: SmallVec::new(),
                 },
             };
             door.gate.set_config(cfg);
@@ -596,6 +717,10 @@
             .generation
             .store(generation, Ordering::Relaxed);
         info!("configuration {generation} is in force");
+        for (_, tx) in self.links.values() {
+            // The next heartbeat says the same.
+            let _ = tx.try_send(gossip::nudge(index.generation));
+        }
         self.index = index;
         if !self.leaving {
             self.status.set_ready();
@@ -697,7 +822,18 @@
             // A link that does not take the word is closed, which says the same.
             let _ = link.tx.try_send(Frame::Leaving);
         }
-        self.links.insert(id, link.tx);
+        let summary = self.quarantine.summary(clock::now());
+        if !summary.is_empty() {
+            // A new link has room for its first frames.
+            let _ = link.tx.try_send(Frame::Notices(summary));
+        }
+        let peer = link.peer.name;
+        actix_rt::spawn(gossip::follow(
+            peer.clone(),
+            link.generation,
+            self.feed.clone(),
+        ));
+        self.links.insert(id, (peer, link.tx));
         cx.add_stream(peer::events(id, link.rx));
     }
 }
@@ -718,6 +854,28 @@
     }
 }
 
+impl Handler<Judge> for Agent {
+    type Result = ();
+
+    fn handle(&mut self, Judge { name, answers }: Judge, cx: &mut Context<Self>) {
+        self.judge(&name, answers, cx);
+    }
+}
+
+impl StreamHandler<ToPeer> for Agent {
+    fn handle(&mut self, msg: ToPeer, _: &mut Context<Self>) {
+        let (peer, frame) = gossip::to_frame(msg);
+        let link = self.links.values().find(|(name, _)| *name == peer);
+        let sent = link.is_some_and(|(_, tx)| tx.try_send(frame).is_ok());
+        if !sent {
+            self.tell_feed(Some(FromPeer::Gone { peer }));
+        }
+    }
+
+    // The agent outlives its feed, which the provided method would not allow.
+    fn finished(&mut self, _: &mut Context<Self>) {}
+}
+
 impl Handler<Recovered> for Agent {
     type Result = ();
 
@@ -748,7 +906,7 @@
         for (id, refused) in handed_back {
             self.hand_back(id, refused);
         }
-        for tx in self.links.values() {
+        for (_, tx) in self.links.values() {
             // Reports and refusals say the same to an entry that misses this.
             let _ = tx.try_send(Frame::Leaving);
         }
--- a/crates/sesamehaven-daemons/src/agent_main.rs
+++ b/crates/sesamehaven-daemons/src/agent_main.rs
@@ -5,14 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::{Actor, Addr};
+use actix::{Actor, Addr, AsyncContext};
+use futures_util::stream;
 use metrics::counter;
 use spdlog::{info, warn};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
 use sesamehaven::delivery::Policy;
-use sesamehaven::id::DaemonName;
 use sesamehaven_wire::link::{self, LinkConfig};
 use sesamehaven_wire::message::{Report, Role};
 use sesamehaven_wire::report::ReportSender;
@@ -22,7 +22,8 @@
 use crate::call;
 use crate::clock;
 use crate::drain;
-use crate::feed::{Feed, FeedConfig};
+use crate::feed::{Feed, FeedConfig, Peers};
+use crate::gossip;
 use crate::logs;
 use crate::peer;
 use crate::platform::{PLATFORM_TIMEOUT, Platform, Vm, VmState};
@@ -71,6 +72,7 @@
         platform.clone(),
     ));
 
+    let (gossip, peers) = gossip::channel();
     let advertised = settings.advertise.unwrap_or(bound);
     let agent = Agent::new(
         Arc::clone(&settings),
@@ -79,14 +81,20 @@
         call::client(settings.limits.connect_timeout),
         status,
         reports,
+        gossip.tx,
     );
-    let agent = agent.start();
+    let agent = Agent::create(|cx| {
+        let mut rx = gossip.rx;
+        cx.add_stream(stream::poll_fn(move |cx| rx.poll_recv(cx)));
+        agent
+    });
     actix_rt::spawn(accept_links(listener, links_cfg, agent.clone()));
-    actix_rt::spawn(follow_configuration(
-        settings.name.clone(),
+    let feed = FeedConfig {
+        me: settings.name.clone(),
         platform,
-        agent.clone(),
-    ));
+        policy: Policy::default(),
+    };
+    actix_rt::spawn(follow_configuration(feed, peers, agent.clone()));
     let ports = Ports {
         admin: Some(admin_addr),
         link: Some(bound),
@@ -126,12 +134,8 @@
     }
 }
 
-async fn follow_configuration(me: DaemonName, platform: Platform, agent: Addr<Agent>) {
-    let mut rx = Feed::spawn(FeedConfig {
-        me,
-        platform,
-        policy: Policy::default(),
-    });
+async fn follow_configuration(cfg: FeedConfig, peers: Peers, agent: Addr<Agent>) {
+    let mut rx = Feed::spawn_with_peers(cfg, peers);
     while rx.changed().await.is_ok() {
         let index = rx.borrow_and_update().clone();
         if let Some(index) = index {
--- a/crates/sesamehaven-daemons/src/caller.rs
+++ b/crates/sesamehaven-daemons/src/caller.rs
@@ -12,7 +12,7 @@
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
-use sesamehaven::config::Repeat;
+use sesamehaven::config::{Limits, Repeat};
 use sesamehaven::flight::Doubt;
 use sesamehaven::id::{ClassName, KeyDigest, OrganisationName, PoolName, RequestId};
 use sesamehaven::outcome::Refused;
@@ -65,6 +65,8 @@
     pub prefixes: SmallVec<[u64; 8]>,
     /// The weight of the organisation among others of its tier.
     pub weight: u32,
+    /// The limits of the organisation.
+    pub limits: Limits,
     /// The digest of the content.
     pub fingerprint: u64,
     /// The HTTP method.
--- a/crates/sesamehaven-daemons/src/entry.rs
+++ b/crates/sesamehaven-daemons/src/entry.rs
@@ -18,10 +18,14 @@
 use tokio::sync::mpsc;
 
 use sesamehaven::config::Index;
+use sesamehaven::fair::OrganisationDigest;
 use sesamehaven::flight::{Event, Flight, Step, Terms};
 use sesamehaven::gate::{Ended, LoadView};
 use sesamehaven::id::{DaemonName, EndpointName, Generation, Incarnation, PoolName, RequestId};
 use sesamehaven::outcome::{Refusal, Refused};
+use sesamehaven::quarantine::{Notice, Quarantine, Standing};
+use sesamehaven::quota::Quota;
+use sesamehaven::retry::RetryBudget;
 use sesamehaven::route::{self, Choice, Route};
 use sesamehaven::unit::{Instant, Millis, TokenRate};
 use sesamehaven_wire::link::{self, Link, LinkConfig, Sender};
@@ -30,6 +34,8 @@
 use crate::admin::Status;
 use crate::caller::{CallerGone, Consumed, Job, Submit, ToCaller};
 use crate::clock;
+use crate::feed::{FromPeer, ToPeer};
+use crate::gossip;
 use crate::peer::{self, LinkEvent, LinkId};
 use crate::settings::EntrySettings;
 
@@ -86,6 +92,10 @@
     links: HashMap<LinkId, DaemonName>,
     routes: HashMap<PoolName, Route>,
     active: HashMap<RequestId, Active>,
+    retries: HashMap<PoolName, RetryBudget>,
+    quota: Quota,
+    quarantine: Quarantine,
+    feed: mpsc::Sender<FromPeer>,
     next_link: u64,
     leaving: bool,
 }
@@ -117,7 +127,12 @@
 
 impl Entry {
     /// Builds an entry without a configuration.
-    pub fn new(settings: Arc<EntrySettings>, links_cfg: LinkConfig, status: Status) -> Self {
+    pub fn new(
+        settings: Arc<EntrySettings>,
+        links_cfg: LinkConfig,
+        status: Status,
+        feed: mpsc::Sender<FromPeer>,
+    ) -> Self {
         Entry {
             settings,
             links_cfg,
@@ -128,6 +143,10 @@
             links: HashMap::new(),
             routes: HashMap::new(),
             active: HashMap::new(),
+            retries: HashMap::new(),
+            quota: Quota::default(),
+            quarantine: Quarantine::default(),
+            feed,
             next_link: 0,
             leaving: false,
         }
@@ -135,6 +154,12 @@
 
     fn submit(&mut self, id: RequestId, job: Box<Job>, tx: mpsc::Sender<ToCaller>) {
         counter!("entry_requests_total", "tier" => job.tier.to_string()).increment(1);
+        if let Err(refused) = self.admit(&job) {
+            counter!("entry_not_run_total", "reason" => refused.reason.code()).increment(1);
+            // A connection that is gone needs no answer.
+            let _ = tx.try_send(ToCaller::NotRun(refused));
+            return;
+        }
         let terms = Terms {
             repeat: job.repeat,
             guarded: false,
@@ -154,6 +179,21 @@
         self.route(id);
     }
 
+    /// Refuses what the organisation's limits and the quarantine do not allow.
+    fn admit(&mut self, job: &Job) -> Result<(), Refused> {
+        let now = clock::now();
+        if self.quarantine.standing(job.fingerprint, now) == Standing::Quarantined {
+            return Err(Refused {
+                reason: Refusal::Quarantined,
+                retry_after: self.quarantine.remaining(job.fingerprint, now),
+                admits: None,
+            });
+        }
+        let organisation = OrganisationDigest::of(&job.organisation);
+        let tokens = (job.prompt.0 + job.output.0) as f64;
+        self.quota.admit(organisation, &job.limits, tokens, now)
+    }
+
     /// Feeds an event to a request and takes the steps that follow.
     fn drive(&mut self, id: RequestId, event: Event<Place>) {
         let Some(active) = self.active.get_mut(&id) else {
@@ -165,8 +205,9 @@
         for step in steps {
             self.take_step(id, step, before.as_ref());
         }
-        if done {
-            self.active.remove(&id);
+        if done && let Some(active) = self.active.remove(&id) {
+            let organisation = OrganisationDigest::of(&active.job.organisation);
+            self.quota.on_end(organisation);
         }
     }
 
@@ -176,6 +217,7 @@
                 counter!("entry_reroutes_total").increment(1);
                 self.route(id);
             }
+            Step::Rerun => self.rerun(id),
             Step::Claim(_) => self.drive(id, Event::Granted),
             Step::Release => {}
             Step::Offer(place) => self.offer(id, place),
@@ -198,6 +240,22 @@
         }
     }
 
+    /// Chooses a place for a second run if the pool's retry budget allows it.
+    fn rerun(&mut self, id: RequestId) {
+        let Some(active) = self.active.get(&id) else {
+            return;
+        };
+        let job = &active.job;
+        let suspect = self.quarantine.standing(job.fingerprint, clock::now()) != Standing::Clear;
+        let budget = self.retries.entry(job.pool.clone()).or_default();
+        if suspect || !budget.retry(job.repeat) {
+            counter!("entry_retries_denied_total").increment(1);
+            return self.drive(id, Event::Unroutable(nowhere()));
+        }
+        counter!("entry_retries_total").increment(1);
+        self.route(id);
+    }
+
     fn route(&mut self, id: RequestId) {
         let now = clock::now();
         let Some(active) = self.active.get(&id) else {
@@ -281,6 +339,9 @@
         let Some(active) = self.active.get(&id) else {
             return;
         };
+        if let Some(budget) = self.retries.get_mut(&active.job.pool) {
+            budget.on_success();
+        }
         let tier = active.job.tier.to_string();
         counter!("entry_answers_total", "tier" => tier).increment(1);
         let acked = active.next_chunk;
@@ -311,7 +372,31 @@
                 }
                 self.forget_endpoints(&agent);
             }
-            _ => {}
+            Frame::Notices(notices) => self.on_notices(&agent, &notices),
+            frame => self.tell_feed(gossip::from_frame(agent, frame)),
+        }
+    }
+
+    /// Takes in which requests crash endpoints, and tells the other agents.
+    fn on_notices(&mut self, from: &DaemonName, notices: &[Notice]) {
+        if !self.quarantine.merge(notices, clock::now()) {
+            return;
+        }
+        counter!("entry_quarantine_news_total").increment(1);
+        for (name, peer) in &self.peers {
+            if let (true, Some((_, tx))) = (name != from, &peer.link) {
+                // A peer that misses this is told by the crash that it meets itself.
+                let _ = tx.try_send(Frame::Notices(notices.to_vec()));
+            }
+        }
+    }
+
+    fn tell_feed(&self, msg: Option<FromPeer>) {
+        let Some(msg) = msg else {
+            return;
+        };
+        if self.feed.try_send(msg).is_err() {
+            counter!("feed_messages_lost_total").increment(1);
         }
     }
 
@@ -429,6 +514,10 @@
                 self.on_load(&report.agent, load, report.seq, now);
             }
         }
+        self.tell_feed(Some(FromPeer::Generation {
+            peer: report.agent.clone(),
+            generation: report.generation,
+        }));
         self.connect(&report.agent, cx);
     }
 
@@ -479,8 +568,18 @@
         peer.incarnation = link.peer.incarnation;
         self.next_link += 1;
         let id = LinkId(self.next_link);
+        let summary = self.quarantine.summary(clock::now());
+        if !summary.is_empty() {
+            // A new link has room for its first frames.
+            let _ = link.tx.try_send(Frame::Notices(summary));
+        }
         peer.link = Some((id, link.tx));
         self.links.insert(id, name.clone());
+        actix_rt::spawn(gossip::follow(
+            name.clone(),
+            link.generation,
+            self.feed.clone(),
+        ));
         cx.add_stream(peer::events(id, link.rx));
         counter!("entry_links_total").increment(1);
         if !same_run {
@@ -502,6 +601,7 @@
             return;
         }
         peer.link = None;
+        self.tell_feed(Some(FromPeer::Gone { peer: name.clone() }));
         counter!("entry_link_losses_total").increment(1);
         warn!("the link to agent {name} is lost");
         let now = clock::now();
@@ -658,6 +758,20 @@
     }
 }
 
+impl StreamHandler<ToPeer> for Entry {
+    fn handle(&mut self, msg: ToPeer, _: &mut Context<Self>) {
+        let (name, frame) = gossip::to_frame(msg);
+        let link = self.peers.get(&name).and_then(|peer| peer.link.as_ref());
+        let sent = link.is_some_and(|(_, tx)| tx.try_send(frame).is_ok());
+        if !sent {
+            self.tell_feed(Some(FromPeer::Gone { peer: name }));
+        }
+    }
+
+    // The entry outlives its feed, which the provided method would not allow.
+    fn finished(&mut self, _: &mut Context<Self>) {}
+}
+
 impl StreamHandler<LinkEvent> for Entry {
     fn handle(&mut self, event: LinkEvent, cx: &mut Context<Self>) {
         match event {
@@ -738,7 +852,16 @@
             .generation
             .store(generation, Ordering::Relaxed);
         self.routes.retain(|pool, _| index.pool(pool).is_some());
+        let entries = index.configuration.entries.len();
+        self.quota
+            .set_entries(u32::try_from(entries).unwrap_or(u32::MAX));
         info!("configuration {generation} is in force");
+        for peer in self.peers.values() {
+            if let Some((_, tx)) = &peer.link {
+                // The next heartbeat says the same.
+                let _ = tx.try_send(gossip::nudge(index.generation));
+            }
+        }
         self.index = index;
         if !self.leaving {
             self.status.set_ready();
--- a/crates/sesamehaven-daemons/src/entry_main.rs
+++ b/crates/sesamehaven-daemons/src/entry_main.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 
-use actix::{Actor, Addr};
+use actix::{Actor, Addr, AsyncContext};
+use futures_util::stream;
 use metrics::counter;
 use spdlog::info;
 
@@ -19,6 +20,7 @@
 use crate::entry::{Entry, InFlight, Leave, Reconfigure, Reported};
 use crate::feed::{Feed, FeedConfig};
 use crate::front::{self, Front};
+use crate::gossip;
 use crate::logs;
 use crate::peer;
 use crate::platform::{PLATFORM_TIMEOUT, Platform};
@@ -55,13 +57,22 @@
         .await
         .map_err(io::Error::other)?;
     let udp = reports.local_addr().map_err(io::Error::other)?;
-    let entry = Entry::new(Arc::clone(&settings), links_cfg, status).start();
-    actix_rt::spawn(receive_reports(reports, entry.clone()));
-    let index = Feed::spawn(FeedConfig {
-        me: settings.name.clone(),
-        platform: Platform::new(settings.platform, PLATFORM_TIMEOUT),
-        policy: Policy::default(),
+    let (gossip, peers) = gossip::channel();
+    let entry = Entry::new(Arc::clone(&settings), links_cfg, status, gossip.tx);
+    let entry = Entry::create(|cx| {
+        let mut rx = gossip.rx;
+        cx.add_stream(stream::poll_fn(move |cx| rx.poll_recv(cx)));
+        entry
     });
+    actix_rt::spawn(receive_reports(reports, entry.clone()));
+    let index = Feed::spawn_with_peers(
+        FeedConfig {
+            me: settings.name.clone(),
+            platform: Platform::new(settings.platform, PLATFORM_TIMEOUT),
+            policy: Policy::default(),
+        },
+        peers,
+    );
     let mut changes = index.clone();
     let follower = entry.clone();
     actix_rt::spawn(async move {
--- a/crates/sesamehaven-daemons/src/intake.rs
+++ b/crates/sesamehaven-daemons/src/intake.rs
@@ -11,11 +11,13 @@
 use futures_util::StreamExt;
 use serde::Deserialize;
 use serde::de::IgnoredAny;
+use smallvec::SmallVec;
 use smol_str::{SmolStr, format_smolstr};
 
 use sesamehaven::config::{Class, Contract, Index, Organisation, Pool, PoolKind};
-use sesamehaven::id::{ClassName, Digest, KeyDigest, PoolName};
+use sesamehaven::id::{ClassName, KeyDigest, PoolName};
 use sesamehaven::unit::{Millis, Tokens};
+use sesamehaven::{prefix, quarantine};
 
 use crate::caller::Job;
 use crate::clock;
@@ -70,23 +72,49 @@
 }
 
 impl Text {
-    fn len(&self) -> usize {
+    /// Collects the parts of the text, in order.
+    fn collect<'a>(&'a self, texts: &mut Texts<'a>) {
         match self {
-            Text::Plain(text) => text.len(),
-            Text::Parts(parts) => parts.iter().map(Part::len).sum(),
+            Text::Plain(text) => texts.push(text.as_bytes()),
+            Text::Parts(parts) => texts.extend(parts.iter().filter_map(Part::text)),
         }
     }
 }
 
 impl Part {
-    fn len(&self) -> usize {
+    fn text(&self) -> Option<&[u8]> {
         match self {
-            Part::Plain(text) | Part::Typed { text } => text.len(),
-            Part::Other(IgnoredAny) => 0,
+            Part::Plain(text) | Part::Typed { text } => Some(text.as_bytes()),
+            Part::Other(IgnoredAny) => None,
         }
     }
 }
 
+/// The texts of a prompt, in order.
+type Texts<'a> = SmallVec<[&'a [u8]; 4]>;
+
+impl Completion {
+    fn texts(&self) -> Texts<'_> {
+        let mut texts = Texts::new();
+        let messages = self.messages.iter().flatten();
+        let contents = messages.filter_map(|message| message.content.as_ref());
+        contents.for_each(|content| content.collect(&mut texts));
+        if self.messages.is_none()
+            && let Some(prompt) = &self.prompt
+        {
+            prompt.collect(&mut texts);
+        }
+        texts
+    }
+}
+
+/// The work that a request is expected to be.
+struct Work {
+    prompt: Tokens,
+    output: Tokens,
+    prefixes: SmallVec<[u64; 8]>,
+}
+
 /// The caller, as its key and its words name it.
 struct Party<'a> {
     organisation: &'a Organisation,
@@ -145,20 +173,10 @@
         )
     })?;
     let pool = pool(index, party.contract, &completion.model, PoolKind::Model)?;
-    let (prompt, field) = match (&completion.messages, &completion.prompt) {
-        (Some(messages), _) => (
-            messages
-                .iter()
-                .filter_map(|m| m.content.as_ref())
-                .map(Text::len)
-                .sum(),
-            "messages",
-        ),
-        (None, Some(prompt)) => (prompt.len(), "prompt"),
-        (None, None) => (0, "messages"),
-    };
-    if prompt == 0 {
-        let message = format_smolstr!("`{field}` is empty or missing; send the text to complete");
+    let texts = completion.texts();
+    let len: usize = texts.iter().map(|text| text.len()).sum();
+    if len == 0 {
+        let message = "`messages` or `prompt` is empty or missing; send the text to complete";
         return Err(BadRequest::new("invalid_body", message));
     }
     let output = match completion.max_tokens {
@@ -171,8 +189,12 @@
         Some(max) => Tokens(max.min(party.class.expected_output.0)),
         None => party.class.expected_output,
     };
-    let prompt = Tokens((prompt as u64).div_ceil(BYTES_PER_TOKEN));
-    job(&party, pool, req, req.uri().path(), prompt, output, body)
+    let work = Work {
+        prompt: Tokens((len as u64).div_ceil(BYTES_PER_TOKEN)),
+        output,
+        prefixes: prefix::digests(texts),
+    };
+    job(&party, pool, req, req.uri().path(), work, body)
 }
 
 /// Builds the job of a plain service's call.
@@ -194,8 +216,12 @@
         Some(query) => format!("/{tail}?{query}"),
         None => format!("/{tail}"),
     };
-    let work = Tokens(1);
-    job(&party, pool, req, &path, work, work, body)
+    let work = Work {
+        prompt: Tokens(1),
+        output: Tokens(1),
+        prefixes: SmallVec::new(),
+    };
+    job(&party, pool, req, &path, work, body)
 }
 
 /// Lists the models that the caller may use.
@@ -285,8 +311,7 @@
     pool: &Pool,
     req: &HttpRequest,
     path: &str,
-    prompt: Tokens,
-    output: Tokens,
+    work: Work,
     body: Bytes,
 ) -> Result<Job> {
     let now = clock::now();
@@ -302,11 +327,12 @@
         key,
         deadline: now.after(remaining),
         received: now,
-        prompt,
-        output,
-        prefixes: Default::default(),
+        prompt: work.prompt,
+        output: work.output,
+        prefixes: work.prefixes,
         weight: party.contract.limits.weight.unwrap_or(1),
-        fingerprint: fingerprint(organisation.as_str(), pool.name.as_str(), &body),
+        fingerprint: quarantine::fingerprint(&organisation, &pool.name, &body),
+        limits: party.contract.limits.clone(),
         organisation,
         method: req.method().as_str().into(),
         path: path.into(),
@@ -315,13 +341,6 @@
     })
 }
 
-fn fingerprint(organisation: &str, pool: &str, body: &[u8]) -> u64 {
-    let head = Digest::of(&[organisation.as_bytes(), b"\0", pool.as_bytes(), b"\0", body].concat());
-    let mut first = [0; 8];
-    first.copy_from_slice(&head.0[..8]);
-    u64::from_le_bytes(first)
-}
-
 fn timeout(req: &HttpRequest) -> Result<Option<Millis>> {
     let Some(text) = text_header(req, "request-timeout")? else {
         return Ok(None);
--- a/crates/sesamehaven-daemons/src/lib.rs
+++ b/crates/sesamehaven-daemons/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod feed;
 mod feed_shelf;
 pub mod front;
+pub mod gossip;
 pub mod header;
 pub mod intake;
 pub mod logs;
--- a/crates/sesamehaven-daemons/src/run.rs
+++ b/crates/sesamehaven-daemons/src/run.rs
@@ -57,6 +57,8 @@
     pub kind: PoolKind,
     /// The digest of the idempotency key.
     pub key: Option<KeyDigest>,
+    /// The digest of the content, by which crashing requests are known.
+    pub fingerprint: u64,
     /// Whether an abandoned call has to run to its end all the same.
     pub runs_on: bool,
     /// What will be sent, until it is dispatched.
@@ -89,6 +91,7 @@
             endpoint: offer.endpoint.clone(),
             kind,
             key: offer.key,
+            fingerprint: offer.fingerprint,
             runs_on: false,
             offer: Some(offer),
             cancel: None,
--- a/crates/sesamehaven-wire/src/message.rs
+++ b/crates/sesamehaven-wire/src/message.rs
@@ -13,6 +13,7 @@
     OrganisationName, PoolName, RequestId,
 };
 use sesamehaven::outcome::Refused;
+use sesamehaven::quarantine::Notice;
 use sesamehaven::unit::{Millis, Tokens};
 
 /// The version of the protocol that this build speaks.
@@ -91,6 +92,8 @@
         /// Some of the parts that the head names, as they are stored.
         parts: Vec<Bytes>,
     },
+    /// Tells of requests that were near crashes of endpoints.
+    Notices(Vec<Notice>),
 }
 
 /// What an entry says to an agent about a request.
--- a/crates/sesamehaven/src/flight.rs
+++ b/crates/sesamehaven/src/flight.rs
@@ -73,6 +73,9 @@
     Route,
     /// Ask the home of the key for the dispatch at this place.
     Claim(P),
+    /// Choose a place for running an idempotent call again, if the retry budget
+    /// allows it; report as for [`Step::Route`].
+    Rerun,
     /// Tell the home of the key that nothing was dispatched.
     Release,
     /// Offer the request.
@@ -174,6 +177,8 @@
     offers: u32,
     claimed: bool,
     head_told: bool,
+    /// Why an earlier run of an idempotent call may have taken place.
+    earlier_run: Option<Doubt>,
     /// When the current wait for an agent's word ends.
     patience: Option<Instant>,
 }
@@ -187,6 +192,7 @@
             offers: 0,
             claimed: false,
             head_told: false,
+            earlier_run: None,
             patience: None,
         }
     }
@@ -392,10 +398,13 @@
     /// Ends or repeats a request whose run nobody can tell about.
     fn lost(&mut self, doubt: Doubt) -> Steps<P> {
         let repeatable = self.terms.repeat == Repeat::Idempotent;
-        if repeatable && !self.head_told && self.offers < OFFERS_MAX {
-            return self.reroute();
+        if !repeatable || self.head_told || self.earlier_run.is_some() {
+            return self.unknown(doubt);
         }
-        self.unknown(doubt)
+        self.earlier_run = Some(doubt);
+        self.phase = Phase::Routing;
+        self.patience = None;
+        smallvec![Step::Rerun]
     }
 
     fn reroute(&mut self) -> Steps<P> {
@@ -405,6 +414,9 @@
     }
 
     fn not_run(&mut self, refused: Refused) -> Steps<P> {
+        if let Some(doubt) = self.earlier_run {
+            return self.unknown(doubt);
+        }
         self.phase = Phase::Done;
         if self.claimed {
             return smallvec![Step::Release, Step::NotRun(refused)];
--- a/crates/sesamehaven/src/prefix.rs
+++ b/crates/sesamehaven/src/prefix.rs
@@ -4,11 +4,47 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use smallvec::SmallVec;
+
 use crate::id::EndpointName;
 
 /// The prefixes that are remembered of each endpoint.
 const REMEMBERED: usize = 2_048;
 
+/// The length of the shortest prefix that is digested, in bytes.
+const SHORTEST_BYTES: usize = 512;
+/// The prefixes that are digested of one prompt, each twice as long as the one before.
+const DIGESTS_MAX: usize = 8;
+
+/// Digests the prefixes of a prompt, the shortest first.
+///
+/// The lengths do not depend on the prompt, so that two prompts have in common
+/// the digests of what they share. The text is taken in parts, as it stands in
+/// the request.
+pub fn digests<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> SmallVec<[u64; DIGESTS_MAX]> {
+    let mut digests = SmallVec::new();
+    let mut hasher = blake3::Hasher::new();
+    let mut end = SHORTEST_BYTES;
+    let mut taken = 0;
+    for mut part in parts {
+        while taken + part.len() >= end && digests.len() < DIGESTS_MAX {
+            let (head, rest) = part.split_at(end - taken);
+            hasher.update(head);
+            let digest = hasher.finalize().as_bytes().first_chunk().copied();
+            digests.push(u64::from_le_bytes(digest.unwrap_or_default()));
+            taken = end;
+            end *= 2;
+            part = rest;
+        }
+        if digests.len() == DIGESTS_MAX {
+            break;
+        }
+        hasher.update(part);
+        taken += part.len();
+    }
+    digests
+}
+
 /// Knowledge of the prompt prefixes that endpoints hold.
 ///
 /// Prefixes are digests of the start of a prompt, the shortest first, each
