--- a/crates/sesamehaven-daemons/src/agent_main.rs
+++ b/crates/sesamehaven-daemons/src/agent_main.rs
@@ -28,6 +28,7 @@
 use crate::peer;
 use crate::platform::{PLATFORM_TIMEOUT, Platform, Vm, VmState};
 use crate::ports::Ports;
+use crate::reload;
 use crate::settings::AgentSettings;
 
 /// How often the platform's list of VMs is read.
@@ -46,6 +47,7 @@
 
 async fn serve(settings: Arc<AgentSettings>) -> io::Result<()> {
     logs::init(&settings.log).map_err(io::Error::other)?;
+    reload::on_hangup::<AgentSettings>(&settings.file)?;
     let status = Status::new("no configuration yet");
     let recorder = admin::install_recorder()?;
     let listener = TcpListener::bind(settings.link).await?;
@@ -53,13 +55,14 @@
     let (admin_addr, admin_server) = admin::serve(settings.admin, status.clone(), recorder)?;
     actix_rt::spawn(admin_server);
 
-    let links_cfg = peer::link_config(
+    let mut links_cfg = peer::link_config(
         Role::Agent,
         &settings.name,
         &settings.data_centre,
         clock::incarnation(),
         settings.link_key,
     );
+    settings.links.apply(&mut links_cfg);
     let platform = Platform::new(settings.platform, PLATFORM_TIMEOUT);
     let (reports, reports_rx) = mpsc::channel(REPORTS_QUEUED);
     let sender = ReportSender::bind(local_udp(bound), links_cfg.psk.as_ref())
--- a/crates/sesamehaven-daemons/src/entry_main.rs
+++ b/crates/sesamehaven-daemons/src/entry_main.rs
@@ -25,6 +25,7 @@
 use crate::peer;
 use crate::platform::{PLATFORM_TIMEOUT, Platform};
 use crate::ports::Ports;
+use crate::reload;
 use crate::settings::EntrySettings;
 
 /// Runs an entry until it has been told to stop and is drained.
@@ -38,6 +39,7 @@
 
 async fn serve(settings: Arc<EntrySettings>) -> io::Result<()> {
     logs::init(&settings.log).map_err(io::Error::other)?;
+    reload::on_hangup::<EntrySettings>(&settings.file)?;
     let status = Status::new("no configuration yet");
     let recorder = admin::install_recorder()?;
     let listener = TcpListener::bind(settings.listen)?;
@@ -46,13 +48,14 @@
     actix_rt::spawn(admin_server);
 
     let incarnation = clock::incarnation();
-    let links_cfg = peer::link_config(
+    let mut links_cfg = peer::link_config(
         Role::Entry,
         &settings.name,
         &settings.data_centre,
         incarnation,
         settings.link_key,
     );
+    settings.links.apply(&mut links_cfg);
     let reports = ReportReceiver::bind(settings.reports, links_cfg.psk.as_ref())
         .await
         .map_err(io::Error::other)?;
