--- a/crates/sesamehaven-daemons/src/entry_main.rs
+++ b/crates/sesamehaven-daemons/src/entry_main.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 
-use actix::{Actor, Addr};
+use actix::{Actor, Addr, AsyncContext};
+use futures_util::stream;
 use metrics::counter;
 use spdlog::info;
 
@@ -19,10 +20,12 @@
 use crate::entry::{Entry, InFlight, Leave, Reconfigure, Reported};
 use crate::feed::{Feed, FeedConfig};
 use crate::front::{self, Front};
+use crate::gossip;
 use crate::logs;
 use crate::peer;
 use crate::platform::{PLATFORM_TIMEOUT, Platform};
 use crate::ports::Ports;
+use crate::reload;
 use crate::settings::EntrySettings;
 
 /// Runs an entry until it has been told to stop and is drained.
@@ -36,6 +39,7 @@
 
 async fn serve(settings: Arc<EntrySettings>) -> io::Result<()> {
     logs::init(&settings.log).map_err(io::Error::other)?;
+    reload::on_hangup::<EntrySettings>(&settings.file)?;
     let status = Status::new("no configuration yet");
     let recorder = admin::install_recorder()?;
     let listener = TcpListener::bind(settings.listen)?;
@@ -44,24 +48,34 @@
     actix_rt::spawn(admin_server);
 
     let incarnation = clock::incarnation();
-    let links_cfg = peer::link_config(
+    let mut links_cfg = peer::link_config(
         Role::Entry,
         &settings.name,
         &settings.data_centre,
         incarnation,
         settings.link_key,
     );
+    settings.links.apply(&mut links_cfg);
     let reports = ReportReceiver::bind(settings.reports, links_cfg.psk.as_ref())
         .await
         .map_err(io::Error::other)?;
     let udp = reports.local_addr().map_err(io::Error::other)?;
-    let entry = Entry::new(Arc::clone(&settings), links_cfg, status).start();
-    actix_rt::spawn(receive_reports(reports, entry.clone()));
-    let index = Feed::spawn(FeedConfig {
-        me: settings.name.clone(),
-        platform: Platform::new(settings.platform, PLATFORM_TIMEOUT),
-        policy: Policy::default(),
+    let (gossip, peers) = gossip::channel();
+    let entry = Entry::new(Arc::clone(&settings), links_cfg, status, gossip.tx);
+    let entry = Entry::create(|cx| {
+        let mut rx = gossip.rx;
+        cx.add_stream(stream::poll_fn(move |cx| rx.poll_recv(cx)));
+        entry
     });
+    actix_rt::spawn(receive_reports(reports, entry.clone()));
+    let index = Feed::spawn_with_peers(
+        FeedConfig {
+            me: settings.name.clone(),
+            platform: Platform::new(settings.platform, PLATFORM_TIMEOUT),
+            policy: Policy::default(),
+        },
+        peers,
+    );
     let mut changes = index.clone();
     let follower = entry.clone();
     actix_rt::spawn(async move {
@@ -80,7 +94,7 @@
         salt: rand::random(),
         count: AtomicU32::new(0),
     };
-    let server = front::serve(listener, Arc::new(front))?;
+    let server = front::serve(listener, Arc::new(front), settings.drain.longest)?;
     let handle = server.handle();
     actix_rt::spawn(server);
     let ports = Ports {
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -9,6 +9,10 @@
 //! [`docs/ARCHITECTURE.md`](../../../docs/ARCHITECTURE.md).
 
 pub mod answer;
+pub mod backoff;
+pub mod bloom;
+pub mod burn;
+pub mod cache_view;
 pub mod check;
 mod check_grants;
 pub mod config;
@@ -22,13 +26,17 @@
 pub mod gate;
 pub mod id;
 pub mod limit;
+mod lru;
 pub mod offer;
 pub mod outcome;
 pub mod parts;
 pub mod plan;
 pub mod prefix;
+pub mod quarantine;
 pub mod queue;
+pub mod quota;
 mod replica;
+pub mod retry;
 pub mod route;
 pub mod running;
 pub mod tier;
