Let entries watch, and agents as long as they hear from too few entries

Cause: watchers were elected by rendezvous hashing over the configured daemons of a data centre. Ruled out: an election over the peers that are heard from, since links run between entries and agents only, so that about 2a/(e+1) of a agents beside e entries would outrank the second-best entry in their own view and watch. Conclusion: calls grow with the entries, which are few, and nobody waits for a process that is gone. The longest pause after failures is 2 s, so that the end of an outage is noticed in time.

--- a/crates/sesamehaven-daemons/src/feed.rs
+++ b/crates/sesamehaven-daemons/src/feed.rs
@@ -5,7 +5,6 @@
 //! daemons join to their links. The rules are described in
 //! [`docs/CONFIGURATION.md`](../../../docs/CONFIGURATION.md).
 
-use std::collections::HashSet;
 use std::pin::Pin;
 use std::sync::Arc;
 
@@ -58,7 +57,6 @@
     assembly: Option<Assembly>,
     version: Version,
     alarmed: Option<Mark>,
-    lost: HashSet<DaemonName>,
     reading: Option<Reading>,
     peers: Option<Peers>,
     tx: watch::Sender<Option<Arc<Index>>>,
@@ -95,7 +93,6 @@
             assembly: None,
             version: Version::ABSENT,
             alarmed: None,
-            lost: HashSet::new(),
             reading: None,
             peers,
             tx,
@@ -111,7 +108,9 @@
 
     async fn run(mut self) {
         while !self.tx.is_closed() {
-            match self.delivery.next(self.now()) {
+            let step = self.delivery.next(self.now());
+            gauge!("config_watcher").set(f64::from(u8::from(self.delivery.is_watcher())));
+            match step {
                 Step::ReadPlatform(read) => self.read_head(read),
                 Step::Fetch(peer) => self.ask(peer),
                 Step::OfferHeld => {
@@ -217,18 +216,12 @@
         match heard {
             None => {
                 self.peers = None;
-                self.elect();
             }
             Some(FromPeer::Generation { peer, generation }) => {
-                if self.lost.remove(&peer) {
-                    self.elect();
-                }
                 self.delivery.hint(peer, generation, now);
             }
             Some(FromPeer::Gone { peer }) => {
                 self.delivery.peer_gone(&peer, now);
-                self.lost.insert(peer);
-                self.elect();
             }
             Some(FromPeer::Asked { peer, generation }) => self.answer(&peer, generation),
             Some(FromPeer::Config { peer, head, parts }) => self.assemble(&peer, head, parts),
@@ -319,23 +312,8 @@
         gauge!("config_generation").set(generation.0 as f64);
         self.held = None;
         self.shelf.replace(candidate);
+        self.delivery.set_watchers(watchers(&index), self.now());
         self.tx.send_replace(Some(index));
-        self.elect();
-    }
-
-    /// Works out whether this process watches the platform for its data centre.
-    fn elect(&mut self) {
-        let watcher = {
-            let index = self.tx.borrow();
-            let Some(index) = index.as_ref() else {
-                return;
-            };
-            let is_lost = |name: &DaemonName| self.lost.contains(name);
-            let elected = watchers(index, &self.cfg.me, self.cfg.policy.watchers, is_lost);
-            self.peers.is_none() || elected.is_empty() || elected.contains(&&self.cfg.me)
-        };
-        gauge!("config_watcher").set(f64::from(u8::from(watcher)));
-        self.delivery.set_watcher(watcher, self.now());
     }
 
     fn alarm(&mut self, verdict: Verdict, mark: Mark, source: &'static str) {
--- a/crates/sesamehaven/src/delivery.rs
+++ b/crates/sesamehaven/src/delivery.rs
@@ -1,16 +1,16 @@
 //! Decides which configuration a process serves and from where it fetches it.
 //!
-//! A few watchers in each data centre watch the platform; they are elected by
-//! [`watchers`](crate::election::watchers), without a message. Everyone
-//! else hears of a new generation from the messages of its peers, fetches from
-//! the peer that is ahead, and polls the platform rarely, in case all watchers
-//! are lost. Whatever the source, a process never serves a generation below
+//! Entries watch the platform. Agents, of which there are many more, hear of a
+//! new generation from the messages of entries, fetch it from the peer that is
+//! ahead, and poll the platform rarely. An agent that does not hear from enough
+//! entries watches as well, so nobody waits for a process that is gone.
+//! Whatever the source, a process never serves a generation below
 //! one that it has served, and does not begin below one that a peer serves.
 //!
 //! The ways that were weighed are in
 //! [`docs/CONFIGURATION.md`](../../../docs/CONFIGURATION.md).
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 use crate::election::rank;
@@ -35,7 +35,7 @@
 /// How eagerly a process looks for a new configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Policy {
-    /// The number of watchers in each data centre.
+    /// How many watchers a process has to hear from not to watch itself.
     pub watchers: usize,
     /// How long a starting process listens to its peers before it serves.
     pub settle: Millis,
@@ -61,9 +61,9 @@
             watch: Millis(30_000),
             poll: Millis(20_000),
             retry: Millis(200),
-            retry_max: Millis(5_000),
+            retry_max: Millis(2_000),
             peer_timeout: Millis(1_000),
-            hint_lifetime: Millis(10_000),
+            hint_lifetime: Millis(5_000),
         }
     }
 }
@@ -149,6 +149,7 @@
     in_force: Option<Mark>,
     held: Option<Mark>,
     watcher: bool,
+    watchers: BTreeSet<DaemonName>,
     platform: Platform,
     failures: u32,
     hints: BTreeMap<DaemonName, Hint>,
@@ -165,6 +166,7 @@
             in_force: None,
             held: None,
             watcher: true,
+            watchers: BTreeSet::new(),
             platform: Platform::Idle {
                 not_before: now,
                 read: Read::Get,
@@ -180,29 +182,15 @@
         self.in_force
     }
 
-    /// Returns whether this process watches the platform for its data centre.
+    /// Returns whether this process watches the platform.
     pub fn is_watcher(&self) -> bool {
         self.watcher
     }
 
-    /// Sets whether this process watches the platform for its data centre.
-    ///
-    /// A process without a configuration always does.
-    pub fn set_watcher(&mut self, watcher: bool, now: Instant) {
-        if watcher == self.watcher {
-            return;
-        }
-        self.watcher = watcher;
-        if let Platform::Idle { .. } = self.platform {
-            let pause = match watcher {
-                true => Millis(0),
-                false => self.spread(self.policy.poll),
-            };
-            self.platform = Platform::Idle {
-                not_before: now.after(pause),
-                read: Read::Get,
-            };
-        }
+    /// Names the processes that watch, as [`watchers`](crate::election::watchers) does.
+    pub fn set_watchers(&mut self, watchers: BTreeSet<DaemonName>, now: Instant) {
+        self.watchers = watchers;
+        self.elect(now);
     }
 
     /// Judges a configuration whose parts are all in hand.
@@ -278,8 +266,7 @@
         self.failures = 0;
         // A watch cannot see a version that went back, so a read follows each
         // watch, and a watch each read.
-        let watches = self.watcher || self.in_force.is_none();
-        let (not_before, read) = match (watches, read) {
+        let (not_before, read) = match (self.watcher, read) {
             (true, Read::Get) => (now, Read::Watch),
             (true, Read::Watch) => (now, Read::Get),
             (false, _) => (now.after(self.spread(self.policy.poll)), Read::Get),
@@ -312,6 +299,7 @@
     /// Decides what to do, and notes that it is being done.
     pub fn next(&mut self, now: Instant) -> Step {
         self.expire(now);
+        self.elect(now);
         if let Some(held) = self.held
             && self.judge(held, now) == Verdict::Serve
         {
@@ -355,6 +343,27 @@
         }
     }
 
+    /// Watches the platform unless enough watchers are heard from.
+    fn elect(&mut self, now: Instant) {
+        let heard = self.hints.keys().filter(|n| self.watchers.contains(*n));
+        let alone = self.watchers.contains(&self.me) || heard.count() < self.policy.watchers;
+        let watcher = alone || self.in_force.is_none();
+        if watcher == self.watcher {
+            return;
+        }
+        self.watcher = watcher;
+        if let Platform::Idle { .. } = self.platform {
+            let pause = match watcher {
+                true => Millis(0),
+                false => self.spread(self.policy.poll),
+            };
+            self.platform = Platform::Idle {
+                not_before: now.after(pause),
+                read: Read::Get,
+            };
+        }
+    }
+
     /// Finds the peer that is furthest ahead, once a starting process has listened.
     fn peer_ahead(&self, now: Instant) -> Option<DaemonName> {
         if self.fetching.is_some() || (self.in_force.is_none() && now < self.settled_at()) {
