--- a/crates/sesamehaven/src/delivery.rs
+++ b/crates/sesamehaven/src/delivery.rs
@@ -59,7 +59,7 @@
             watchers: 2,
             settle: Millis(250),
             watch: Millis(30_000),
-            poll: Millis(20_000),
+            poll: Millis(60_000),
             retry: Millis(200),
             retry_max: Millis(2_000),
             peer_timeout: Millis(1_000),
