Carry 42,000 organisations from the operator's file to a daemon that starts during an outage

Cause: a test at the size that the system has to carry failed first, as the YAML reader's default budget ends at 250,000 nodes, some 31,000 organisations. Reading is now in the builder library, beside printing, with a budget of 4,000,000 nodes.

--- a/crates/sesamehaven-config/src/error.rs
+++ b/crates/sesamehaven-config/src/error.rs
@@ -20,6 +20,10 @@
         Key { remedy: &'static str } {
             display("the API key is not valid: {remedy}")
         }
+        /// The text is not a configuration.
+        Unreadable { message: String } {
+            display("{message}")
+        }
         /// The configuration could not be written as YAML.
         Yaml { message: String } {
             display("the configuration could not be written: {message}")
--- a/crates/sesamehaven-config/src/lib.rs
+++ b/crates/sesamehaven-config/src/lib.rs
@@ -53,6 +53,6 @@
 pub use crate::fleet::{DataCentreBuilder, EndpointBuilder, PoolBuilder};
 pub use crate::grants::{ClassBuilder, ContractBuilder, OrganisationBuilder};
 pub use crate::key::{KEY_MIN_CHARS, digest_key};
-pub use crate::text::{print, to_yaml};
+pub use crate::text::{from_yaml, print, to_yaml};
 pub use sesamehaven::check::Finding;
 pub use sesamehaven::config::{Configuration, Repeat};
--- a/crates/sesamehaven-config/src/text.rs
+++ b/crates/sesamehaven-config/src/text.rs
@@ -1,4 +1,4 @@
-//! Prints a configuration as YAML.
+//! Prints a configuration as YAML, and reads it.
 
 use std::io::{self, Write};
 use std::process::ExitCode;
@@ -8,6 +8,27 @@
 use crate::builder::Builder;
 use crate::error::{Error, Result};
 
+/// The largest configuration that is read, in YAML nodes; an organisation has about eight.
+const NODES_MAX: usize = 4_000_000;
+
+/// Reads a configuration, which is not checked yet.
+///
+/// # Errors
+///
+/// Fails when the text is not YAML of this form; the message names the line.
+pub fn from_yaml(text: &str) -> Result<Configuration> {
+    let options = serde_saphyr::options! {
+        budget: serde_saphyr::budget! {
+            max_nodes: NODES_MAX,
+            max_events: 4 * NODES_MAX,
+            max_total_scalar_bytes: usize::MAX,
+        },
+    };
+    serde_saphyr::from_str_with_options(text, options).map_err(|err| Error::Unreadable {
+        message: err.to_string(),
+    })
+}
+
 /// Writes a configuration as YAML, the same text for the same configuration.
 ///
 /// # Errors
--- a/crates/sesamehaven-config/tests/builder.rs
+++ b/crates/sesamehaven-config/tests/builder.rs
@@ -6,7 +6,7 @@
 
 use rstest::rstest;
 
-use sesamehaven_config::{Builder, Configuration, Repeat, digest_key, to_yaml};
+use sesamehaven_config::{Builder, Configuration, Repeat, digest_key, from_yaml, to_yaml};
 
 #[allow(dead_code, unreachable_pub)]
 #[path = "../examples/roegvagt.rs"]
@@ -30,7 +30,7 @@
         "print the example again"
     );
 
-    let read: Configuration = serde_saphyr::from_str(&text).unwrap();
+    let read: Configuration = from_yaml(&text).unwrap();
     assert_eq!(read, configuration);
     assert_eq!(read.data_centres.len(), 3);
     assert_eq!(read.organisations.len(), 5);
--- a/crates/sesamehaven-daemons/src/ctl.rs
+++ b/crates/sesamehaven-daemons/src/ctl.rs
@@ -16,7 +16,7 @@
 use sesamehaven::config::Configuration;
 use sesamehaven::id::Generation;
 use sesamehaven::parts;
-use sesamehaven_config::digest_key;
+use sesamehaven_config::{digest_key, from_yaml};
 
 use crate::ctl_apply;
 use crate::ctl_history;
@@ -215,7 +215,7 @@
         path: path.into(),
         err,
     })?;
-    let read = serde_saphyr::from_str(&text);
+    let read = from_yaml(&text);
     let configuration = read.map_err(|err| Error::Invalid {
         path: path.into(),
         message: err.to_string(),
--- a/crates/sesamehaven-daemons/src/feed.rs
+++ b/crates/sesamehaven-daemons/src/feed.rs
@@ -53,7 +53,7 @@
     started: time::Instant,
     delivery: Delivery,
     shelf: Shelf,
-    held: Option<Candidate>,
+    held: Option<(Candidate, &'static str)>,
     assembly: Option<Assembly>,
     version: Version,
     alarmed: Option<Mark>,
@@ -114,8 +114,8 @@
                 Step::ReadPlatform(read) => self.read_head(read),
                 Step::Fetch(peer) => self.ask(peer),
                 Step::OfferHeld => {
-                    if let Some(candidate) = self.held.take() {
-                        self.offer(candidate, "held");
+                    if let Some((candidate, source)) = self.held.take() {
+                        self.offer(candidate, source);
                     }
                 }
                 Step::Wait(until) => self.wait(until).await,
@@ -180,7 +180,7 @@
             self.alarm(verdict, mark_of(&head), "platform");
             return self.delivery.platform_answered(read, now);
         }
-        let held = self.held.as_ref().map(Candidate::mark);
+        let held = self.held.as_ref().map(|(c, _)| c.mark());
         if held == Some(mark_of(&head)) {
             return self.delivery.platform_answered(read, now);
         }
@@ -291,15 +291,15 @@
         };
         match self.delivery.offer(mark, now) {
             Verdict::Serve => self.serve(candidate, index, source),
-            Verdict::Hold => self.hold(candidate),
+            Verdict::Hold => self.hold(candidate, source),
             verdict => self.alarm(verdict, mark, source),
         }
     }
 
-    fn hold(&mut self, candidate: Candidate) {
-        let best = self.held.as_ref().map(|c| c.head.generation);
+    fn hold(&mut self, candidate: Candidate, source: &'static str) {
+        let best = self.held.as_ref().map(|(c, _)| c.head.generation);
         if best.is_none_or(|g| g < candidate.head.generation) {
-            self.held = Some(candidate);
+            self.held = Some((candidate, source));
         }
     }
 
--- a/crates/sesamehaven-system-tests/tests/operators.rs
+++ b/crates/sesamehaven-system-tests/tests/operators.rs
@@ -109,6 +109,17 @@
         counts["put"].as_u64().unwrap_or(0)
     }
 
+    async fn serves(&self, daemon: &str, generation: u64) {
+        let admin = self.fleet.daemon(daemon).admin();
+        let what = format!("{daemon} to serve generation {generation}");
+        wait::until(&what, async || {
+            let status: Value = self.fleet.http.get_json(admin, "/status").await.ok()?;
+            (status["generation"] == generation).then_some(())
+        })
+        .await
+        .unwrap();
+    }
+
     async fn history(&mut self) -> Value {
         let ended = self.run(&["history", "--json", "--last", "1000"]).await;
         ended.json()["generations"].clone()
@@ -282,3 +293,35 @@
     operators.fault(json!({ "down": false })).await;
     assert_eq!(operators.history().await, json!([]));
 }
+
+/// The size that the system has to carry: parts stay small, a change moves one, and peers pass all on.
+#[actix_rt::test]
+async fn forty_two_thousand_organisations_reach_a_daemon_that_starts_during_an_outage() {
+    let mut operators = Operators::new().await;
+    let mut configuration = operators.fleet.configuration.clone();
+    let organisation = |i: u32| sample::organisation(&format!("org-{i:05}"), &format!("key {i}"));
+    configuration
+        .organisations
+        .extend((0..42_000).map(organisation));
+    let file = operators.write("many", &configuration);
+    let args = apply_args(&file, 0);
+    let applied = operators
+        .run(&args.iter().map(String::as_str).collect::<Vec<_>>())
+        .await;
+    assert_eq!(applied.code, 0, "{}", applied.text);
+    operators.fleet.start_entry("entry-1", "").await.unwrap();
+    operators.fleet.start_agent("agent-1", "").await.unwrap();
+    operators.fleet.serving("entry-1", 1).await.unwrap();
+
+    configuration.organisations[17].key_digests = sample::organisation("o", "new").key_digests;
+    let file = operators.write("many", &configuration);
+    let args = apply_args(&file, 1);
+    let applied = operators
+        .run(&args.iter().map(String::as_str).collect::<Vec<_>>())
+        .await;
+    assert_eq!(applied.json()["parts_written"], 1, "{}", applied.text);
+    operators.serves("agent-1", 2).await;
+    operators.fault(json!({ "down": true })).await;
+    operators.fleet.restart("agent-1").await.unwrap();
+    operators.serves("agent-1", 2).await;
+}
