--- a/crates/sesamehaven-daemons/src/agent_main.rs
+++ b/crates/sesamehaven-daemons/src/agent_main.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 
 use sesamehaven::delivery::Policy;
+use sesamehaven::parts::Scope;
 use sesamehaven_wire::link::{self, LinkConfig};
 use sesamehaven_wire::message::{Report, Role};
 use sesamehaven_wire::report::ReportSender;
@@ -96,6 +97,7 @@
         me: settings.name.clone(),
         platform,
         policy: Policy::default(),
+        scope: Scope::Core,
     };
     actix_rt::spawn(follow_configuration(feed, peers, agent.clone()));
     let ports = Ports {
--- a/crates/sesamehaven-daemons/src/entry_main.rs
+++ b/crates/sesamehaven-daemons/src/entry_main.rs
@@ -11,6 +11,7 @@
 use spdlog::info;
 
 use sesamehaven::delivery::Policy;
+use sesamehaven::parts::Scope;
 use sesamehaven_wire::message::Role;
 use sesamehaven_wire::report::ReportReceiver;
 
@@ -73,6 +74,7 @@
             me: settings.name.clone(),
             platform: Platform::new(settings.platform, PLATFORM_TIMEOUT),
             policy: Policy::default(),
+            scope: Scope::Whole,
         },
         peers,
     );
--- a/crates/sesamehaven-daemons/src/feed.rs
+++ b/crates/sesamehaven-daemons/src/feed.rs
@@ -17,7 +17,7 @@
 use sesamehaven::delivery::{Delivery, Mark, Policy, Read, Step, Verdict};
 use sesamehaven::election::watchers;
 use sesamehaven::id::{DaemonName, Generation};
-use sesamehaven::parts::{self, Head};
+use sesamehaven::parts::{self, Head, Scope};
 use sesamehaven::unit::{Instant, Millis};
 
 use crate::feed_peer::{Assembled, Assembly};
@@ -37,6 +37,8 @@
     pub platform: Platform,
     /// How eagerly to look for a new one.
     pub policy: Policy,
+    /// How much of it this daemon needs; peers get all of it whatever this says.
+    pub scope: Scope,
 }
 
 type Reading = Pin<Box<dyn Future<Output = Done>>>;
@@ -282,7 +284,7 @@
             return self.alarm(verdict, mark, source);
         }
         let parts = candidate.parts.iter().map(Bytes::as_ref);
-        let index = match parts::index(&candidate.head, parts) {
+        let index = match parts::index(&candidate.head, self.cfg.scope, parts) {
             Ok(index) => index,
             Err(err) => {
                 spdlog::error!("configuration {mark} cannot be read: {err}");
--- a/crates/sesamehaven-daemons/src/feed_read.rs
+++ b/crates/sesamehaven-daemons/src/feed_read.rs
@@ -33,7 +33,8 @@
     let read = platform.get(&part_path(digest)).await;
     let object = read.map_err(|_| "part_unread")?.ok_or("part_missing")?;
     match parts::verify(digest, &object.value) {
-        Ok(()) => Ok(object.value),
+        // A body that was gathered holds more memory than it fills.
+        Ok(()) => Ok(Bytes::copy_from_slice(&object.value)),
         Err(_) => Err("digest_mismatch"),
     }
 }
--- a/crates/sesamehaven-system-tests/tests/delivery.rs
+++ b/crates/sesamehaven-system-tests/tests/delivery.rs
@@ -15,6 +15,7 @@
 use sesamehaven::config::Index;
 use sesamehaven::delivery::Policy;
 use sesamehaven::id::{DaemonName, Generation};
+use sesamehaven::parts::Scope;
 use sesamehaven::unit::Millis;
 use sesamehaven_daemons::feed::{Feed, FeedConfig, FromPeer, Peers, ToPeer};
 use sesamehaven_daemons::platform::Platform;
@@ -175,6 +176,7 @@
                 poll: Millis(600_000),
                 ..Policy::default()
             },
+            scope: Scope::Whole,
         };
         let peers = Peers {
             rx: from_rx,
--- a/crates/sesamehaven/src/parts.rs
+++ b/crates/sesamehaven/src/parts.rs
@@ -10,6 +10,7 @@
 //! The layout of the objects is in [`docs/CONFIGURATION.md`](../../../docs/CONFIGURATION.md).
 
 use std::fmt::Write;
+use std::sync::Arc;
 
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
@@ -281,6 +282,15 @@
     Ok(joined)
 }
 
+/// How much of a configuration a process looks things up in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Scope {
+    /// All of it, as entries do.
+    Whole,
+    /// Everything but the organisations, as agents do to save memory.
+    Core,
+}
+
 /// Checks parts against their head and arranges them for look-ups.
 ///
 /// # Errors
@@ -288,8 +298,9 @@
 /// Fails when a part is missing, does not match its digest or is malformed.
 pub fn index<'a>(
     head: &Head,
+    scope: Scope,
     parts: impl IntoIterator<Item = &'a [u8]>,
-) -> Result<std::sync::Arc<Index>> {
+) -> Result<Arc<Index>> {
     let parts: Vec<&[u8]> = parts.into_iter().collect();
     if parts.len() != head.parts.len() {
         return Err(Error::Count {
@@ -300,7 +311,14 @@
     for (expected, bytes) in head.parts.iter().zip(&parts) {
         verify(*expected, bytes)?;
     }
-    Ok(Index::new(head.generation, join(parts)?))
+    let joined = match scope {
+        Scope::Whole => join(parts)?,
+        Scope::Core => Configuration {
+            organisations: Vec::new(),
+            ..join(parts.into_iter().take(1))?
+        },
+    };
+    Ok(Index::new(head.generation, joined))
 }
 
 /// Checks the bytes of one part against the digest that names it.
--- a/crates/sesamehaven/tests/parts.rs
+++ b/crates/sesamehaven/tests/parts.rs
@@ -9,7 +9,7 @@
 use sesamehaven::config::{Configuration, Organisation};
 use sesamehaven::id::{Digest, Generation};
 use sesamehaven::parts::{
-    Error, Head, PART_MAX_BYTES, PART_SPLIT_BYTES, Part, digest_of, index, join, split,
+    Error, Head, PART_MAX_BYTES, PART_SPLIT_BYTES, Part, Scope, digest_of, index, join, split,
 };
 
 fn organisation(i: usize) -> Organisation {
@@ -91,19 +91,36 @@
     let whole = serde_json::to_vec(&configuration).unwrap();
     let part = Part::new(whole);
     let head = head(std::slice::from_ref(&part));
-    let index = index(&head, [part.bytes.as_slice()]).unwrap();
+    let index = index(&head, Scope::Whole, [part.bytes.as_slice()]).unwrap();
     assert_eq!(index.configuration, configuration);
     assert_eq!(index.generation, Generation(3));
     assert!(index.organisation_by_key("key 4").is_some());
 }
 
+#[test]
+fn the_core_is_everything_but_the_organisations() {
+    let configuration = of(1_000);
+    let parts = split(&configuration).unwrap();
+    let bytes = parts.iter().map(|p| p.bytes.as_slice());
+    let core = index(&head(&parts), Scope::Core, bytes).unwrap();
+    let expected = Configuration {
+        organisations: Vec::new(),
+        ..configuration
+    };
+    assert_eq!(core.configuration, expected);
+}
+
 #[test]
 fn what_contradicts_a_digest_is_refused() {
     let parts = split(&of(3)).unwrap();
     let good = head(&parts);
     let swapped = parts.iter().rev().map(|p| p.bytes.as_slice());
-    assert!(index(&good, swapped).unwrap_err().is_mismatch());
-    let missing = index(&good, [parts[0].bytes.as_slice()]).unwrap_err();
+    assert!(
+        index(&good, Scope::Whole, swapped)
+            .unwrap_err()
+            .is_mismatch()
+    );
+    let missing = index(&good, Scope::Whole, [parts[0].bytes.as_slice()]).unwrap_err();
     assert!(
         matches!(
             missing,
