--- a/crates/sesamehaven/src/delivery.rs
+++ b/crates/sesamehaven/src/delivery.rs
@@ -1,19 +1,19 @@
 //! Decides which configuration a process serves and from where it fetches it.
 //!
-//! A few watchers in each data centre watch the platform; they are elected by
-//! rendezvous hashing over the configured daemons, without a message. Everyone
-//! else hears of a new generation from the messages of its peers, fetches from
-//! the peer that is ahead, and polls the platform rarely, in case all watchers
-//! are lost. Whatever the source, a process never serves a generation below
+//! Entries watch the platform. Agents, of which there are many more, hear of a
+//! new generation from the messages of entries, fetch it from the peer that is
+//! ahead, and poll the platform rarely. An agent that does not hear from enough
+//! entries watches as well, so nobody waits for a process that is gone.
+//! Whatever the source, a process never serves a generation below
 //! one that it has served, and does not begin below one that a peer serves.
 //!
 //! The ways that were weighed are in
 //! [`docs/CONFIGURATION.md`](../../../docs/CONFIGURATION.md).
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
-use crate::config::Index;
+use crate::election::rank;
 use crate::id::{DaemonName, Digest, Generation};
 use crate::unit::{Instant, Millis};
 
@@ -35,7 +35,7 @@
 /// How eagerly a process looks for a new configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Policy {
-    /// The number of watchers in each data centre.
+    /// How many watchers a process has to hear from not to watch itself.
     pub watchers: usize,
     /// How long a starting process listens to its peers before it serves.
     pub settle: Millis,
@@ -59,11 +59,11 @@
             watchers: 2,
             settle: Millis(250),
             watch: Millis(30_000),
-            poll: Millis(20_000),
+            poll: Millis(60_000),
             retry: Millis(200),
-            retry_max: Millis(5_000),
+            retry_max: Millis(2_000),
             peer_timeout: Millis(1_000),
-            hint_lifetime: Millis(10_000),
+            hint_lifetime: Millis(5_000),
         }
     }
 }
@@ -149,6 +149,7 @@
     in_force: Option<Mark>,
     held: Option<Mark>,
     watcher: bool,
+    watchers: BTreeSet<DaemonName>,
     platform: Platform,
     failures: u32,
     hints: BTreeMap<DaemonName, Hint>,
@@ -165,6 +166,7 @@
             in_force: None,
             held: None,
             watcher: true,
+            watchers: BTreeSet::new(),
             platform: Platform::Idle {
                 not_before: now,
                 read: Read::Get,
@@ -180,29 +182,15 @@
         self.in_force
     }
 
-    /// Returns whether this process watches the platform for its data centre.
+    /// Returns whether this process watches the platform.
     pub fn is_watcher(&self) -> bool {
         self.watcher
     }
 
-    /// Sets whether this process watches the platform for its data centre.
-    ///
-    /// A process without a configuration always does.
-    pub fn set_watcher(&mut self, watcher: bool, now: Instant) {
-        if watcher == self.watcher {
-            return;
-        }
-        self.watcher = watcher;
-        if let Platform::Idle { .. } = self.platform {
-            let pause = match watcher {
-                true => Millis(0),
-                false => self.spread(self.policy.poll),
-            };
-            self.platform = Platform::Idle {
-                not_before: now.after(pause),
-                read: Read::Get,
-            };
-        }
+    /// Names the processes that watch, as [`watchers`](crate::election::watchers) does.
+    pub fn set_watchers(&mut self, watchers: BTreeSet<DaemonName>, now: Instant) {
+        self.watchers = watchers;
+        self.elect(now);
     }
 
     /// Judges a configuration whose parts are all in hand.
@@ -278,8 +266,7 @@
         self.failures = 0;
         // A watch cannot see a version that went back, so a read follows each
         // watch, and a watch each read.
-        let watches = self.watcher || self.in_force.is_none();
-        let (not_before, read) = match (watches, read) {
+        let (not_before, read) = match (self.watcher, read) {
             (true, Read::Get) => (now, Read::Watch),
             (true, Read::Watch) => (now, Read::Get),
             (false, _) => (now.after(self.spread(self.policy.poll)), Read::Get),
@@ -312,6 +299,7 @@
     /// Decides what to do, and notes that it is being done.
     pub fn next(&mut self, now: Instant) -> Step {
         self.expire(now);
+        self.elect(now);
         if let Some(held) = self.held
             && self.judge(held, now) == Verdict::Serve
         {
@@ -355,6 +343,27 @@
         }
     }
 
+    /// Watches the platform unless enough watchers are heard from.
+    fn elect(&mut self, now: Instant) {
+        let heard = self.hints.keys().filter(|n| self.watchers.contains(*n));
+        let alone = self.watchers.contains(&self.me) || heard.count() < self.policy.watchers;
+        let watcher = alone || self.in_force.is_none();
+        if watcher == self.watcher {
+            return;
+        }
+        self.watcher = watcher;
+        if let Platform::Idle { .. } = self.platform {
+            let pause = match watcher {
+                true => Millis(0),
+                false => self.spread(self.policy.poll),
+            };
+            self.platform = Platform::Idle {
+                not_before: now.after(pause),
+                read: Read::Get,
+            };
+        }
+    }
+
     /// Finds the peer that is furthest ahead, once a starting process has listened.
     fn peer_ahead(&self, now: Instant) -> Option<DaemonName> {
         if self.fetching.is_some() || (self.in_force.is_none() && now < self.settled_at()) {
@@ -396,35 +405,3 @@
         Millis(pause.0 + rank(&self.me, &self.me) % quarter)
     }
 }
-
-/// Elects the watchers of a daemon's data centre, without a message.
-///
-/// Every process that serves the same configuration elects the same ones.
-/// `is_lost` names daemons that are known to be gone, so that the next in rank
-/// takes over; processes that differ in it elect a watcher too many for a while,
-/// which costs a call and nothing else.
-pub fn watchers<'a>(
-    index: &'a Index,
-    me: &DaemonName,
-    count: usize,
-    is_lost: impl Fn(&DaemonName) -> bool,
-) -> Vec<&'a DaemonName> {
-    let c = &index.configuration;
-    let daemons = || c.entries.iter().chain(&c.agents);
-    let Some(mine) = daemons().find(|d| d.name == *me) else {
-        return Vec::new();
-    };
-    let near = daemons().filter(|d| d.data_centre == mine.data_centre);
-    let live = near.filter(|d| d.name == *me || !is_lost(&d.name));
-    let mut ranked: Vec<_> = live.map(|d| &d.name).collect();
-    ranked.sort_by_key(|name| rank(name, name));
-    ranked.truncate(count);
-    ranked
-}
-
-/// Ranks `name` in the eyes of `viewer`, evenly over all pairs.
-fn rank(viewer: &DaemonName, name: &DaemonName) -> u64 {
-    let text = format!("{viewer}/{name}");
-    let Digest([a, b, c, d, e, f, g, h, ..]) = Digest::of(text.as_bytes());
-    u64::from_be_bytes([a, b, c, d, e, f, g, h])
-}
