Never pass half an answer of an endpoint on as a whole one

A service that broke off in the middle of its answer, with or without a Content-Length, had half of it passed on with status 200; the two cases of half_an_answer_of_a_service_is_an_unknown_outcome showed it. The entry and the stream buffer were ruled out: the agent had taken the end of the connection for the end of the body, as awc does. The agent's and the platform client's connections now make an end of connection in the middle of an answer an error, and the caller is told that the outcome is unknown. Streams of events were not affected, since their end is marked.

The load tool uses the same connections, so the code is moved, not repeated.

--- a/crates/sesamehaven-daemons/src/call.rs
+++ b/crates/sesamehaven-daemons/src/call.rs
@@ -6,8 +6,8 @@
 
 use actix::{Addr, Message};
 use actix_web::http::Method;
+use awc::Client;
 use awc::error::SendRequestError;
-use awc::{Client, Connector};
 use bytes::Bytes;
 use futures_util::StreamExt;
 use smol_str::{SmolStr, format_smolstr};
@@ -21,6 +21,7 @@
 
 use crate::agent::Agent;
 use crate::header;
+use crate::strict;
 
 /// How long an idle connection to an endpoint may be used again.
 ///
@@ -94,7 +95,7 @@
 
 /// Builds the HTTP client for endpoints.
 pub fn client(connect_timeout: Millis) -> Client {
-    let connector = Connector::new()
+    let connector = strict::connector()
         .limit(0)
         .timeout(connect_timeout.duration())
         .conn_keep_alive(KEEP_ALIVE);
--- a/crates/sesamehaven-daemons/src/lib.rs
+++ b/crates/sesamehaven-daemons/src/lib.rs
@@ -34,4 +34,5 @@
 pub mod reply;
 pub mod run;
 pub mod settings;
+pub mod strict;
 pub mod trace;
--- a/crates/sesamehaven-daemons/src/platform.rs
+++ b/crates/sesamehaven-daemons/src/platform.rs
@@ -24,6 +24,8 @@
 use sesamehaven::id::DataCentreName;
 use sesamehaven::unit::Millis;
 
+use crate::strict;
+
 const VERSION_HEADER: &str = "Object-Version";
 const CONDITION_HEADER: &str = "If-Version";
 /// The largest answer that is read, in bytes.
@@ -210,8 +212,9 @@
 
     /// Builds a client from a URL without a path, such as `http://10.0.0.1:80`.
     pub fn at(url: &str, timeout: Millis) -> Self {
+        let builder = Client::builder().connector(strict::connector());
         Platform {
-            client: Client::builder().disable_redirects().finish(),
+            client: builder.disable_redirects().finish(),
             url: url.trim_end_matches('/').into(),
             timeout: timeout.duration(),
         }
--- a/crates/sesamehaven-standins/src/strict.rs
+++ b/crates/sesamehaven-daemons/src/strict.rs
@@ -1,4 +1,4 @@
-//! An HTTP client that notices when an answer breaks off.
+//! Connections of an HTTP client that notices when an answer breaks off.
 //!
 //! `awc` takes the end of a connection for the end of a body, also when chunks
 //! or bytes of it are missing. Here the end of a connection that is being read
@@ -8,43 +8,48 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
 
 use actix_rt::net::{ActixStream, Ready, TcpStream};
-use actix_service::{Service, fn_service};
-use actix_tls::connect::{ConnectInfo, Connector as TcpConnector};
+use actix_service::Service;
+use actix_tls::connect::{
+    ConnectError, ConnectInfo, Connection, Connector as TcpConnector, ConnectorService,
+};
+use awc::Connector;
 use awc::http::Uri;
-use awc::{Client, Connector};
+use futures_util::future::LocalBoxFuture;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
-const KEEP_ALIVE: Duration = Duration::from_secs(60);
-
-/// Builds a client that waits for the head of an answer for `timeout`.
-pub fn client(timeout: Duration) -> Client {
+/// Builds the connector of a client that notices when an answer breaks off.
+pub fn connector() -> Connector<StrictConnector> {
     let tcp = TcpConnector::default().service();
-    let connect = fn_service(move |info: ConnectInfo<Uri>| {
-        let connecting = tcp.call(info);
-        async move {
+    Connector::new().connector(StrictConnector(tcp))
+}
+
+/// Opens connections whose end is an error.
+#[derive(Clone)]
+pub struct StrictConnector(ConnectorService);
+
+impl Service<ConnectInfo<Uri>> for StrictConnector {
+    type Response = Connection<Uri, Strict>;
+    type Error = ConnectError;
+    type Future = LocalBoxFuture<'static, Result<Self::Response, ConnectError>>;
+
+    fn poll_ready(&self, cx: &mut Context<'_>) -> Poll<Result<(), ConnectError>> {
+        Service::<ConnectInfo<Uri>>::poll_ready(&self.0, cx)
+    }
+
+    fn call(&self, info: ConnectInfo<Uri>) -> Self::Future {
+        let connecting = self.0.call(info);
+        Box::pin(async move {
             let (io, connection) = connecting.await?.replace_io(());
             Ok(connection.replace_io(Strict(io)).1)
-        }
-    });
-    let connector = Connector::new()
-        .connector(connect)
-        .timeout(CONNECT_TIMEOUT)
-        .conn_keep_alive(KEEP_ALIVE)
-        .limit(0);
-    Client::builder()
-        .connector(connector)
-        .timeout(timeout)
-        .disable_redirects()
-        .finish()
+        })
+    }
 }
 
 /// A connection whose end is an error.
 #[derive(Debug)]
-struct Strict(TcpStream);
+pub struct Strict(TcpStream);
 
 impl AsyncRead for Strict {
     fn poll_read(
--- a/crates/sesamehaven-standins/src/bin/standin-check.rs
+++ b/crates/sesamehaven-standins/src/bin/standin-check.rs
@@ -9,9 +9,10 @@
 use bpaf::{OptionParser, Parser, construct, long};
 use serde::de::DeserializeOwned;
 use sesamehaven_standins::check::{EngineRuns, check};
+use sesamehaven_standins::client::client;
 use sesamehaven_standins::record::CallRecord;
 use sesamehaven_standins::server::check_loopback;
-use sesamehaven_standins::{Error, Result, journal, strict};
+use sesamehaven_standins::{Error, Result, journal};
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 
 const RECORDS_MAX_BYTES: usize = 1 << 30;
@@ -66,8 +67,8 @@
         url: url.clone(),
         reason,
     };
-    let client = strict::client(RECORDS_TIMEOUT);
-    let sent = client.get(url.as_str()).send().await;
+    let http = client(RECORDS_TIMEOUT);
+    let sent = http.get(url.as_str()).send().await;
     let mut answer = sent.map_err(|e| failed(e.to_string()))?;
     let body = answer.body().limit(RECORDS_MAX_BYTES).await;
     let body = body.map_err(|e| failed(e.to_string()))?;
--- a/crates/sesamehaven-standins/src/load.rs
+++ b/crates/sesamehaven-standins/src/load.rs
@@ -11,10 +11,10 @@
 
 use crate::arrival::{Arrival, arrivals};
 use crate::caller::Callers;
+use crate::client::client;
 use crate::error::{Error, Result};
 use crate::load_plan::Plan;
 use crate::record::unix_ms;
-use crate::strict;
 use crate::tally::{Report, RunInfo, Tallies};
 use crate::target::Targets;
 use crate::told::Told;
@@ -61,7 +61,7 @@
             thread::spawn(move || {
                 actix_rt::System::new().block_on(async move {
                     let callers = Callers {
-                        client: strict::client(ANSWER_TIMEOUT),
+                        client: client(ANSWER_TIMEOUT),
                         plan,
                         targets,
                         start,
--- a/crates/sesamehaven-standins/src/service.rs
+++ b/crates/sesamehaven-standins/src/service.rs
@@ -3,14 +3,16 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use actix_web::body::SizedStream;
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::Bytes;
+use futures_util::{StreamExt, stream};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use smol_str::SmolStr;
 use tokio::time::sleep;
 
-use crate::abort::abort;
+use crate::abort::{abort, broken};
 use crate::engine_routes::{header, holds};
 use crate::record::{CallRecord, unix_ms};
 
@@ -24,6 +26,10 @@
     pub stall: Option<bool>,
     /// How many of the next calls take effect and lose their answer.
     pub lose_answers: Option<u32>,
+    /// How many of the next calls take effect and lose half of their answer.
+    pub cut_answers: Option<u32>,
+    /// Whether the length of an answer is told before it.
+    pub tell_length: Option<bool>,
     /// Whether every call is answered with 503 and takes no effect.
     pub refuse: Option<bool>,
 }
@@ -33,6 +39,8 @@
     delay_ms: u64,
     stall: bool,
     lose_answers: u32,
+    cut_answers: u32,
+    tell_length: bool,
     refuse: bool,
 }
 
@@ -55,6 +63,7 @@
     pub fn new(delay: Duration, crash_mark: SmolStr) -> Self {
         let faults = Faults {
             delay_ms: delay.as_millis() as u64,
+            tell_length: true,
             ..Faults::default()
         };
         let state = State {
@@ -93,6 +102,7 @@
         });
         let faults = state.faults;
         state.faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        state.faults.cut_answers = faults.cut_answers.saturating_sub(1);
         (state.records.len() - 1, faults)
     }
 }
@@ -112,18 +122,44 @@
     if faults.lose_answers > 0 {
         return abort();
     }
-    service.state().records[number].answered_ms = Some(unix_ms());
-    HttpResponse::Ok().json(json!({
+    let echo = json!({
         "method": req.method().as_str(),
         "path": req.uri().to_string(),
         "body": String::from_utf8_lossy(&body),
         "idempotency_key": header(&req, "Idempotency-Key"),
-    }))
+    });
+    let echo = Bytes::from(echo.to_string());
+    if faults.cut_answers == 0 {
+        service.state().records[number].answered_ms = Some(unix_ms());
+    }
+    answer(echo, &faults)
+}
+
+/// Sends an answer, or half of it before the connection breaks.
+fn answer(echo: Bytes, faults: &Faults) -> HttpResponse {
+    let cut = faults.cut_answers > 0;
+    let len = if cut { echo.len() / 2 } else { echo.len() };
+    let mut parts = vec![Ok(echo.slice(..len))];
+    if cut {
+        parts.push(Err(broken()));
+    }
+    let parts = stream::iter(parts).then(async |part| {
+        // A pause lets what came before reach the connection.
+        sleep(PART_PAUSE).await;
+        part
+    });
+    let mut res = HttpResponse::Ok();
+    res.content_type("application/json");
+    if faults.tell_length {
+        return res.body(SizedStream::new(echo.len() as u64, Box::pin(parts)));
+    }
+    res.streaming(Box::pin(parts))
 }
 
 /// The exit status of a process that crashed on a marked body.
 pub const CRASH_STATUS: i32 = 70;
 
+const PART_PAUSE: Duration = Duration::from_millis(1);
 const STALL_POLL: Duration = Duration::from_millis(10);
 
 async fn records(service: web::Data<Service>) -> HttpResponse {
@@ -138,6 +174,8 @@
     faults.delay_ms = change.delay_ms.unwrap_or(faults.delay_ms);
     faults.stall = change.stall.unwrap_or(faults.stall);
     faults.lose_answers = change.lose_answers.unwrap_or(faults.lose_answers);
+    faults.cut_answers = change.cut_answers.unwrap_or(faults.cut_answers);
+    faults.tell_length = change.tell_length.unwrap_or(faults.tell_length);
     faults.refuse = change.refuse.unwrap_or(faults.refuse);
     HttpResponse::Ok().json(*faults)
 }
--- a/crates/sesamehaven-system-tests/src/http.rs
+++ b/crates/sesamehaven-system-tests/src/http.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use sesamehaven_standins::strict;
+use sesamehaven_standins::client::client;
 
 use crate::error::{Error, Result};
 use crate::wait;
@@ -102,7 +102,7 @@
 impl Http {
     /// Builds a client without connections.
     pub fn new() -> Self {
-        Http(strict::client(wait::LONGEST))
+        Http(client(wait::LONGEST))
     }
 
     /// Sends a request and waits for the head of its answer.
--- a/crates/sesamehaven-system-tests/tests/bad_input.rs
+++ b/crates/sesamehaven-system-tests/tests/bad_input.rs
@@ -253,12 +253,12 @@
     serves(&fleet).await.unwrap();
 }
 
-/// Waits until the entry holds no request.
-async fn idle(fleet: &Fleet) -> Result<()> {
+/// Waits until the entry holds this many requests.
+async fn held(fleet: &Fleet, count: usize) -> Result<()> {
     let admin = fleet.daemon("entry-1").admin();
-    wait::until("the entry to hold no request", async || {
+    wait::until("requests at the entry", async || {
         let status: Value = fleet.http.get_json(admin, "/status").await.ok()?;
-        (status["requests"] == 0).then_some(())
+        (status["requests"] == count).then_some(())
     })
     .await
 }
@@ -306,15 +306,17 @@
     let mut buf = [0; 64];
     streaming.read_exact(&mut buf).await.unwrap();
     let queued = send_raw(&fleet, 1, false).await.unwrap();
+    held(&fleet, 2).await.unwrap();
     drop(queued);
+    held(&fleet, 1).await.unwrap();
     drop(streaming);
-    idle(&fleet).await.unwrap();
+    held(&fleet, 0).await.unwrap();
 
     // While an answer that is not streamed is computed.
     let whole = send_raw(&fleet, 100_000, false).await.unwrap();
     running(&fleet, 2).await.unwrap();
     drop(whole);
-    idle(&fleet).await.unwrap();
+    held(&fleet, 0).await.unwrap();
 
     wait::until("the engine to be idle", async || {
         let runs = runs(&fleet).await.ok()?;
