--- a/crates/sesamehaven-daemons/src/agent_main.rs
+++ b/crates/sesamehaven-daemons/src/agent_main.rs
@@ -5,14 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::{Actor, Addr};
+use actix::{Actor, Addr, AsyncContext};
+use futures_util::stream;
 use metrics::counter;
 use spdlog::{info, warn};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
 use sesamehaven::delivery::Policy;
-use sesamehaven::id::DaemonName;
 use sesamehaven_wire::link::{self, LinkConfig};
 use sesamehaven_wire::message::{Report, Role};
 use sesamehaven_wire::report::ReportSender;
@@ -22,11 +22,13 @@
 use crate::call;
 use crate::clock;
 use crate::drain;
-use crate::feed::{Feed, FeedConfig};
+use crate::feed::{Feed, FeedConfig, Peers};
+use crate::gossip;
 use crate::logs;
 use crate::peer;
 use crate::platform::{PLATFORM_TIMEOUT, Platform, Vm, VmState};
 use crate::ports::Ports;
+use crate::reload;
 use crate::settings::AgentSettings;
 
 /// How often the platform's list of VMs is read.
@@ -45,6 +47,7 @@
 
 async fn serve(settings: Arc<AgentSettings>) -> io::Result<()> {
     logs::init(&settings.log).map_err(io::Error::other)?;
+    reload::on_hangup::<AgentSettings>(&settings.file)?;
     let status = Status::new("no configuration yet");
     let recorder = admin::install_recorder()?;
     let listener = TcpListener::bind(settings.link).await?;
@@ -52,13 +55,14 @@
     let (admin_addr, admin_server) = admin::serve(settings.admin, status.clone(), recorder)?;
     actix_rt::spawn(admin_server);
 
-    let links_cfg = peer::link_config(
+    let mut links_cfg = peer::link_config(
         Role::Agent,
         &settings.name,
         &settings.data_centre,
         clock::incarnation(),
         settings.link_key,
     );
+    settings.links.apply(&mut links_cfg);
     let platform = Platform::new(settings.platform, PLATFORM_TIMEOUT);
     let (reports, reports_rx) = mpsc::channel(REPORTS_QUEUED);
     let sender = ReportSender::bind(local_udp(bound), links_cfg.psk.as_ref())
@@ -71,6 +75,7 @@
         platform.clone(),
     ));
 
+    let (gossip, peers) = gossip::channel();
     let advertised = settings.advertise.unwrap_or(bound);
     let agent = Agent::new(
         Arc::clone(&settings),
@@ -79,14 +84,20 @@
         call::client(settings.limits.connect_timeout),
         status,
         reports,
+        gossip.tx,
     );
-    let agent = agent.start();
+    let agent = Agent::create(|cx| {
+        let mut rx = gossip.rx;
+        cx.add_stream(stream::poll_fn(move |cx| rx.poll_recv(cx)));
+        agent
+    });
     actix_rt::spawn(accept_links(listener, links_cfg, agent.clone()));
-    actix_rt::spawn(follow_configuration(
-        settings.name.clone(),
+    let feed = FeedConfig {
+        me: settings.name.clone(),
         platform,
-        agent.clone(),
-    ));
+        policy: Policy::default(),
+    };
+    actix_rt::spawn(follow_configuration(feed, peers, agent.clone()));
     let ports = Ports {
         admin: Some(admin_addr),
         link: Some(bound),
@@ -126,12 +137,8 @@
     }
 }
 
-async fn follow_configuration(me: DaemonName, platform: Platform, agent: Addr<Agent>) {
-    let mut rx = Feed::spawn(FeedConfig {
-        me,
-        platform,
-        policy: Policy::default(),
-    });
+async fn follow_configuration(cfg: FeedConfig, peers: Peers, agent: Addr<Agent>) {
+    let mut rx = Feed::spawn_with_peers(cfg, peers);
     while rx.changed().await.is_ok() {
         let index = rx.borrow_and_update().clone();
         if let Some(index) = index {
