Check the promises while links fail and daemons are killed or paused

Work that may run once goes through two entries and a fault-injecting proxy; eight faults are brought about while it is under way.

--- a/crates/sesamehaven-standins/src/lib.rs
+++ b/crates/sesamehaven-standins/src/lib.rs
@@ -39,5 +39,7 @@
 pub mod tally;
 pub mod target;
 pub mod told;
+pub mod vm;
+pub mod weights;
 
 pub use crate::error::{Error, Result};
--- a/crates/sesamehaven-standins/src/platform.rs
+++ b/crates/sesamehaven-standins/src/platform.rs
@@ -16,6 +16,8 @@
 
 use crate::abort::abort;
 use crate::objects::{Denied, Object, Objects};
+use crate::vm::Vm;
+use crate::weights::Weights;
 
 const OBJECT_VERSION: &str = "Object-Version";
 const IF_VERSION: &str = "If-Version";
@@ -47,66 +49,6 @@
     vm_lag_ms: u64,
 }
 
-/// A VM as the platform lists it.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct Vm {
-    /// The name.
-    pub name: SmolStr,
-    /// The data centre.
-    pub data_centre: SmolStr,
-    /// What it is there for.
-    pub role: SmolStr,
-    /// Its address.
-    pub address: SmolStr,
-    /// `live`, `leaving` or `gone`.
-    pub state: VmState,
-}
-
-/// Where a VM is in its life.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum VmState {
-    /// It runs.
-    Live,
-    /// It will be taken away soon.
-    Leaving,
-    /// It has been taken away.
-    Gone,
-}
-
-/// Grants of the weight store: a bucket that fills at a rate.
-#[derive(Debug)]
-struct Weights {
-    per_second: f64,
-    granted: f64,
-    updated: Instant,
-}
-
-impl Weights {
-    fn new(per_second: f64, now: Instant) -> Self {
-        Weights {
-            per_second,
-            granted: 1.0,
-            updated: now,
-        }
-    }
-
-    /// Takes one grant, or says how long to wait for one.
-    fn take(&mut self, now: Instant) -> std::result::Result<(), Duration> {
-        let passed = now.saturating_duration_since(self.updated).as_secs_f64();
-        let burst = self.per_second.max(1.0);
-        self.granted = (self.granted + passed * self.per_second).min(burst);
-        self.updated = now;
-        if self.granted >= 1.0 {
-            self.granted -= 1.0;
-            return Ok(());
-        }
-        let wait_s = (1.0 - self.granted) / self.per_second.max(1e-3);
-        Err(Duration::from_secs_f64(wait_s))
-    }
-}
-
 #[derive(Debug)]
 struct State {
     objects: Objects,
--- a/crates/sesamehaven-system-tests/src/fleet.rs
+++ b/crates/sesamehaven-system-tests/src/fleet.rs
@@ -14,72 +14,11 @@
 use crate::directory::Directory;
 use crate::error::{Error, Result};
 use crate::http::Http;
-use crate::process::{Ports, Process};
+use crate::member::{Daemon, Role, StandIn, in_use};
+use crate::process::Process;
 use crate::settings::{Addresses, Settings, agent_settings, entry_settings};
 use crate::{platform, sample, wait};
 
-/// What kind of daemon a process is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Role {
-    Entry,
-    Agent,
-}
-
-impl Role {
-    fn program(self) -> &'static str {
-        match self {
-            Role::Entry => "sesame-entry",
-            Role::Agent => "sesame-agent",
-        }
-    }
-}
-
-/// A daemon under test, which can be started again at the same addresses.
-#[derive(Debug)]
-pub struct Daemon {
-    role: Role,
-    settings: Settings,
-    addresses: Addresses,
-    entries: Vec<SocketAddr>,
-    ports: Ports,
-    /// The process that runs at present.
-    pub process: Process,
-}
-
-impl Daemon {
-    /// Returns where callers or entries' links are served.
-    pub fn address(&self) -> SocketAddr {
-        self.addresses.listen
-    }
-
-    /// Returns where operators are served.
-    pub fn admin(&self) -> SocketAddr {
-        self.addresses.admin
-    }
-
-    /// Returns the addresses that the daemon reported.
-    pub fn ports(&self) -> Ports {
-        self.ports
-    }
-}
-
-/// A stand-in and its address.
-#[derive(Debug)]
-pub struct StandIn {
-    program: &'static str,
-    args: Vec<String>,
-    address: SocketAddr,
-    /// The process that runs at present.
-    pub process: Process,
-}
-
-impl StandIn {
-    /// Returns where it serves HTTP.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-}
-
 /// Processes on loopback, all killed when the fleet is dropped.
 pub struct Fleet {
     /// The client for callers and controls.
@@ -449,14 +388,6 @@
     }
 }
 
-fn in_use(ports: &Ports, asked: Addresses) -> Addresses {
-    Addresses {
-        listen: ports.http.or(ports.link).unwrap_or(asked.listen),
-        admin: ports.admin.unwrap_or(asked.admin),
-        reports: ports.udp.unwrap_or(asked.reports),
-    }
-}
-
 fn unknown(name: &str) -> Error {
     Error::Process {
         name: name.into(),
--- a/crates/sesamehaven-system-tests/src/http.rs
+++ b/crates/sesamehaven-system-tests/src/http.rs
@@ -184,6 +184,21 @@
         reply.json()
     }
 
+    /// Reads a counter from the metrics of a daemon, summed over its labels.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no answer.
+    pub async fn metric(&self, admin: SocketAddr, name: &str) -> Result<f64> {
+        let text = self.get(admin, "/metrics").await?.text();
+        let values = text.lines().filter_map(|line| {
+            let (series, value) = line.rsplit_once(' ')?;
+            let series = series.split('{').next()?;
+            (series == name).then(|| value.parse::<f64>().ok())?
+        });
+        Ok(values.sum())
+    }
+
     /// Posts JSON to a path of a server, such as a control of a stand-in.
     ///
     /// # Errors
--- a/crates/sesamehaven-system-tests/tests/bad_input.rs
+++ b/crates/sesamehaven-system-tests/tests/bad_input.rs
@@ -362,14 +362,11 @@
     }
     serves(&fleet).await.unwrap();
     fleet.serving("entry-1", 2).await.unwrap();
-    let metrics = fleet
-        .http
-        .get(entry.admin(), "/metrics")
-        .await
-        .unwrap()
-        .text();
-    assert!(
-        metrics.contains("report"),
-        "dropped datagrams are counted:\n{metrics}"
-    );
+    for (admin, refusals) in [
+        (entry.admin(), "reports_dropped_total"),
+        (agent.admin(), "link_handshakes_failed_total"),
+    ] {
+        let count = fleet.http.metric(admin, refusals).await.unwrap();
+        assert!(count > 0.0, "{refusals} counts nothing");
+    }
 }
--- a/crates/sesamehaven-system-tests/tests/promises.rs
+++ b/crates/sesamehaven-system-tests/tests/promises.rs
@@ -2,15 +2,22 @@
 
 use std::time::Duration;
 
+use rstest::rstest;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
 use sesamehaven_standins::check::{EngineRuns, Findings, check};
 use sesamehaven_standins::load::{self, LoadOptions};
 use sesamehaven_standins::load_plan::Plan;
 use sesamehaven_standins::record::{CallRecord, RunRecord};
 use sesamehaven_standins::target::{Policy, Targets};
-use sesamehaven_system_tests::{Fleet, Result};
+use sesamehaven_system_tests::proxy::{Proxy, Transport};
+use sesamehaven_system_tests::{Fleet, Result, wait};
 
 const SEED: u64 = 5;
 const LENGTH: Duration = Duration::from_secs(3);
+/// How long a daemon is paused: longer than links wait for a heartbeat.
+const PAUSE: Duration = Duration::from_millis(1_500);
 
 /// About three times what the two engines below can do, none of it sent again.
 const OVERLOAD: &str = "
@@ -75,8 +82,37 @@
     resend_after: 20 ms
 ";
 
-/// Starts two entries before two unlike engines and a plain service.
-async fn fleet() -> Result<Fleet> {
+/// Work that may run once, sent once, at half of what the engines can do.
+const ONCE: &str = "
+streams:
+  - name: summaries
+    tier: 1
+    api_key: key-of-org-1
+    class: once
+    pool: model-a
+    rate: 30
+    deadline: 6 s
+  - name: whole summaries
+    tier: 1
+    api_key: key-of-org-1
+    class: once
+    pool: model-a
+    rate: 15
+    deadline: 6 s
+    streamed: false
+  - name: bookings
+    tier: 0
+    api_key: key-of-org-1
+    class: once
+    pool: booking
+    call: service
+    rate: 30
+    deadline: 6 s
+";
+
+/// Starts two entries before two unlike engines and a plain service; links to
+/// the agents lead through a proxy.
+async fn fleet() -> Result<(Fleet, Proxy)> {
     let mut fleet = Fleet::new().await?;
     let fast = ["--decode-rate", "100", "--max-batch", "16"];
     let slow = [
@@ -102,17 +138,39 @@
     for entry in entries {
         fleet.start_entry(entry, "").await?;
     }
-    fleet.start_agent("agent-1", "").await?;
-    fleet.start_agent("agent-2", "").await?;
+    let proxy = Proxy::start(&mut fleet, "proxy").await?;
+    for agent in ["agent-1", "agent-2"] {
+        let route = proxy.add_route(agent, Transport::Tcp, None).await?;
+        let link = fleet
+            .start_agent(agent, &format!("advertise: \"{route}\""))
+            .await?;
+        proxy.set_target(agent, link).await?;
+    }
     fleet.ready().await?;
     for entry in entries {
         fleet.serving(entry, 3).await?;
     }
-    Ok(fleet)
+    Ok((fleet, proxy))
 }
 
-/// Sends a plan through both entries and checks the promises.
-async fn send_and_check(fleet: &Fleet, plan: &str) -> Result<Findings> {
+/// Waits until the engines have started a part of the work.
+async fn under_way(fleet: &Fleet) -> Result<()> {
+    const RUNS: usize = 30;
+    let engine = fleet.standin("engine-1").address();
+    wait::until("work to be under way", async || {
+        let runs: Vec<RunRecord> = fleet.http.get_json(engine, "/control/records").await.ok()?;
+        (runs.len() >= RUNS).then_some(())
+    })
+    .await
+}
+
+/// Sends a plan through both entries, does harm when work is under way, and
+/// checks the promises.
+async fn send_and_check(
+    fleet: &mut Fleet,
+    plan: &str,
+    disturb: impl AsyncFnOnce(&mut Fleet) -> Result<()>,
+) -> Result<Findings> {
     println!("seed {SEED}");
     let plan = Plan::parse(plan).unwrap_or_else(|e| panic!("{e}"));
     let entries = ["entry-1", "entry-2"].map(|name| fleet.daemon(name).address());
@@ -124,6 +182,8 @@
         threads: 1,
     };
     let sending = actix_rt::task::spawn_blocking(move || load::run(plan, targets, &options));
+    under_way(fleet).await?;
+    disturb(fleet).await?;
     let sent = sending.await.unwrap_or_else(|e| panic!("{e}"));
     let (report, told) = sent.unwrap_or_else(|e| panic!("{e}"));
     println!("{}", report.text());
@@ -151,14 +211,53 @@
 
 #[actix_rt::test]
 async fn promises_hold_under_overload() {
-    let fleet = fleet().await.unwrap();
-    let findings = send_and_check(&fleet, OVERLOAD).await.unwrap();
-    assert_eq!(findings.violations, []);
+    let (mut fleet, _proxy) = fleet().await.unwrap();
+    let findings = send_and_check(&mut fleet, OVERLOAD, async |_| Ok(())).await;
+    assert_eq!(findings.unwrap().violations, []);
 }
 
 #[actix_rt::test]
 async fn work_that_may_run_once_runs_once_though_it_is_sent_again() {
-    let fleet = fleet().await.unwrap();
-    let findings = send_and_check(&fleet, SENT_AGAIN).await.unwrap();
-    assert_eq!(findings.violations, []);
+    let (mut fleet, _proxy) = fleet().await.unwrap();
+    let findings = send_and_check(&mut fleet, SENT_AGAIN, async |_| Ok(())).await;
+    assert_eq!(findings.unwrap().violations, []);
+}
+
+#[rstest]
+#[case::cut(json!({ "cut": true }))]
+#[case::silent_both_ways(json!({ "scope": "existing", "silent": "both" }))]
+#[case::silent_to_agents(json!({ "scope": "existing", "silent": "to_target" }))]
+#[case::silent_to_entries(json!({ "scope": "existing", "silent": "to_caller" }))]
+#[actix_rt::test]
+async fn promises_hold_when_links_fail(#[case] faults: Value) {
+    let (mut fleet, proxy) = fleet().await.unwrap();
+    let disturb = async |_: &mut Fleet| proxy.faults(&faults).await;
+    let findings = send_and_check(&mut fleet, ONCE, disturb).await;
+    assert_eq!(findings.unwrap().violations, []);
+}
+
+#[rstest]
+#[case::agent("agent-2")]
+#[case::entry("entry-2")]
+#[actix_rt::test]
+async fn promises_hold_when_a_daemon_is_killed(#[case] name: &str) {
+    let (mut fleet, _proxy) = fleet().await.unwrap();
+    let disturb = async |fleet: &mut Fleet| fleet.restart(name).await;
+    let findings = send_and_check(&mut fleet, ONCE, disturb).await;
+    assert_eq!(findings.unwrap().violations, []);
+}
+
+#[rstest]
+#[case::agent("agent-1")]
+#[case::entry("entry-1")]
+#[actix_rt::test]
+async fn promises_hold_when_a_daemon_is_paused(#[case] name: &str) {
+    let (mut fleet, _proxy) = fleet().await.unwrap();
+    let disturb = async |fleet: &mut Fleet| {
+        fleet.daemon(name).process.pause()?;
+        sleep(PAUSE).await;
+        fleet.daemon(name).process.resume()
+    };
+    let findings = send_and_check(&mut fleet, ONCE, disturb).await;
+    assert_eq!(findings.unwrap().violations, []);
 }
