--- a/crates/sesamehaven-daemons/src/lib.rs
+++ b/crates/sesamehaven-daemons/src/lib.rs
@@ -41,4 +41,5 @@
 pub mod run;
 pub mod settings;
 mod settings_build;
+pub mod strict;
 pub mod trace;
--- a/crates/sesamehaven-system-tests/src/http.rs
+++ b/crates/sesamehaven-system-tests/src/http.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use sesamehaven_standins::strict;
+use sesamehaven_standins::client::client;
 
 use crate::error::{Error, Result};
 use crate::wait;
@@ -102,7 +102,7 @@
 impl Http {
     /// Builds a client without connections.
     pub fn new() -> Self {
-        Http(strict::client(wait::LONGEST))
+        Http(client(wait::LONGEST))
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -184,6 +184,21 @@
         reply.json()
     }
 
+    /// Reads a counter from the metrics of a daemon, summed over its labels.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no answer.
+    pub async fn metric(&self, admin: SocketAddr, name: &str) -> Result<f64> {
+        let text = self.get(admin, "/metrics").await?.text();
+        let values = text.lines().filter_map(|line| {
+            let (series, value) = line.rsplit_once(' ')?;
+            let series = series.split('{').next()?;
+            (series == name).then(|| value.parse::<f64>().ok())?
+        });
+        Ok(values.sum())
+    }
+
     /// Posts JSON to a path of a server, such as a control of a stand-in.
     ///
     /// # Errors
