Name a refusal for want of room only when every endpoint has promised

A request that some gates had refused as full and others could not run in time was refused as full although the latter queued less urgent work, which a reader of the logs would take for a reversal. It is now refused as too late.

The prefill that may wait at an engine falls from 300 and 150 ms to 200 and 80 ms.

--- a/crates/sesamehaven/examples/weigh/main.rs
+++ b/crates/sesamehaven/examples/weigh/main.rs
@@ -116,6 +116,20 @@
                 ..load(0.75)
             },
         ),
+        (
+            "steady 3.0 waste first",
+            Case {
+                prefix_weight: 0.2,
+                ..load(3.0)
+            },
+        ),
+        (
+            "flood 3.0",
+            Case {
+                flood: true,
+                ..load(3.0)
+            },
+        ),
         (
             "flood 1.5",
             Case {
@@ -125,7 +139,7 @@
         ),
     ];
     println!(
-        "case | policy | good0 good1 good2 good3 all % | p95 first0 ms | p95 between0 ms | wasted % | refused | offers/req | small org % | reversals"
+        "case | policy | good0 good1 good2 good3 all % | p95 first0 ms | p95 between0 ms | wasted % | refused | late | offers/req | small org % | reversals"
     );
     for (name, case) in cases {
         for policy in [
@@ -215,6 +229,7 @@
     let tiers: Vec<String> = outcome.tiers.iter().map(good).collect();
     let sum = |f: fn(&Tally) -> u32| outcome.tiers.iter().map(|t| u64::from(f(t))).sum::<u64>();
     let (sent, in_time, refused) = (sum(|t| t.sent), sum(|t| t.in_time), sum(|t| t.refused));
+    let late = sum(|t| t.late);
     let mut between = outcome.tiers[0].between.clone();
     between.sort_by(f64::total_cmp);
     let between = between
@@ -222,7 +237,7 @@
         .copied()
         .unwrap_or(0.0);
     format!(
-        "{} {:5.1} | {} | {between:.0} | {:.1} | {refused} | {:.2} | {} | {}",
+        "{} {:5.1} | {} | {between:.0} | {:.1} | {refused} | {late} | {:.2} | {} | {}",
         tiers.join(" "),
         percent(in_time, sent),
         p95(&outcome.tiers[0]),
--- a/crates/sesamehaven/examples/weigh/world.rs
+++ b/crates/sesamehaven/examples/weigh/world.rs
@@ -87,7 +87,6 @@
     engine: usize,
     first: Option<Instant>,
     fresh: u64,
-    last: Instant,
 }
 
 struct Report {
@@ -281,7 +280,6 @@
             engine: 0,
             first: None,
             fresh: 0,
-            last: self.now,
         };
         self.outcome.tiers[usize::from(tier)].sent += 1;
         if request.organisation != 0 {
@@ -351,11 +349,13 @@
 
     fn refuse(&mut self, request: &Request, refused: &Refused) {
         if refused.reason.is_for_room() {
-            let lower = self.requests.values().filter(|r| r.last == r.arrived);
-            let queued = lower.filter(|r| r.fresh == 0 && r.first.is_none());
-            let reversed = queued
-                .filter(|r| request.job.tier.outranks(r.job.tier))
-                .count();
+            let may_run = |r: &Request| {
+                let name = &self.names[r.engine];
+                !request.job.excluded.contains(name)
+            };
+            let queued = self.requests.values().filter(|r| r.fresh == 0);
+            let lower = queued.filter(|r| request.job.tier.outranks(r.job.tier));
+            let reversed = lower.filter(|r| may_run(r)).count();
             self.outcome.reversals += u32::from(reversed > 0);
         }
         self.outcome.tiers[request.job.tier.index()].refused += 1;
--- a/crates/sesamehaven/src/gate.rs
+++ b/crates/sesamehaven/src/gate.rs
@@ -19,9 +19,9 @@
 /// How long a gate that refused a tier as full queues nothing less urgent.
 pub const PROMISE: Millis = Millis(250);
 /// The prefill that the most urgent tier may have waiting at the engine.
-const URGENT_PREFILL: Millis = Millis(300);
+const URGENT_PREFILL: Millis = Millis(200);
 /// The prefill that other tiers may have waiting at the engine.
-const OTHER_PREFILL: Millis = Millis(150);
+const OTHER_PREFILL: Millis = Millis(80);
 /// The requests that are dispatched at once before anything was measured.
 const START_REQUESTS: f64 = 8.0;
 /// The decode rate that is reported for plain services, which have no tokens.
--- a/crates/sesamehaven/src/route.rs
+++ b/crates/sesamehaven/src/route.rs
@@ -350,24 +350,31 @@
     }
 
     /// Words the refusal of a request that no endpoint can take.
+    ///
+    /// It is for want of room only if every endpoint has promised to queue
+    /// nothing less urgent; else the request could not have been run in time
+    /// by those that did not.
     fn refuse(&self, job: &Job, draw: u64, now: Instant) -> Refused {
-        if let Some(refused) = job.refused {
-            return refused;
-        }
         let present = || self.replicas.values().filter(|r| r.is_present(now));
-        let closed = present().filter(|r| r.is_closed_to(job.tier, now));
-        let full = closed.filter_map(Replica::full);
-        let soonest = full.min_by_key(|r| r.retry_after);
-        let reason = match soonest {
-            Some(_) => Refusal::Full,
-            None if present().next().is_some() => Refusal::Doomed,
-            None => Refusal::Unavailable,
+        let in_use = || present().filter(|r| !r.is_ejected(now));
+        let covered = in_use().all(|r| r.is_closed_to(job.tier, now));
+        let soonest = in_use().filter_map(Replica::full);
+        let soonest = soonest.min_by_key(|r| r.retry_after);
+        let reason = match job.refused {
+            Some(refused) if covered || !refused.reason.is_for_room() => refused.reason,
+            Some(_) => Refusal::Doomed,
+            None if in_use().next().is_none() => Refusal::Unavailable,
+            None if covered => Refusal::Full,
+            None => Refusal::Doomed,
+        };
+        let span = match job.refused {
+            Some(refused) => refused.retry_after,
+            None => spread(soonest.map_or(RETRY_OTHERWISE, |r| r.retry_after), draw),
         };
-        let span = soonest.map_or(RETRY_OTHERWISE, |r| r.retry_after);
         Refused {
             reason,
-            retry_after: spread(span, draw),
-            admits: soonest.and_then(|r| r.admits),
+            retry_after: span,
+            admits: job.refused.or(soonest).and_then(|r| r.admits),
         }
     }
 }
