--- a/crates/sesamehaven/src/limit.rs
+++ b/crates/sesamehaven/src/limit.rs
@@ -27,7 +27,9 @@
 /// The share of the limit that has to be in use for it to grow.
 const USED_SHARE: f64 = 0.7;
 /// How fast the unloaded response time follows a slower endpoint.
-const BASELINE_GAIN: f64 = 0.4;
+const BASELINE_GAIN: f64 = 0.6;
+/// An endpoint counts as unloaded up to this many times the least limit.
+const UNLOADED_FLOORS: f64 = 1.5;
 
 /// A concurrency limit in tokens of work.
 ///
@@ -95,7 +97,7 @@
         if !ripe && age < LONGEST_WINDOW {
             return;
         }
-        let unloaded = self.peak <= floor;
+        let unloaded = self.peak <= floor * UNLOADED_FLOORS;
         let first_token = self.first_token.close(unloaded);
         let between_tokens = self.between_tokens.close(unloaded);
         self.step(first_token.max(between_tokens));
--- a/crates/sesamehaven/src/quota.rs
+++ b/crates/sesamehaven/src/quota.rs
@@ -70,6 +70,7 @@
     accounts: HashMap<OrganisationDigest, Account>,
     order: BTreeSet<(Instant, OrganisationDigest)>,
     others: HashMap<OrganisationDigest, Others>,
+    heard: HashMap<u64, Instant>,
 }
 
 impl Default for Quota {
@@ -79,6 +80,7 @@
             accounts: HashMap::new(),
             order: BTreeSet::new(),
             others: HashMap::new(),
+            heard: HashMap::new(),
         }
     }
 }
@@ -154,7 +156,11 @@
     }
 
     /// Takes in what another entry, known by a digest of its name, told.
+    ///
+    /// An organisation that the entry does not name has no demand there.
     pub fn on_summary(&mut self, entry: u64, demands: &[Demand], now: Instant) {
+        self.heard.retain(|_, at| now.since(*at) < DEMAND_EXPIRY);
+        self.heard.insert(entry, now);
         for demand in demands {
             let known = self.others.contains_key(&demand.organisation);
             if !known && self.others.len() >= OTHERS {
@@ -196,17 +202,16 @@
 
     fn share(&self, organisation: OrganisationDigest, own: f64, now: Instant) -> f64 {
         let even = 1.0 / f64::from(self.entries);
-        let Some(others) = self.others.get(&organisation) else {
-            return even;
-        };
-        let fresh = others.demand.values();
-        let fresh = fresh.filter(|(_, at)| now.since(*at) < DEMAND_EXPIRY);
-        let rates: Vec<f64> = fresh.map(|(rate, _)| *rate).collect();
-        let unheard = f64::from(self.entries) - 1.0 - rates.len() as f64;
-        let told: f64 = rates.iter().sum();
-        let heard = 1.0 - unheard.max(0.0) * even;
+        let is_fresh = |at: &Instant| now.since(*at) < DEMAND_EXPIRY;
+        let heard = self.heard.values().filter(|at| is_fresh(at)).count();
+        let unheard = (f64::from(self.entries) - 1.0 - heard as f64).max(0.0);
+        let others = self.others.get(&organisation);
+        let demand = others.into_iter().flat_map(|o| o.demand.values());
+        let fresh = demand.filter(|(_, at)| is_fresh(at));
+        let told: f64 = fresh.map(|(rate, _)| rate).sum();
         let part = own / (own + told).max(f64::MIN_POSITIVE);
-        (heard * part).max(LEAST_SHARE * even).min(1.0)
+        let share = (1.0 - unheard * even) * part;
+        share.clamp(LEAST_SHARE * even, 1.0)
     }
 
     /// Forgets the organisation that was seen longest ago and has no work in flight.
