Split the capacity of an endpoint off its gate

The gate had grown to 518 lines with two jobs: what is queued, refused and handed back, and how much the endpoint can take.

--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod bloom;
 pub mod burn;
 pub mod cache_view;
+mod capacity;
 pub mod check;
 mod check_grants;
 pub mod config;
