Test quarantine end to end, retry-after and long requests

One crashing request that is sent 50 times takes two endpoints of six at most and no innocent request is refused, for 20 seeds, when it comes again after a second or two and news take up to a second.

--- a/crates/sesamehaven/tests/gate.rs
+++ b/crates/sesamehaven/tests/gate.rs
@@ -179,3 +179,79 @@
             .is_some_and(|at| at > now.after(Millis(1)))
     );
 }
+
+#[rstest]
+fn retry_after_grows_with_load_and_is_spread() {
+    let now = Instant(10_000);
+    let retry_after = |refusals: u128| {
+        let mut gate = busy(config(), [0, 0, 0, 0], now);
+        for id in 100..100 + refusals {
+            refuse(&mut gate, work(id, 0), now);
+        }
+        let spans = (10_000..10_040).map(|id| refuse(&mut gate, work(id, 0), now).retry_after);
+        let spans: Vec<u64> = spans.map(|span| span.0).collect();
+        let (least, most) = (spans.iter().min().copied(), spans.iter().max().copied());
+        (least.unwrap_or(0), most.unwrap_or(0))
+    };
+    let (light, heavy) = (retry_after(10), retry_after(200));
+    assert!(
+        heavy.0 > light.1,
+        "{light:?} under light load, {heavy:?} under heavy"
+    );
+    assert!(light.1 > light.0 * 5 / 4, "{light:?} is hardly spread");
+}
+
+#[rstest]
+fn a_long_request_neither_blocks_short_ones_nor_starves() {
+    let mut cfg = config();
+    (cfg.queue_requests, cfg.concurrency) = (400, 8);
+    let mut gate = Gate::new(cfg);
+    let mut now = Instant(0);
+    let long = |id| Work {
+        prompt: Tokens(10_000),
+        ..work(id, 1)
+    };
+    let mut started = Vec::new();
+    for id in 0..40 {
+        accept(&mut gate, id, 1, now);
+    }
+    for id in [1_000, 1_001, 1_002] {
+        assert!(matches!(
+            gate.offer(long(id), now),
+            Verdict::Accepted { .. }
+        ));
+    }
+    let mut running: Vec<(u128, Instant)> = Vec::new();
+    let mut next = 40;
+    while now.0 < 60_000 {
+        for id in dispatched(&mut gate, now) {
+            started.push((id, now));
+            let span = if id >= 1_000 { 10_000 } else { 100 };
+            running.push((id, now.after(Millis(span))));
+        }
+        now = now.after(Millis(50));
+        for (id, _) in running.extract_if(.., |(_, end)| *end <= now) {
+            gate.on_first_token(RequestId(id), now);
+            gate.on_end(RequestId(id), Ended::Whole, now);
+            if next < 900 {
+                accept(&mut gate, next, 1, now);
+                next += 1;
+            }
+        }
+    }
+    let start = |id: u128| started.iter().find(|(i, _)| *i == id).map(|(_, at)| at.0);
+    let longs: Vec<_> = [1_000, 1_001, 1_002].map(start).into();
+    assert!(
+        longs.iter().all(Option::is_some),
+        "long requests starved: {longs:?}"
+    );
+    let first = longs.iter().flatten().min().copied().unwrap_or(0);
+    let during = started
+        .iter()
+        .filter(|(id, at)| *id < 1_000 && (first..first + 10_000).contains(&at.0));
+    let during = during.count();
+    assert!(
+        during > 100,
+        "only {during} short requests started beside a long one"
+    );
+}
--- a/crates/sesamehaven/tests/quarantine.rs
+++ b/crates/sesamehaven/tests/quarantine.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeSet;
 
 use proptest::prelude::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
 use sesamehaven::quarantine::{CrashId, Quarantine, Standing};
@@ -122,3 +124,76 @@
     quarantine.merge(&[], later);
     assert!(quarantine.is_empty());
 }
+
+/// Six endpoints, each with 8 requests at a time of 3 s; every second the
+/// processes exchange their news. Returns the crashes, and the innocent
+/// requests that were refused.
+fn endpoints_crashed(seed: u64, bad_every_ms: u64) -> (u32, u32) {
+    const ENDPOINTS: usize = 6;
+    const BAD: u64 = u64::MAX;
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut agents: [Quarantine; ENDPOINTS] = Default::default();
+    let mut running: [Vec<(u64, Instant)>; ENDPOINTS] = Default::default();
+    let (mut crashes, mut refused, mut sent, mut fresh) = (0, 0, 0, 0);
+    let mut again: Vec<u64> = Vec::new();
+    for now in (0..120_000).step_by(100).map(Instant) {
+        for (agent, running) in agents.iter_mut().zip(&mut running) {
+            running.retain(|(fingerprint, end)| {
+                if *end <= now {
+                    agent.on_finished(*fingerprint);
+                }
+                *end > now
+            });
+        }
+        if now.0.is_multiple_of(1_000) {
+            let news: Vec<_> = agents
+                .iter_mut()
+                .flat_map(|a| a.take_news(64, now))
+                .collect();
+            for agent in &mut agents {
+                agent.merge(&news, now);
+            }
+        }
+        let bad = sent < 50 && now.0.is_multiple_of(bad_every_ms);
+        sent += u32::from(bad);
+        let next = again.pop().unwrap_or_else(|| {
+            fresh += 1;
+            fresh
+        });
+        for fingerprint in bad.then_some(BAD).into_iter().chain([next]) {
+            let e = rng.random_range(0..ENDPOINTS);
+            let standing = agents[e].standing(fingerprint, now);
+            let suspects = running[e].iter();
+            let suspects =
+                suspects.filter(|(f, _)| agents[e].standing(*f, now) == Standing::Suspect);
+            let alone = suspects.count() == 0;
+            match standing {
+                Standing::Quarantined => refused += u32::from(fingerprint != BAD),
+                Standing::Suspect if !alone => again.push(fingerprint),
+                _ if fingerprint == BAD => {
+                    crashes += 1;
+                    let mut lost: Vec<u64> = running[e].drain(..).map(|(f, _)| f).collect();
+                    again.extend(&lost);
+                    lost.push(BAD);
+                    agents[e].on_crash(CrashId(crashes.into()), &lost, now);
+                }
+                _ if running[e].len() < 8 => {
+                    running[e].push((fingerprint, now.after(Millis(3_000))))
+                }
+                _ => {}
+            }
+        }
+    }
+    (crashes, refused)
+}
+
+#[rstest]
+#[case::resent_slowly(2_000)]
+#[case::resent_each_second(1_000)]
+fn one_crashing_request_takes_two_endpoints(#[case] bad_every_ms: u64) {
+    for seed in 0..20 {
+        let (crashes, refused) = endpoints_crashed(seed, bad_every_ms);
+        assert!(crashes <= 2, "seed {seed}: {crashes} endpoints crashed");
+        assert_eq!(refused, 0, "seed {seed}: innocent requests were refused");
+    }
+}
