--- a/crates/sesamehaven/tests/gate.rs
+++ b/crates/sesamehaven/tests/gate.rs
@@ -230,6 +230,10 @@
             running.push((id, now.after(Millis(span))));
         }
         now = now.after(Millis(50));
+        let prefilled = running.iter().filter(|(id, _)| *id < 1_000);
+        for (id, _) in prefilled {
+            gate.on_first_token(RequestId(*id), now);
+        }
         for (id, _) in running.extract_if(.., |(_, end)| *end <= now) {
             gate.on_first_token(RequestId(id), now);
             gate.on_end(RequestId(id), Ended::Whole, now);
