Weigh repeated prefill by what waits behind it

A prefill that another cache could have spared delays all that queues at the engine, so it counts four times in the score.

--- a/crates/sesamehaven/src/route.rs
+++ b/crates/sesamehaven/src/route.rs
@@ -23,6 +23,9 @@
 const SLACK_SHARE: f64 = 0.25;
 /// How much a millisecond of decoding counts beside one of waiting.
 const DECODE_WEIGHT: f64 = 0.1;
+/// How much a millisecond of repeated prefill counts beside one of waiting,
+/// since all that queues there waits for it as well.
+const REPEATED_WEIGHT: f64 = 4.0;
 /// How much a millisecond beyond the deadline counts beside one of waiting.
 const LATE_WEIGHT: f64 = 4.0;
 /// An offer is spared when the deadline would be missed by this factor.
@@ -342,7 +345,7 @@
         let cost = first_token + DECODE_WEIGHT * decode + LATE_WEIGHT * overdue.max(0.0);
         Candidate {
             endpoint,
-            score: self.prefix_weight * cost + repeated,
+            score: self.prefix_weight * cost + REPEATED_WEIGHT * repeated,
             held,
             finish: first_token + decode,
             running: replica.running(),
