--- a/crates/sesamehaven/src/route.rs
+++ b/crates/sesamehaven/src/route.rs
@@ -23,6 +23,9 @@
 const SLACK_SHARE: f64 = 0.25;
 /// How much a millisecond of decoding counts beside one of waiting.
 const DECODE_WEIGHT: f64 = 0.1;
+/// How much a millisecond of repeated prefill counts beside one of waiting,
+/// since all that queues there waits for it as well.
+const REPEATED_WEIGHT: f64 = 4.0;
 /// How much a millisecond beyond the deadline counts beside one of waiting.
 const LATE_WEIGHT: f64 = 4.0;
 /// An offer is spared when the deadline would be missed by this factor.
@@ -342,7 +345,7 @@
         let cost = first_token + DECODE_WEIGHT * decode + LATE_WEIGHT * overdue.max(0.0);
         Candidate {
             endpoint,
-            score: self.prefix_weight * cost + repeated,
+            score: self.prefix_weight * cost + REPEATED_WEIGHT * repeated,
             held,
             finish: first_token + decode,
             running: replica.running(),
@@ -350,24 +353,31 @@
     }
 
     /// Words the refusal of a request that no endpoint can take.
+    ///
+    /// It is for want of room only if every endpoint has promised to queue
+    /// nothing less urgent; else the request could not have been run in time
+    /// by those that did not.
     fn refuse(&self, job: &Job, draw: u64, now: Instant) -> Refused {
-        if let Some(refused) = job.refused {
-            return refused;
-        }
         let present = || self.replicas.values().filter(|r| r.is_present(now));
-        let closed = present().filter(|r| r.is_closed_to(job.tier, now));
-        let full = closed.filter_map(Replica::full);
-        let soonest = full.min_by_key(|r| r.retry_after);
-        let reason = match soonest {
-            Some(_) => Refusal::Full,
-            None if present().next().is_some() => Refusal::Doomed,
-            None => Refusal::Unavailable,
+        let in_use = || present().filter(|r| !r.is_ejected(now));
+        let covered = in_use().all(|r| r.is_closed_to(job.tier, now));
+        let soonest = in_use().filter_map(Replica::full);
+        let soonest = soonest.min_by_key(|r| r.retry_after);
+        let reason = match job.refused {
+            Some(refused) if covered || !refused.reason.is_for_room() => refused.reason,
+            Some(_) => Refusal::Doomed,
+            None if in_use().next().is_none() => Refusal::Unavailable,
+            None if covered => Refusal::Full,
+            None => Refusal::Doomed,
+        };
+        let span = match job.refused {
+            Some(refused) => refused.retry_after,
+            None => spread(soonest.map_or(RETRY_OTHERWISE, |r| r.retry_after), draw),
         };
-        let span = soonest.map_or(RETRY_OTHERWISE, |r| r.retry_after);
         Refused {
             reason,
-            retry_after: spread(span, draw),
-            admits: soonest.and_then(|r| r.admits),
+            retry_after: span,
+            admits: job.refused.or(soonest).and_then(|r| r.admits),
         }
     }
 }
