Guard keys by homes that entries promise to follow

Pure state machines for the dispatch guard: Home at the agent, Ledger at the entry, Offers for what an agent remembers of offers, and the messages between them. A slot of keys is served under a view; every entry that could act on an earlier home's grants has to promise the new view and hand over its ledger.

The model test (random delays, repetitions, losses, kills, freezes) found these faults in earlier drafts, each mended here: - a repeated offer was refused while the first one was queued, so the request was offered elsewhere as well; Offers now tells a repetition from a refusal - a home renewed its view without an entry that it had no link with - an entry took late grants of a home that was gathering the slot anew - two homes served views of equal round numbers - a home whose entries were all replaced took up its outdated table again - an entry that had just started completed an outdated attempt - a late grant replaced a later one of the same key in the ledger - a late move from an earlier grant of the same request was applied A request that is given up counts as not run from the home's answer on; a second sender may run before the first one reads that answer.

--- a/crates/sesamehaven-wire/src/lib.rs
+++ b/crates/sesamehaven-wire/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod codec;
 pub mod error;
+pub mod guard;
 pub mod message;
 
 pub use crate::error::{Error, Result};
--- a/crates/sesamehaven-wire/src/message.rs
+++ b/crates/sesamehaven-wire/src/message.rs
@@ -15,6 +15,8 @@
 use sesamehaven::outcome::Refused;
 use sesamehaven::unit::{Millis, Tokens};
 
+use crate::guard::GuardMessage;
+
 /// The version of the protocol that this build speaks.
 pub const VERSION: u16 = 1;
 
@@ -79,6 +81,8 @@
     Reply(RequestId, ToEntry),
     /// The sender accepts no further offers on this link.
     Leaving,
+    /// About the homes of idempotency keys.
+    Guard(GuardMessage),
 }
 
 /// What an entry says to an agent about a request.
--- /dev/null
+++ b/crates/sesamehaven/src/key.rs
@@ -0,0 +1,107 @@
+//! Idempotency keys as callers send them.
+//!
+//! Callers keep the identifiers that they have: any text of 1 to 255 visible
+//! characters is a key. A key that is a UUID of version 7 tells when it was
+//! made, which decides more cases after a loss; see
+//! [`docs/AT-MOST-ONCE.md`](../../../docs/AT-MOST-ONCE.md).
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::error::{Error, Result};
+use crate::id::{KeyDigest, OrganisationName};
+
+/// The longest key, in characters.
+pub const KEY_MAX_CHARS: usize = 255;
+
+const REMEDY: &str = "send 1 to 255 visible ASCII characters without spaces as Idempotency-Key";
+const UUID_CHARS: usize = 36;
+const HYPHENS: [usize; 4] = [8, 13, 18, 23];
+
+/// A point in time by the wall clock, in milliseconds since the Unix epoch.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
+)]
+#[serde(transparent)]
+pub struct WallTime(pub u64);
+
+/// An idempotency key.
+///
+/// # Example
+///
+/// ```
+/// use sesamehaven::key::{Key, WallTime};
+///
+/// let plain: Key = "booking-4711".parse()?;
+/// assert_eq!(plain.time(), None);
+///
+/// let timed: Key = "0193884e-5a00-7abc-8def-0123456789ab".parse()?;
+/// assert_eq!(timed.time(), Some(WallTime(0x0193_884e_5a00)));
+/// # Ok::<(), sesamehaven::Error>(())
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Key(SmolStr);
+
+impl Key {
+    /// Returns the key as the caller sent it.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// Returns the digest under which the key of an organisation is held.
+    pub fn digest(&self, organisation: &OrganisationName) -> KeyDigest {
+        KeyDigest::new(organisation, &self.0)
+    }
+
+    /// Returns the time that the key carries, if it is a UUID of version 7.
+    pub fn time(&self) -> Option<WallTime> {
+        let bytes = self.0.as_bytes();
+        if bytes.len() != UUID_CHARS {
+            return None;
+        }
+        let mut digits = [0; 32];
+        let mut count = 0;
+        for (i, b) in bytes.iter().enumerate() {
+            if HYPHENS.contains(&i) {
+                if *b != b'-' {
+                    return None;
+                }
+                continue;
+            }
+            digits[count] = char::from(*b).to_digit(16)?;
+            count += 1;
+        }
+        let version_and_variant = digits[12] == 7 && digits[16] & 0b1100 == 0b1000;
+        let millis = digits[..12].iter().fold(0, |ms, d| ms << 4 | u64::from(*d));
+        version_and_variant.then_some(WallTime(millis))
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for Key {
+    type Err = Error;
+
+    /// Takes any 1 to 255 visible characters.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text is empty, too long or has characters that are not
+    /// visible ASCII; the error says what to send instead.
+    fn from_str(s: &str) -> Result<Self> {
+        if s.is_empty() || s.len() > KEY_MAX_CHARS {
+            return Err(Error::out_of_range("idempotency key", s, REMEDY));
+        }
+        if !s.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err(Error::malformed("idempotency key", s, REMEDY));
+        }
+        Ok(Key(s.into()))
+    }
+}
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -10,8 +10,17 @@
 
 pub mod config;
 pub mod error;
+pub mod guard;
+pub mod home;
 pub mod id;
+pub mod key;
+pub mod ledger;
+pub mod memory;
+pub mod offers;
 pub mod outcome;
+mod roster;
+mod seat;
+mod tenure;
 pub mod tier;
 pub mod unit;
 
