--- a/crates/sesamehaven-wire/src/message.rs
+++ b/crates/sesamehaven-wire/src/message.rs
@@ -13,6 +13,7 @@
     OrganisationName, PoolName, RequestId,
 };
 use sesamehaven::outcome::Refused;
+use sesamehaven::quarantine::Notice;
 use sesamehaven::unit::{Millis, Tokens};
 
 use crate::guard::GuardMessage;
@@ -81,6 +82,20 @@
     Reply(RequestId, ToEntry),
     /// The sender accepts no further offers on this link.
     Leaving,
+    /// Asks for the configuration that the receiver serves.
+    FetchConfig {
+        /// The generation that the sender serves, zero for none.
+        generation: Generation,
+    },
+    /// Answers a [`Frame::FetchConfig`]; several of them together hold what the asker lacks.
+    Config {
+        /// The head, as it is stored.
+        head: Bytes,
+        /// Some of the parts that the head names, as they are stored.
+        parts: Vec<Bytes>,
+    },
+    /// Tells of requests that were near crashes of endpoints.
+    Notices(Vec<Notice>),
     /// About the homes of idempotency keys.
     Guard(GuardMessage),
 }
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -8,18 +8,44 @@
 //! The design is described in
 //! [`docs/ARCHITECTURE.md`](../../../docs/ARCHITECTURE.md).
 
+pub mod answer;
+pub mod backoff;
+pub mod bloom;
+pub mod burn;
+pub mod cache_view;
+pub mod check;
+mod check_grants;
 pub mod config;
+pub mod delivery;
 pub mod error;
+pub mod estimate;
+pub mod fair;
+pub mod flight;
+pub mod forecast;
+pub mod gate;
 pub mod guard;
 pub mod home;
 pub mod id;
 pub mod key;
 pub mod ledger;
+pub mod limit;
+mod lru;
 pub mod membership;
 pub mod memory;
+pub mod offer;
 pub mod offers;
 pub mod outcome;
+pub mod parts;
+pub mod plan;
+pub mod prefix;
+pub mod quarantine;
+pub mod queue;
+pub mod quota;
+mod replica;
+pub mod retry;
 mod roster;
+pub mod route;
+pub mod running;
 mod seat;
 mod tenure;
 pub mod tier;
