--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod cache_view;
 pub mod check;
 mod check_grants;
+pub mod claim;
 pub mod config;
 pub mod delivery;
 pub mod error;
