Tell of a crash before the call's end, and take HTTP for the sign of life

Cause: the end of a broken call reached the entry before the notice of the crash, so that the entry, and the caller through a second entry, had the request run again before anybody knew; and an endpoint that accepts and closes connections after a crash passed the probe, so that innocent requests broke there, were marked and quarantined for an hour. Ruled out: the retry budget, which allowed each single run. A request that an agent never heard of gets a new id for its next offer, and may go to the same endpoint, since the old id is refused there.

--- a/crates/sesamehaven-daemons/src/agent.rs
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -29,7 +29,7 @@
 use sesamehaven_wire::message::{End, Frame, Load, Offer, Report, ToAgent, ToEntry};
 
 use crate::admin::Status;
-use crate::call::{Call, CallEnd, CallEvent, Progress};
+use crate::call::{self, Call, CallEnd, CallEvent, Progress};
 use crate::clock;
 use crate::feed::{FromPeer, ToPeer};
 use crate::gossip;
@@ -48,7 +48,7 @@
 /// When to come back to an endpoint that is not there.
 const ABSENT_RETRY_AFTER: Millis = Millis(1_000);
 /// How long after a broken call its endpoint is looked at.
-const JUDGE_DELAY: Duration = Duration::from_millis(50);
+const JUDGE_DELAY: Duration = Duration::from_millis(20);
 /// The notices that are sent at once.
 const NOTICES_MAX: usize = 64;
 /// The pause between two tries to connect to an endpoint that does not answer.
@@ -61,8 +61,8 @@
     kind: PoolKind,
     gate: Gate,
     healthy: bool,
-    /// The contents of calls that broke off and have not been judged.
-    broken: SmallVec<[u64; 4]>,
+    /// The calls that broke off and have not been judged.
+    broken: SmallVec<[RequestId; 4]>,
 }
 
 /// The actor that holds the agent's state.
@@ -442,45 +442,56 @@
             CallEnd::Cancelled => (Ended::Cancelled, End::Cancelled),
         };
         counter!("agent_calls_total", "end" => end_label(told)).increment(1);
-        match end {
-            CallEnd::Whole => self.quarantine.on_finished(fingerprint),
-            CallEnd::Broken => self.judge_later(&name, fingerprint, cx),
-            CallEnd::NotSent | CallEnd::Stalled | CallEnd::Cancelled => {}
-        }
-        let Some(run) = self.runs.get_mut(&id) else {
-            return;
-        };
         if let Some(door) = self.doors.get_mut(&name) {
             door.gate.on_end(id, ended, now);
         }
-        if end == CallEnd::NotSent {
-            self.hand_back(id, absent(Refusal::Unavailable));
-            self.set_unhealthy(&name, cx);
-        } else {
-            run.set_end(told, now);
-            run.pump(id);
-            if run.is_delivered() && run.key.is_none() {
-                self.runs.remove(&id);
+        match end {
+            CallEnd::NotSent => {
+                self.hand_back(id, absent(Refusal::Unavailable));
+                self.set_unhealthy(&name, cx);
+            }
+            CallEnd::Broken => self.judge_later(&name, id, cx),
+            CallEnd::Whole | CallEnd::Stalled | CallEnd::Cancelled => {
+                if end == CallEnd::Whole {
+                    self.quarantine.on_finished(fingerprint);
+                }
+                self.conclude(id, told, now);
             }
         }
         self.poll(&name, now, cx);
     }
 
+    /// Lets the readers of an answer have its end.
+    fn conclude(&mut self, id: RequestId, end: End, now: Instant) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        run.set_end(end, now);
+        run.pump(id);
+        if run.is_delivered() && run.key.is_none() {
+            self.runs.remove(&id);
+        }
+    }
+
     /// Looks shortly after a call broke off whether its endpoint has crashed.
-    fn judge_later(&mut self, name: &EndpointName, fingerprint: u64, cx: &mut Context<Self>) {
+    ///
+    /// The entry has the end of the call only after the verdict, so that it
+    /// knows of a crash before it may have the request run again.
+    fn judge_later(&mut self, name: &EndpointName, id: RequestId, cx: &mut Context<Self>) {
         let Some(door) = self.doors.get_mut(name) else {
             return;
         };
-        door.broken.push(fingerprint);
+        door.broken.push(id);
         if door.broken.len() > 1 {
             return;
         }
         let address = door.endpoint.address;
         let agent = cx.address();
+        let client = self.client.clone();
         let name = name.clone();
         actix_rt::spawn(async move {
             tokio::time::sleep(JUDGE_DELAY).await;
-            let answers = tokio::net::TcpStream::connect(address).await.is_ok();
+            let answers = call::answers(&client, address).await;
             agent.do_send(Judge { name, answers });
         });
     }
@@ -493,19 +504,29 @@
         let Some(door) = self.doors.get_mut(name) else {
             return;
         };
-        let mut suspects = std::mem::take(&mut door.broken);
-        if answers && door.gate.running() > 0 {
-            return;
+        let broken = std::mem::take(&mut door.broken);
+        let crashed = !answers || door.gate.running() == 0;
+        if crashed {
+            let mut suspects: Vec<_> = door.gate.fingerprints().collect();
+            let runs = broken.iter().filter_map(|id| self.runs.get(id));
+            suspects.extend(runs.map(|run| run.fingerprint));
+            self.note_crash(name, &suspects, now);
+        }
+        for id in broken {
+            self.conclude(id, End::Broken, now);
+        }
+        if crashed {
+            // Until it answers again, calls that break off say nothing of their content.
+            self.set_unhealthy(name, cx);
         }
-        suspects.extend(door.gate.fingerprints());
+    }
+
+    fn note_crash(&mut self, name: &EndpointName, suspects: &[u64], now: Instant) {
         self.crashes += 1;
         counter!("agent_endpoint_crashes_total").increment(1);
         let crash = CrashId::new(name, self.incarnation, self.crashes);
-        self.quarantine.on_crash(crash, &suspects, now);
+        self.quarantine.on_crash(crash, suspects, now);
         self.spread_notices(now);
-        if !answers {
-            self.set_unhealthy(name, cx);
-        }
     }
 
     /// Tells the entries what has changed about requests near crashes.
@@ -543,14 +564,13 @@
         warn!("endpoint {name} does not answer");
         let address = door.endpoint.address;
         let agent = cx.address();
+        let client = self.client.clone();
         let name = name.clone();
         actix_rt::spawn(async move {
-            loop {
+            while !call::answers(&client, address).await {
                 tokio::time::sleep(PROBE_INTERVAL).await;
-                if tokio::net::TcpStream::connect(address).await.is_ok() {
-                    return agent.do_send(Recovered(name));
-                }
             }
+            agent.do_send(Recovered(name));
         });
     }
 
--- a/crates/sesamehaven-daemons/src/call.rs
+++ b/crates/sesamehaven-daemons/src/call.rs
@@ -1,6 +1,7 @@
 //! One call of an endpoint over HTTP, from dispatch to the end of the answer.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,6 +30,8 @@
 const KEEP_ALIVE: Duration = Duration::from_millis(1_000);
 /// The longest wait for an endpoint's answer to a cancellation.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The longest wait for an endpoint's answer to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// What ends a whole stream of server-sent events.
 const DONE: &[u8] = b"data: [DONE]";
 /// How much of the end of a stream is searched for [`DONE`], in bytes.
@@ -106,6 +109,17 @@
         .finish()
 }
 
+/// Returns whether an endpoint answers HTTP, whatever it says.
+///
+/// A connection alone is no sign of life, since a crashed endpoint's address
+/// may still accept and close them.
+pub async fn answers(client: &Client, address: SocketAddr) -> bool {
+    let url = format_smolstr!("http://{address}/");
+    let req = client.get(url.as_str()).force_close();
+    let sent = timeout(PROBE_TIMEOUT, req.send()).await;
+    sent.is_ok_and(|res| res.is_ok())
+}
+
 /// A call that is about to start.
 pub struct Call {
     /// The request.
--- a/crates/sesamehaven-daemons/src/entry.rs
+++ b/crates/sesamehaven-daemons/src/entry.rs
@@ -29,7 +29,7 @@
 use sesamehaven::route::{self, Choice, Route};
 use sesamehaven::unit::{Instant, Millis, TokenRate};
 use sesamehaven_wire::link::{self, Link, LinkConfig, Sender};
-use sesamehaven_wire::message::{End, Frame, Load, Offer, Report, ToAgent, ToEntry};
+use sesamehaven_wire::message::{End, Frame, Load, Offer, Report, Role, ToAgent, ToEntry};
 
 use crate::admin::Status;
 use crate::caller::{CallerGone, Consumed, Job, Submit, ToCaller};
@@ -79,6 +79,8 @@
     next_chunk: u64,
     upto: u64,
     first_token: bool,
+    /// How often the request got a new id, because an agent takes the old one no more.
+    attempt: u8,
 }
 
 /// The actor that holds the entry's state.
@@ -174,6 +176,7 @@
             next_chunk: 0,
             upto: u64::from(self.settings.limits.window_chunks),
             first_token: false,
+            attempt: 0,
         };
         self.active.insert(id, active);
         self.route(id);
@@ -309,7 +312,11 @@
         let Some((_, tx)) = link else {
             return;
         };
-        if tx.try_send(Frame::Request(id, msg)).is_err() {
+        let attempt = self.active.get(&id).map_or(0, |active| active.attempt);
+        if tx
+            .try_send(Frame::Request(id.attempt(attempt), msg))
+            .is_err()
+        {
             counter!("entry_frames_lost_total").increment(1);
         }
     }
@@ -401,15 +408,17 @@
     }
 
     fn on_reply(&mut self, agent: &DaemonName, id: RequestId, reply: ToEntry) {
-        let Some(active) = self.active.get_mut(&id) else {
+        let Some(active) = self.active.get_mut(&id.origin()) else {
             return;
         };
         // Words of an agent that does not have the request any more are late.
         let place = active.flight.place();
-        if place.is_none_or(|place| place.agent != *agent) {
+        let current = id == id.origin().attempt(active.attempt);
+        if !current || place.is_none_or(|place| place.agent != *agent) {
             counter!("entry_late_replies_total").increment(1);
             return;
         }
+        let id = id.origin();
         let now = clock::now();
         let route = self.routes.get_mut(&active.job.pool);
         let event = match reply {
@@ -431,7 +440,17 @@
             }
             ToEntry::Withdrawn => Event::Withdrawn,
             ToEntry::AlreadyDispatched => Event::AlreadyDispatched,
-            ToEntry::Unheard => Event::Unheard,
+            ToEntry::Unheard => {
+                active.attempt = active.attempt.saturating_add(1);
+                let place = active.flight.place().cloned();
+                active
+                    .excluded
+                    .retain(|e| place.as_ref().is_none_or(|p| p.endpoint != *e));
+                if let Some(route) = route {
+                    route.on_withdrawn(id);
+                }
+                Event::Unheard
+            }
             ToEntry::Dispatched { .. } => {
                 if let Some(route) = route {
                     route.on_dispatched(id, now);
@@ -561,7 +580,10 @@
         let Some(peer) = self.peers.get_mut(name) else {
             return;
         };
-        if link.peer.incarnation < peer.incarnation {
+        // Another process may listen where the agent was.
+        let is_agent = link.peer.name == *name && link.peer.role == Role::Agent;
+        if !is_agent || link.peer.incarnation < peer.incarnation {
+            counter!("entry_wrong_peers_total").increment(1);
             return;
         }
         let same_run = link.peer.incarnation == peer.incarnation;
--- a/crates/sesamehaven-daemons/src/reply.rs
+++ b/crates/sesamehaven-daemons/src/reply.rs
@@ -56,9 +56,9 @@
         false => StatusCode::SERVICE_UNAVAILABLE,
     };
     let message = format_smolstr!(
-        "the request was not run: {}; try again after {}",
+        "the request was not run: {}; try again after {} s",
         explain(refused.reason),
-        refused.retry_after
+        refused.retry_after.whole_secs()
     );
     let code = refused.reason.code();
     error_response(status, code, &message, "not-run", Some(refused.retry_after))
--- a/crates/sesamehaven/src/id.rs
+++ b/crates/sesamehaven/src/id.rs
@@ -101,6 +101,9 @@
     }
 }
 
+/// Where the count of attempts is in a request's id, in bits from the lowest.
+const ATTEMPT_SHIFT: u32 = 120;
+
 /// A request as the entry that received it numbers it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestId(pub u128);
@@ -114,6 +117,20 @@
         let low = u128::from(salt) << 32 | u128::from(count);
         RequestId(high | low)
     }
+
+    /// Returns the id under which the request is offered for the `count`th time
+    /// after an agent said that it had never heard of the one before.
+    ///
+    /// Such an agent takes nothing more under the earlier id. Incarnations leave
+    /// the highest byte free for many centuries.
+    pub fn attempt(self, count: u8) -> Self {
+        RequestId(self.origin().0 | u128::from(count) << ATTEMPT_SHIFT)
+    }
+
+    /// Returns the id that the entry first gave the request.
+    pub fn origin(self) -> Self {
+        RequestId(self.0 & !(u128::from(u8::MAX) << ATTEMPT_SHIFT))
+    }
 }
 
 impl fmt::Display for RequestId {
