Guard keyed requests in the daemons

Entries claim a key before they offer its request and before they offer it elsewhere; agents are the homes of the keys. A second sender reads the answer of the first one's run, from the agent, through whichever entry it comes. Not run is told only after the home has confirmed it, also for refusals by limits: a key that is refused now may have run before. Agents keep what they were offered, so that a run whose answer is not held any more is not taken for one never offered.

Tried with real processes: two entries, three agents, each key sent three times at once and once later. At first one key in about 100 came to unknown, because the second sender's question reached the agent before the offer; the agent now waits 150 ms for an offer that may be on its way.

--- a/crates/sesamehaven-daemons/src/agent.rs
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -21,10 +21,14 @@
 use sesamehaven::config::{Endpoint, Index, PoolKind, Repeat};
 use sesamehaven::fair::OrganisationDigest;
 use sesamehaven::gate::{Ended, Gate, GateConfig, Step, Verdict, Withdrawal, Work};
+use sesamehaven::guard::{self, Slot};
+use sesamehaven::home::Bootstrap;
 use sesamehaven::id::{DaemonName, EndpointName, Generation, Incarnation, PoolName, RequestId};
+use sesamehaven::offers::{Heard, Offers, Taking};
 use sesamehaven::outcome::{Refusal, Refused};
 use sesamehaven::quarantine::{CrashId, Quarantine, Standing};
 use sesamehaven::unit::{Instant, Millis};
+use sesamehaven_wire::guard::GuardMessage;
 use sesamehaven_wire::link::{Link, LinkConfig, Sender};
 use sesamehaven_wire::message::{End, Frame, Load, Offer, Report, ToAgent, ToEntry};
 
@@ -33,7 +37,9 @@
 use crate::clock;
 use crate::feed::{FromPeer, ToPeer};
 use crate::gossip;
+use crate::homes::{self, Homes};
 use crate::peer::{self, LinkEvent, LinkId};
+use crate::platform::{PLATFORM_TIMEOUT, Platform, VmState};
 use crate::run::{Reader, Run};
 use crate::settings::AgentSettings;
 
@@ -43,12 +49,12 @@
 const SWEEP: Duration = Duration::from_millis(250);
 /// How long work goes on for an entry whose link was lost.
 const ORPHAN_GRACE: Millis = Millis(5_000);
-/// How long a refused resumption is remembered, so that a late offer is refused as well.
-const TOMBSTONE_RETENTION: Millis = Millis(600_000);
 /// When to come back to an endpoint that is not there.
 const ABSENT_RETRY_AFTER: Millis = Millis(1_000);
 /// How long after a broken call its endpoint is looked at.
 const JUDGE_DELAY: Duration = Duration::from_millis(50);
+/// How long a resumption waits for the request's offer, which may be on its way.
+const OFFER_GRACE: Millis = Millis(150);
 /// The notices that are sent at once.
 const NOTICES_MAX: usize = 64;
 /// The pause between two tries to connect to an endpoint that does not answer.
@@ -80,13 +86,25 @@
     quarantine: Quarantine,
     crashes: u64,
     feed: mpsc::Sender<FromPeer>,
-    tombstones: HashMap<RequestId, Instant>,
+    offers: Offers,
+    early: Vec<Early>,
+    homes: Homes,
+    platform: Platform,
     next_link: u64,
     report_seq: u64,
     leaving: bool,
     link_address: std::net::SocketAddr,
 }
 
+/// A resumption that came before the request's offer.
+struct Early {
+    link: LinkId,
+    id: RequestId,
+    next: u64,
+    upto: u64,
+    until: Instant,
+}
+
 /// A link that an entry has opened.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -102,6 +120,16 @@
 #[rtype(result = "()")]
 struct Recovered(EndpointName);
 
+/// What the platform says of slots that no entry remembers a home of.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct Opened(Vec<(Slot, Bootstrap)>);
+
+/// The entries' VMs as the platform lists them.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct EntriesListed(pub Vec<(DaemonName, VmState)>);
+
 /// What a probe found out about an endpoint whose calls broke off.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -131,6 +159,11 @@
         reports: mpsc::Sender<Report>,
         feed: mpsc::Sender<FromPeer>,
     ) -> Self {
+        let me = guard::Run {
+            name: settings.name.clone(),
+            incarnation: links_cfg.me.incarnation,
+        };
+        let platform = Platform::new(settings.platform, PLATFORM_TIMEOUT);
         Agent {
             incarnation: links_cfg.me.incarnation,
             settings,
@@ -145,7 +178,10 @@
             quarantine: Quarantine::default(),
             crashes: 0,
             feed,
-            tombstones: HashMap::new(),
+            offers: Offers::default(),
+            early: Vec::new(),
+            homes: Homes::new(me),
+            platform,
             next_link: 0,
             report_seq: 0,
             leaving: false,
@@ -161,6 +197,9 @@
                 self.quarantine.merge(&notices, now);
                 return;
             }
+            Frame::Guard(GuardMessage::ToHome(messages)) => {
+                return self.homes.take(link, messages);
+            }
             frame => {
                 let Some((peer, _)) = self.links.get(&link) else {
                     return;
@@ -189,14 +228,14 @@
         let Some((_, tx)) = self.links.get(&link).cloned() else {
             return;
         };
-        if self.tombstones.contains_key(&id) {
-            return self.reply(link, id, ToEntry::Unheard);
-        }
         let upto = offer.upto;
-        if self.runs.contains_key(&id) {
-            return self.on_resume(link, id, 0, upto, now);
+        match self.offers.take(id, now) {
+            Taking::Take => {}
+            Taking::Repeated => return self.on_resume(link, id, 0, upto, now),
+            Taking::Refuse => return self.reply(link, id, ToEntry::Unheard),
         }
         let Some(door) = self.doors.get_mut(&offer.endpoint) else {
+            self.offers.refuse(id, now);
             let refused = absent(Refusal::Unavailable);
             return self.reply(link, id, ToEntry::Refused(refused));
         };
@@ -205,6 +244,7 @@
             let mut refused = absent(Refusal::Quarantined);
             refused.retry_after = self.quarantine.remaining(offer.fingerprint, now);
             count_refusal(refused.reason);
+            self.offers.refuse(id, now);
             return self.reply(link, id, ToEntry::Refused(refused));
         }
         let class = self.index.class(&offer.class);
@@ -221,6 +261,7 @@
             } => (first_token, evicted),
             Verdict::Refused(refused) => {
                 count_refusal(refused.reason);
+                self.offers.refuse(id, now);
                 return self.reply(link, id, ToEntry::Refused(refused));
             }
         };
@@ -241,10 +282,7 @@
         let reply = match self.withdraw(id, now) {
             Withdrawal::Withdrawn => ToEntry::Withdrawn,
             Withdrawal::AlreadyDispatched => ToEntry::AlreadyDispatched,
-            Withdrawal::Unknown => {
-                self.tombstones.insert(id, now);
-                ToEntry::Unheard
-            }
+            Withdrawal::Unknown => self.unknown(id, now),
         };
         self.reply(link, id, reply);
     }
@@ -261,10 +299,21 @@
             door.gate.withdraw(id, now);
         }
         self.runs.remove(&id);
-        self.tombstones.insert(id, now);
+        self.offers.refuse(id, now);
         Withdrawal::Withdrawn
     }
 
+    /// Tells of a request that is not held: never offered, or forgotten since.
+    fn unknown(&mut self, id: RequestId, now: Instant) -> ToEntry {
+        match self.offers.ask(id, now) {
+            Heard::Never => ToEntry::Unheard,
+            Heard::Taken | Heard::Forgotten => ToEntry::End {
+                chunks: 0,
+                end: End::Forgotten,
+            },
+        }
+    }
+
     fn on_cancel(&mut self, link: LinkId, id: RequestId, now: Instant) {
         let Some(run) = self.runs.get_mut(&id) else {
             return;
@@ -298,8 +347,18 @@
             return;
         };
         let Some(run) = self.runs.get_mut(&id) else {
-            self.tombstones.insert(id, now);
-            return self.reply(link, id, ToEntry::Unheard);
+            if self.offers.is_new(id) {
+                let until = now.after(OFFER_GRACE);
+                return self.early.push(Early {
+                    link,
+                    id,
+                    next,
+                    upto,
+                    until,
+                });
+            }
+            let reply = self.unknown(id, now);
+            return self.reply(link, id, reply);
         };
         run.attach(Reader::new(link, tx, next, upto));
         let reply = match run.is_dispatched() {
@@ -312,10 +371,24 @@
         self.reply(link, id, reply);
     }
 
+    /// Answers resumptions whose offer has come by now, or did not come in time.
+    fn answer_early(&mut self, now: Instant) {
+        let offers = &self.offers;
+        let is_ready = |early: &mut Early| now >= early.until || !offers.is_new(early.id);
+        let ready: Vec<Early> = self.early.extract_if(.., is_ready).collect();
+        for early in ready {
+            if self.offers.is_new(early.id) {
+                self.offers.refuse(early.id, now);
+            }
+            self.on_resume(early.link, early.id, early.next, early.upto, now);
+        }
+    }
+
     /// Gives an undispatched request back to its entry.
     fn hand_back(&mut self, id: RequestId, refused: Refused) {
         count_refusal(refused.reason);
         if let Some(run) = self.runs.remove(&id) {
+            self.offers.refuse(id, clock::now());
             run.tell(id, &ToEntry::Refused(refused));
         }
     }
@@ -554,7 +627,22 @@
         });
     }
 
+    /// Asks the platform about slots of keys that no entry remembers a home of.
+    fn open_slots(&mut self, cx: &mut Context<Self>) {
+        let slots = self.homes.to_open();
+        if slots.is_empty() {
+            return;
+        }
+        let platform = self.platform.clone();
+        let agent = cx.address();
+        actix_rt::spawn(async move {
+            let opened = homes::open_slots(&platform, &slots).await;
+            agent.do_send(Opened(opened));
+        });
+    }
+
     fn on_link_lost(&mut self, link: LinkId) {
+        self.homes.link_lost(link);
         let now = clock::now();
         if let Some((peer, _)) = self.links.remove(&link)
             && !self.links.values().any(|(name, _)| *name == peer)
@@ -573,6 +661,7 @@
 
     fn tick(&mut self, cx: &mut Context<Self>) {
         let now = clock::now();
+        self.answer_early(now);
         let names: Vec<_> = self.doors.keys().cloned().collect();
         for name in names {
             self.poll(&name, now, cx);
@@ -580,7 +669,9 @@
     }
 
     /// Forgets answers and tombstones that nobody will ask for, and ends orphans.
-    fn sweep(&mut self) {
+    fn sweep(&mut self, cx: &mut Context<Self>) {
+        self.homes.sweep();
+        self.open_slots(cx);
         let now = clock::now();
         let retention = self.settings.limits.answer_retention;
         self.runs.retain(|_, run| match run.ended {
@@ -588,8 +679,8 @@
             Some(ended) => now.since(ended) < ORPHAN_GRACE,
             None => true,
         });
-        self.tombstones
-            .retain(|_, since| now.since(*since) < TOMBSTONE_RETENTION);
+        let runs = &self.runs;
+        self.offers.age(now, |id| runs.contains_key(&id));
         self.forget_over_bound();
         for id in self.orphans(now) {
             match self.withdraw(id, now) {
@@ -712,6 +803,8 @@
                 self.hand_back(id, refused);
             }
         }
+        let entries = index.configuration.entries.iter();
+        self.homes.expect(entries.map(|e| e.name.clone()).collect());
         let Generation(generation) = index.generation;
         self.links_cfg
             .generation
@@ -793,7 +886,7 @@
     fn started(&mut self, cx: &mut Context<Self>) {
         cx.set_mailbox_capacity(1 << 16);
         cx.run_interval(TICK, |agent, cx| agent.tick(cx));
-        cx.run_interval(SWEEP, |agent, _| agent.sweep());
+        cx.run_interval(SWEEP, |agent, cx| agent.sweep(cx));
         let interval = self.settings.limits.report_interval.duration();
         cx.run_interval(interval, |agent, _| agent.report());
     }
@@ -827,6 +920,11 @@
             // A new link has room for its first frames.
             let _ = link.tx.try_send(Frame::Notices(summary));
         }
+        let run = guard::Run {
+            name: link.peer.name.clone(),
+            incarnation: link.peer.incarnation,
+        };
+        self.homes.link_up(id, run, link.tx.clone());
         let peer = link.peer.name;
         actix_rt::spawn(gossip::follow(
             peer.clone(),
@@ -876,6 +974,24 @@
     fn finished(&mut self, _: &mut Context<Self>) {}
 }
 
+impl Handler<Opened> for Agent {
+    type Result = ();
+
+    fn handle(&mut self, Opened(slots): Opened, _: &mut Context<Self>) {
+        self.homes.opened(slots);
+    }
+}
+
+impl Handler<EntriesListed> for Agent {
+    type Result = ();
+
+    fn handle(&mut self, EntriesListed(vms): EntriesListed, _: &mut Context<Self>) {
+        let configured = self.index.configuration.entries.iter();
+        let configured = configured.map(|entry| entry.name.clone());
+        self.homes.listed(&vms, configured.collect());
+    }
+}
+
 impl Handler<Recovered> for Agent {
     type Result = ();
 
--- a/crates/sesamehaven-daemons/src/agent_main.rs
+++ b/crates/sesamehaven-daemons/src/agent_main.rs
@@ -13,12 +13,13 @@
 use tokio::sync::mpsc;
 
 use sesamehaven::delivery::Policy;
+use sesamehaven::id::DaemonName;
 use sesamehaven_wire::link::{self, LinkConfig};
 use sesamehaven_wire::message::{Report, Role};
 use sesamehaven_wire::report::ReportSender;
 
 use crate::admin::{self, Status};
-use crate::agent::{Agent, InFlight, Leave, LinkUp, Reconfigure};
+use crate::agent::{Agent, EntriesListed, InFlight, Leave, LinkUp, Reconfigure};
 use crate::call;
 use crate::clock;
 use crate::drain;
@@ -68,12 +69,6 @@
     let sender = ReportSender::bind(local_udp(bound), links_cfg.psk.as_ref())
         .await
         .map_err(io::Error::other)?;
-    actix_rt::spawn(send_reports(
-        sender,
-        reports_rx,
-        Arc::clone(&settings),
-        platform.clone(),
-    ));
 
     let (gossip, peers) = gossip::channel();
     let advertised = settings.advertise.unwrap_or(bound);
@@ -91,6 +86,13 @@
         cx.add_stream(stream::poll_fn(move |cx| rx.poll_recv(cx)));
         agent
     });
+    actix_rt::spawn(send_reports(
+        sender,
+        reports_rx,
+        Arc::clone(&settings),
+        platform.clone(),
+        agent.clone(),
+    ));
     actix_rt::spawn(accept_links(listener, links_cfg, agent.clone()));
     let feed = FeedConfig {
         me: settings.name.clone(),
@@ -153,6 +155,7 @@
     mut rx: mpsc::Receiver<Report>,
     settings: Arc<AgentSettings>,
     platform: Platform,
+    agent: Addr<Agent>,
 ) {
     let (listed_tx, mut listed) = tokio::sync::watch::channel(Vec::new());
     actix_rt::spawn(async move {
@@ -160,6 +163,7 @@
             // During an outage the entries that are known go on being told.
             if let Ok(vms) = platform.vms().await {
                 listed_tx.send_replace(entries_of(&vms));
+                agent.do_send(EntriesListed(states_of(&vms)));
             }
             tokio::time::sleep(VMS_INTERVAL).await;
         }
@@ -185,3 +189,9 @@
         .filter(|vm| vm.role == "entry" && vm.state != VmState::Gone);
     entries.filter_map(|vm| vm.address.parse().ok()).collect()
 }
+
+fn states_of(vms: &[Vm]) -> Vec<(DaemonName, VmState)> {
+    let entries = vms.iter().filter(|vm| vm.role == "entry");
+    let named = entries.filter_map(|vm| Some((vm.name.parse().ok()?, vm.state)));
+    named.collect()
+}
--- a/crates/sesamehaven-daemons/src/caller.rs
+++ b/crates/sesamehaven-daemons/src/caller.rs
@@ -15,6 +15,7 @@
 use sesamehaven::config::{Limits, Repeat};
 use sesamehaven::flight::Doubt;
 use sesamehaven::id::{ClassName, KeyDigest, OrganisationName, PoolName, RequestId};
+use sesamehaven::key::WallTime;
 use sesamehaven::outcome::Refused;
 use sesamehaven::tier::Tier;
 use sesamehaven::unit::{Instant, Tokens};
@@ -53,6 +54,8 @@
     pub repeat: Repeat,
     /// The digest of the idempotency key.
     pub key: Option<KeyDigest>,
+    /// The time that the idempotency key carries.
+    pub key_time: Option<WallTime>,
     /// When an answer is of no use any more.
     pub deadline: Instant,
     /// When the request was received.
--- a/crates/sesamehaven-daemons/src/entry.rs
+++ b/crates/sesamehaven-daemons/src/entry.rs
@@ -17,10 +17,11 @@
 use spdlog::{info, warn};
 use tokio::sync::mpsc;
 
-use sesamehaven::config::Index;
+use sesamehaven::config::{Index, Repeat};
 use sesamehaven::fair::OrganisationDigest;
 use sesamehaven::flight::{Event, Flight, Step, Terms};
 use sesamehaven::gate::{Ended, LoadView};
+use sesamehaven::guard::Run;
 use sesamehaven::id::{DaemonName, EndpointName, Generation, Incarnation, PoolName, RequestId};
 use sesamehaven::outcome::{Refusal, Refused};
 use sesamehaven::quarantine::{Notice, Quarantine, Standing};
@@ -36,6 +37,7 @@
 use crate::clock;
 use crate::feed::{FromPeer, ToPeer};
 use crate::gossip;
+use crate::keys::{Keyed, Keys};
 use crate::peer::{self, LinkEvent, LinkId};
 use crate::settings::EntrySettings;
 
@@ -60,23 +62,27 @@
 }
 
 /// An agent as this entry knows it.
-struct Peer {
+pub(crate) struct Peer {
     address: SocketAddr,
-    incarnation: Incarnation,
-    link: Option<(LinkId, Sender)>,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) link: Option<(LinkId, Sender)>,
     connecting: bool,
-    leaving: bool,
+    pub(crate) leaving: bool,
     last_report: Instant,
 }
 
 /// A request that has not had its final word.
-struct Active {
-    flight: Flight<Place>,
-    job: Box<Job>,
-    tx: mpsc::Sender<ToCaller>,
+pub(crate) struct Active {
+    pub(crate) flight: Flight<Place>,
+    pub(crate) job: Box<Job>,
+    pub(crate) tx: mpsc::Sender<ToCaller>,
+    /// Whether the dispatch has to be granted by the home of the key.
+    pub(crate) guarded: bool,
+    pub(crate) keyed: Keyed,
+    admitted: bool,
     excluded: SmallVec<[EndpointName; 4]>,
     refused: Option<Refused>,
-    next_chunk: u64,
+    pub(crate) next_chunk: u64,
     upto: u64,
     first_token: bool,
 }
@@ -87,11 +93,12 @@
     links_cfg: LinkConfig,
     status: Status,
     index: Arc<Index>,
-    peers: BTreeMap<DaemonName, Peer>,
+    pub(crate) peers: BTreeMap<DaemonName, Peer>,
     agents_of: HashMap<EndpointName, DaemonName>,
     links: HashMap<LinkId, DaemonName>,
     routes: HashMap<PoolName, Route>,
-    active: HashMap<RequestId, Active>,
+    pub(crate) active: HashMap<RequestId, Active>,
+    pub(crate) keys: Keys,
     retries: HashMap<PoolName, RetryBudget>,
     quota: Quota,
     quarantine: Quarantine,
@@ -133,6 +140,10 @@
         status: Status,
         feed: mpsc::Sender<FromPeer>,
     ) -> Self {
+        let me = Run {
+            name: settings.name.clone(),
+            incarnation: links_cfg.me.incarnation,
+        };
         Entry {
             settings,
             links_cfg,
@@ -143,6 +154,7 @@
             links: HashMap::new(),
             routes: HashMap::new(),
             active: HashMap::new(),
+            keys: Keys::new(me),
             retries: HashMap::new(),
             quota: Quota::default(),
             quarantine: Quarantine::default(),
@@ -154,7 +166,9 @@
 
     fn submit(&mut self, id: RequestId, job: Box<Job>, tx: mpsc::Sender<ToCaller>) {
         counter!("entry_requests_total", "tier" => job.tier.to_string()).increment(1);
-        if let Err(refused) = self.admit(&job) {
+        let guarded = job.key.is_some() && job.repeat != Repeat::Idempotent;
+        let admission = self.admit(&job).err();
+        if let (Some(refused), false) = (admission, guarded) {
             counter!("entry_not_run_total", "reason" => refused.reason.code()).increment(1);
             // A connection that is gone needs no answer.
             let _ = tx.try_send(ToCaller::NotRun(refused));
@@ -162,13 +176,19 @@
         }
         let terms = Terms {
             repeat: job.repeat,
-            guarded: false,
+            guarded,
             deadline: job.deadline,
         };
         let active = Active {
             flight: Flight::new(terms),
             job,
             tx,
+            guarded,
+            keyed: Keyed {
+                refusal: admission,
+                ..Keyed::default()
+            },
+            admitted: admission.is_none(),
             excluded: SmallVec::new(),
             refused: None,
             next_chunk: 0,
@@ -195,7 +215,7 @@
     }
 
     /// Feeds an event to a request and takes the steps that follow.
-    fn drive(&mut self, id: RequestId, event: Event<Place>) {
+    pub(crate) fn drive(&mut self, id: RequestId, event: Event<Place>) {
         let Some(active) = self.active.get_mut(&id) else {
             return;
         };
@@ -206,8 +226,13 @@
             self.take_step(id, step, before.as_ref());
         }
         if done && let Some(active) = self.active.remove(&id) {
-            let organisation = OrganisationDigest::of(&active.job.organisation);
-            self.quota.on_end(organisation);
+            if active.admitted {
+                let organisation = OrganisationDigest::of(&active.job.organisation);
+                self.quota.on_end(organisation);
+            }
+            if active.guarded {
+                self.forget_key(id, active.keyed.attached);
+            }
         }
     }
 
@@ -218,8 +243,8 @@
                 self.route(id);
             }
             Step::Rerun => self.rerun(id),
-            Step::Claim(_) => self.drive(id, Event::Granted),
-            Step::Release => {}
+            Step::Claim(place) => self.claim_key(id, &place),
+            Step::Release => self.release_key(id),
             Step::Offer(place) => self.offer(id, place),
             Step::Withdraw(place) => self.request(id, &place, ToAgent::Withdraw),
             Step::Cancel(place) => {
@@ -262,12 +287,13 @@
             return;
         };
         let route = self.routes.get(&active.job.pool);
-        let choice = match route {
-            Some(route) => route.choose(&active.route_job(), rand::random(), now),
-            None => Choice::Refuse(nowhere()),
+        let choice = match (active.keyed.refusal, route) {
+            (Some(refused), _) => Choice::Refuse(refused),
+            (None, Some(route)) => route.choose(&active.route_job(), rand::random(), now),
+            (None, None) => Choice::Refuse(nowhere()),
         };
         let event = match choice {
-            Choice::Refuse(refused) => Event::Unroutable(refused),
+            Choice::Refuse(refused) => self.unroutable(id, refused),
             Choice::Offer(endpoint) => match self.agents_of.get(&endpoint) {
                 Some(agent) => Event::Routed(Place {
                     agent: agent.clone(),
@@ -279,11 +305,29 @@
         self.drive(id, event);
     }
 
+    /// Refuses a request, after its key was shown to be fresh if it has one.
+    fn unroutable(&mut self, id: RequestId, refused: Refused) -> Event<Place> {
+        let needs_proof = |a: &Active| a.guarded && !a.keyed.granted;
+        if !self.active.get(&id).is_some_and(needs_proof) {
+            return Event::Unroutable(refused);
+        }
+        let Some(place) = self.proving_place(id) else {
+            return Event::Unroutable(refused);
+        };
+        if let Some(active) = self.active.get_mut(&id) {
+            active.keyed.refusal = Some(refused);
+        }
+        Event::Routed(place)
+    }
+
     fn offer(&mut self, id: RequestId, place: Place) {
         let now = clock::now();
         let Some(active) = self.active.get_mut(&id) else {
             return;
         };
+        if let Some(refused) = active.keyed.refusal {
+            return self.drive(id, Event::Refused(refused));
+        }
         counter!("entry_offers_total").increment(1);
         active.next_chunk = 0;
         let offer = active.offer(&place, now);
@@ -294,7 +338,10 @@
         self.request(id, &place, ToAgent::Offer(Box::new(offer)));
     }
 
-    fn resume(&mut self, id: RequestId, place: &Place) {
+    pub(crate) fn resume(&mut self, id: RequestId, place: &Place) {
+        if self.must_wait_to_read(id) {
+            return;
+        }
         counter!("entry_resumes_total").increment(1);
         let Some(active) = self.active.get(&id) else {
             return;
@@ -309,12 +356,16 @@
         let Some((_, tx)) = link else {
             return;
         };
+        if self.must_wait_to_read(id) {
+            return;
+        }
+        let id = self.number_at_place(id);
         if tx.try_send(Frame::Request(id, msg)).is_err() {
             counter!("entry_frames_lost_total").increment(1);
         }
     }
 
-    fn tell(&mut self, id: RequestId, word: ToCaller) {
+    pub(crate) fn tell(&mut self, id: RequestId, word: ToCaller) {
         let Some(active) = self.active.get(&id) else {
             return;
         };
@@ -325,12 +376,15 @@
     }
 
     fn tell_not_run(&mut self, id: RequestId, refused: Refused) {
-        counter!("entry_not_run_total", "reason" => refused.reason.code()).increment(1);
         if let Some(active) = self.active.get(&id)
             && let Some(route) = self.routes.get_mut(&active.job.pool)
         {
             route.on_withdrawn(id);
         }
+        if !self.may_tell_not_run(id, refused) {
+            return;
+        }
+        counter!("entry_not_run_total", "reason" => refused.reason.code()).increment(1);
         self.tell(id, ToCaller::NotRun(refused));
     }
 
@@ -373,6 +427,7 @@
                 self.forget_endpoints(&agent);
             }
             Frame::Notices(notices) => self.on_notices(&agent, &notices),
+            Frame::Guard(message) => self.on_guard(message),
             frame => self.tell_feed(gossip::from_frame(agent, frame)),
         }
     }
@@ -400,7 +455,11 @@
         }
     }
 
-    fn on_reply(&mut self, agent: &DaemonName, id: RequestId, reply: ToEntry) {
+    fn on_reply(&mut self, agent: &DaemonName, number: RequestId, reply: ToEntry) {
+        let id = match self.active.contains_key(&number) {
+            true => number,
+            false => self.keys.reader(number).unwrap_or(number),
+        };
         let Some(active) = self.active.get_mut(&id) else {
             return;
         };
@@ -431,7 +490,10 @@
             }
             ToEntry::Withdrawn => Event::Withdrawn,
             ToEntry::AlreadyDispatched => Event::AlreadyDispatched,
-            ToEntry::Unheard => Event::Unheard,
+            ToEntry::Unheard => {
+                self.on_unheard(id);
+                Event::Unheard
+            }
             ToEntry::Dispatched { .. } => {
                 if let Some(route) = route {
                     route.on_dispatched(id, now);
@@ -582,6 +644,11 @@
         ));
         cx.add_stream(peer::events(id, link.rx));
         counter!("entry_links_total").increment(1);
+        let run = Run {
+            name: name.clone(),
+            incarnation: link.peer.incarnation,
+        };
+        self.resend_to(&run);
         if !same_run {
             return self.on_agent_lost(name);
         }
@@ -647,6 +714,7 @@
     }
 
     fn tick(&mut self) {
+        self.tick_keys();
         let now = clock::now();
         let due = self
             .active
@@ -659,6 +727,7 @@
     }
 
     fn sweep(&mut self, cx: &mut Context<Self>) {
+        self.sweep_keys();
         let now = clock::now();
         let unlinked = self.peers.iter().filter(|(_, peer)| {
             peer.link.is_none() && now.since(peer.last_report) < REPORT_SILENCE
@@ -855,6 +924,9 @@
         let entries = index.configuration.entries.len();
         self.quota
             .set_entries(u32::try_from(entries).unwrap_or(u32::MAX));
+        let agents = index.configuration.agents.iter();
+        let agents: Vec<_> = agents.map(|a| a.name.clone()).collect();
+        self.keys.configure(&agents);
         info!("configuration {generation} is in force");
         for peer in self.peers.values() {
             if let Some((_, tx)) = &peer.link {
@@ -883,6 +955,6 @@
     type Result = usize;
 
     fn handle(&mut self, _: InFlight, _: &mut Context<Self>) -> usize {
-        self.active.len()
+        self.active.len() + usize::from(self.keys.is_releasing())
     }
 }
--- a/crates/sesamehaven-daemons/src/intake.rs
+++ b/crates/sesamehaven-daemons/src/intake.rs
@@ -15,7 +15,8 @@
 use smol_str::{SmolStr, format_smolstr};
 
 use sesamehaven::config::{Class, Contract, Index, Organisation, Pool, PoolKind};
-use sesamehaven::id::{ClassName, KeyDigest, PoolName};
+use sesamehaven::id::{ClassName, PoolName};
+use sesamehaven::key::Key;
 use sesamehaven::unit::{Millis, Tokens};
 use sesamehaven::{prefix, quarantine};
 
@@ -29,8 +30,6 @@
 
 /// The longest time that a caller may ask for.
 const TIMEOUT_MAX: Millis = Millis(24 * 3_600_000);
-/// The longest idempotency key, in characters.
-const KEY_MAX_CHARS: usize = 255;
 /// The bytes of prompt text that are counted as one token.
 const BYTES_PER_TOKEN: u64 = 5;
 
@@ -318,13 +317,14 @@
     let class = party.class;
     let remaining = timeout(req)?.unwrap_or(class.deadline).min(TIMEOUT_MAX);
     let organisation = party.organisation.name.clone();
-    let key = idempotency_key(req)?.map(|key| KeyDigest::new(&organisation, key));
+    let key = idempotency_key(req)?;
     Ok(Job {
         pool: pool.name.clone(),
         class: class.name.clone(),
         tier: class.tier,
         repeat: class.repeat,
-        key,
+        key: key.as_ref().map(|key| key.digest(&organisation)),
+        key_time: key.as_ref().and_then(Key::time),
         deadline: now.after(remaining),
         received: now,
         prompt: work.prompt,
@@ -358,22 +358,15 @@
     }
 }
 
-fn idempotency_key(req: &HttpRequest) -> Result<Option<&str>> {
+fn idempotency_key(req: &HttpRequest) -> Result<Option<Key>> {
     let Some(value) = req.headers().get("idempotency-key") else {
         return Ok(None);
     };
-    let visible = value.as_bytes().iter().all(u8::is_ascii_graphic);
-    let key = value
-        .to_str()
-        .ok()
-        .filter(|key| visible && !key.is_empty() && key.len() <= KEY_MAX_CHARS);
-    match key {
-        Some(key) => Ok(Some(key)),
-        None => Err(BadRequest::new(
-            "invalid_key",
-            "`Idempotency-Key` must have 1 to 255 visible characters",
-        )),
-    }
+    let key = value.to_str().unwrap_or_default().parse();
+    let malformed = |err: sesamehaven::Error| {
+        BadRequest::new("invalid_key", format_smolstr!("`Idempotency-Key`: {err}"))
+    };
+    key.map(Some).map_err(malformed)
 }
 
 fn text_header<'a>(req: &'a HttpRequest, name: &str) -> Result<Option<&'a str>> {
--- a/crates/sesamehaven-wire/src/guard.rs
+++ b/crates/sesamehaven-wire/src/guard.rs
@@ -7,11 +7,14 @@
 
 pub use sesamehaven::guard::{FromHome, ToHome};
 
-/// A message of the dispatch guard in either direction.
+/// The greatest number of messages in one frame.
+pub const MAX_MESSAGES: usize = 32;
+
+/// Messages of the dispatch guard in either direction.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GuardMessage {
     /// From an entry to an agent.
-    ToHome(ToHome),
+    ToHome(Vec<ToHome>),
     /// From an agent to an entry.
-    FromHome(FromHome),
+    FromHome(Vec<FromHome>),
 }
--- a/crates/sesamehaven/src/flight.rs
+++ b/crates/sesamehaven/src/flight.rs
@@ -260,6 +260,8 @@
                 self.offer(p, now)
             }
             Event::Held(p) => {
+                // A grant of its own, if it had one, has passed to the holder.
+                self.claimed = false;
                 self.phase = Phase::Dispatched(p.clone());
                 self.patience = Some(now.after(RESUME_TIMEOUT));
                 smallvec![Step::Resume(p)]
--- a/crates/sesamehaven/src/ledger.rs
+++ b/crates/sesamehaven/src/ledger.rs
@@ -217,6 +217,11 @@
         self.wait(req, Wait::Release(held))
     }
 
+    /// Returns whether a request waits for its home's word.
+    pub fn is_waiting(&self, req: RequestId) -> bool {
+        self.waits.contains_key(&req)
+    }
+
     /// Stops waiting; the request must not be offered and its outcome is unknown.
     pub fn abandon(&mut self, req: RequestId) {
         self.waits.remove(&req);
--- a/crates/sesamehaven/src/offers.rs
+++ b/crates/sesamehaven/src/offers.rs
@@ -70,6 +70,11 @@
         self.recent.insert(req, (false, now));
     }
 
+    /// Returns whether nothing is known of a request, so that its offer may yet come.
+    pub fn is_new(&self, req: RequestId) -> bool {
+        !self.recent.contains_key(&req) && !self.is_below_floor(req)
+    }
+
     /// Tells what became of a request; one that is not taken never will be.
     pub fn ask(&mut self, req: RequestId, now: Instant) -> Heard {
         if let Some((taken, _)) = self.recent.get(&req) {
