--- a/crates/sesamehaven-daemons/src/feed.rs
+++ b/crates/sesamehaven-daemons/src/feed.rs
@@ -5,30 +5,28 @@
 //! daemons join to their links. The rules are described in
 //! [`docs/CONFIGURATION.md`](../../../docs/CONFIGURATION.md).
 
-use std::collections::{HashMap, HashSet};
 use std::pin::Pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
-use futures_util::{StreamExt, TryStreamExt};
 use metrics::{counter, gauge};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::time;
 
 use sesamehaven::config::Index;
-use sesamehaven::delivery::{Delivery, Mark, Policy, Read, Step, Verdict, watchers};
-use sesamehaven::id::{DaemonName, Digest, Generation};
-use sesamehaven::parts::{self, Head};
+use sesamehaven::delivery::{Delivery, Mark, Policy, Read, Step, Verdict};
+use sesamehaven::election::watchers;
+use sesamehaven::id::{DaemonName, Generation};
+use sesamehaven::parts::{self, Head, Scope};
 use sesamehaven::unit::{Instant, Millis};
 
+use crate::feed_peer::{Assembled, Assembly};
+use crate::feed_read::read_all;
 use crate::feed_shelf::{Candidate, Shelf, mark_of};
 use crate::platform::{self, Object, Platform, Version};
 
-/// The path of the head object.
-pub const HEAD_PATH: &str = "config/head";
-
-/// How many parts are read from the platform at once.
-const PARALLEL_READS: usize = 32;
+pub use crate::feed_peer::{FromPeer, Peers, ToPeer};
+pub use crate::feed_read::{HEAD_PATH, history_path, part_path};
 
 /// How a process follows the configuration.
 #[derive(Debug, Clone)]
@@ -39,69 +37,8 @@
     pub platform: Platform,
     /// How eagerly to look for a new one.
     pub policy: Policy,
-}
-
-/// What the links tell the feed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum FromPeer {
-    /// A message of any kind carried the generation that the peer serves.
-    Generation {
-        /// Who sent it.
-        peer: DaemonName,
-        /// What it serves.
-        generation: Generation,
-    },
-    /// The peer asks for the configuration.
-    Asked {
-        /// Who asks.
-        peer: DaemonName,
-        /// What it serves, zero for nothing.
-        generation: Generation,
-    },
-    /// The peer sent a configuration, or a share of its parts.
-    Config {
-        /// Who sent it.
-        peer: DaemonName,
-        /// The head, as it is stored.
-        head: Bytes,
-        /// Some of its parts.
-        parts: Vec<Bytes>,
-    },
-    /// The last link to the peer is gone.
-    Gone {
-        /// Who is gone.
-        peer: DaemonName,
-    },
-}
-
-/// What the feed asks the links to send.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ToPeer {
-    /// Ask the peer for its configuration.
-    Ask {
-        /// Whom to ask.
-        peer: DaemonName,
-        /// What this process serves, zero for nothing.
-        generation: Generation,
-    },
-    /// Send the peer a configuration, or a share of its parts.
-    Config {
-        /// Who asked.
-        peer: DaemonName,
-        /// The head, as it is stored.
-        head: Bytes,
-        /// Some of its parts.
-        parts: Vec<Bytes>,
-    },
-}
-
-/// The two ends that join the feed to the links.
-#[derive(Debug)]
-pub struct Peers {
-    /// What the links tell.
-    pub rx: mpsc::Receiver<FromPeer>,
-    /// What the links are to send; messages are dropped when it is full.
-    pub tx: mpsc::Sender<ToPeer>,
+    /// How much of it this daemon needs; peers get all of it whatever this says.
+    pub scope: Scope,
 }
 
 type Reading = Pin<Box<dyn Future<Output = Done>>>;
@@ -112,23 +49,16 @@
     Parts(Read, Result<Candidate, &'static str>),
 }
 
-/// Parts of a peer's configuration, as long as they are not complete.
-struct Assembly {
-    mark: Mark,
-    parts: HashMap<Digest, Bytes>,
-}
-
 /// The task that follows the configuration.
 pub struct Feed {
     cfg: FeedConfig,
     started: time::Instant,
     delivery: Delivery,
     shelf: Shelf,
-    held: Option<Candidate>,
+    held: Option<(Candidate, &'static str)>,
     assembly: Option<Assembly>,
     version: Version,
     alarmed: Option<Mark>,
-    lost: HashSet<DaemonName>,
     reading: Option<Reading>,
     peers: Option<Peers>,
     tx: watch::Sender<Option<Arc<Index>>>,
@@ -165,7 +95,6 @@
             assembly: None,
             version: Version::ABSENT,
             alarmed: None,
-            lost: HashSet::new(),
             reading: None,
             peers,
             tx,
@@ -181,12 +110,14 @@
 
     async fn run(mut self) {
         while !self.tx.is_closed() {
-            match self.delivery.next(self.now()) {
+            let step = self.delivery.next(self.now());
+            gauge!("config_watcher").set(f64::from(u8::from(self.delivery.is_watcher())));
+            match step {
                 Step::ReadPlatform(read) => self.read_head(read),
                 Step::Fetch(peer) => self.ask(peer),
                 Step::OfferHeld => {
-                    if let Some(candidate) = self.held.take() {
-                        self.offer(candidate, "held");
+                    if let Some((candidate, source)) = self.held.take() {
+                        self.offer(candidate, source);
                     }
                 }
                 Step::Wait(until) => self.wait(until).await,
@@ -251,7 +182,7 @@
             self.alarm(verdict, mark_of(&head), "platform");
             return self.delivery.platform_answered(read, now);
         }
-        let held = self.held.as_ref().map(Candidate::mark);
+        let held = self.held.as_ref().map(|(c, _)| c.mark());
         if held == Some(mark_of(&head)) {
             return self.delivery.platform_answered(read, now);
         }
@@ -287,18 +218,12 @@
         match heard {
             None => {
                 self.peers = None;
-                self.elect();
             }
             Some(FromPeer::Generation { peer, generation }) => {
-                if self.lost.remove(&peer) {
-                    self.elect();
-                }
                 self.delivery.hint(peer, generation, now);
             }
             Some(FromPeer::Gone { peer }) => {
                 self.delivery.peer_gone(&peer, now);
-                self.lost.insert(peer);
-                self.elect();
             }
             Some(FromPeer::Asked { peer, generation }) => self.answer(&peer, generation),
             Some(FromPeer::Config { peer, head, parts }) => self.assemble(&peer, head, parts),
@@ -330,29 +255,22 @@
             return self.delivery.peer_answered(peer);
         }
         let assembly = match &mut self.assembly {
-            Some(assembly) if assembly.mark == mark => assembly,
-            other => other.insert(Assembly {
-                mark,
-                parts: HashMap::new(),
-            }),
+            Some(assembly) if assembly.mark() == mark => assembly,
+            other => other.insert(Assembly::new(head, raw)),
         };
-        for bytes in parts {
-            let digest = Digest::of(&bytes);
-            if !head.parts.contains(&digest) {
+        match assembly.add(parts, &self.shelf) {
+            Assembled::Waiting => {}
+            Assembled::Foreign => {
                 refuse("digest_mismatch");
                 self.assembly = None;
-                return self.delivery.peer_failed(peer, now);
+                self.delivery.peer_failed(peer, now);
+            }
+            Assembled::Whole(candidate) => {
+                self.assembly = None;
+                self.delivery.peer_answered(peer);
+                self.offer(candidate, "peer");
             }
-            assembly.parts.insert(digest, bytes);
         }
-        let find = |d| assembly.parts.get(d).or_else(|| self.shelf.part(d));
-        let found: Option<Vec<Bytes>> = head.parts.iter().map(|d| find(d).cloned()).collect();
-        let Some(parts) = found else {
-            return;
-        };
-        self.assembly = None;
-        self.delivery.peer_answered(peer);
-        self.offer(Candidate { head, raw, parts }, "peer");
     }
 
     fn offer(&mut self, candidate: Candidate, source: &'static str) {
@@ -366,7 +284,7 @@
             return self.alarm(verdict, mark, source);
         }
         let parts = candidate.parts.iter().map(Bytes::as_ref);
-        let index = match parts::index(&candidate.head, parts) {
+        let index = match parts::index(&candidate.head, self.cfg.scope, parts) {
             Ok(index) => index,
             Err(err) => {
                 spdlog::error!("configuration {mark} cannot be read: {err}");
@@ -375,15 +293,15 @@
         };
         match self.delivery.offer(mark, now) {
             Verdict::Serve => self.serve(candidate, index, source),
-            Verdict::Hold => self.hold(candidate),
+            Verdict::Hold => self.hold(candidate, source),
             verdict => self.alarm(verdict, mark, source),
         }
     }
 
-    fn hold(&mut self, candidate: Candidate) {
-        let best = self.held.as_ref().map(|c| c.head.generation);
+    fn hold(&mut self, candidate: Candidate, source: &'static str) {
+        let best = self.held.as_ref().map(|(c, _)| c.head.generation);
         if best.is_none_or(|g| g < candidate.head.generation) {
-            self.held = Some(candidate);
+            self.held = Some((candidate, source));
         }
     }
 
@@ -396,23 +314,8 @@
         gauge!("config_generation").set(generation.0 as f64);
         self.held = None;
         self.shelf.replace(candidate);
+        self.delivery.set_watchers(watchers(&index), self.now());
         self.tx.send_replace(Some(index));
-        self.elect();
-    }
-
-    /// Works out whether this process watches the platform for its data centre.
-    fn elect(&mut self) {
-        let watcher = {
-            let index = self.tx.borrow();
-            let Some(index) = index.as_ref() else {
-                return;
-            };
-            let is_lost = |name: &DaemonName| self.lost.contains(name);
-            let elected = watchers(index, &self.cfg.me, self.cfg.policy.watchers, is_lost);
-            self.peers.is_none() || elected.is_empty() || elected.contains(&&self.cfg.me)
-        };
-        gauge!("config_watcher").set(f64::from(u8::from(watcher)));
-        self.delivery.set_watcher(watcher, self.now());
     }
 
     fn alarm(&mut self, verdict: Verdict, mark: Mark, source: &'static str) {
@@ -451,40 +354,6 @@
     }
 }
 
-/// Reads the parts that are not in hand, several at once.
-async fn read_all(
-    platform: &Platform,
-    wanted: Vec<(Digest, Option<Bytes>)>,
-) -> Result<Vec<Bytes>, &'static str> {
-    let reads = wanted.into_iter().map(|(digest, bytes)| async move {
-        match bytes {
-            Some(bytes) => Ok(bytes),
-            None => read_part(platform, digest).await,
-        }
-    });
-    let reads = futures_util::stream::iter(reads).buffered(PARALLEL_READS);
-    reads.try_collect().await
-}
-
-async fn read_part(platform: &Platform, digest: Digest) -> Result<Bytes, &'static str> {
-    let read = platform.get(&part_path(digest)).await;
-    let object = read.map_err(|_| "part_unread")?.ok_or("part_missing")?;
-    match parts::verify(digest, &object.value) {
-        Ok(()) => Ok(object.value),
-        Err(_) => Err("digest_mismatch"),
-    }
-}
-
-/// Returns the path of a part.
-pub fn part_path(digest: Digest) -> String {
-    format!("config/parts/{digest}")
-}
-
-/// Returns the path under which the head of a generation is kept.
-pub fn history_path(generation: Generation) -> String {
-    format!("config/history/{generation}")
-}
-
 fn refuse(reason: &'static str) {
     counter!("config_refusals_total", "reason" => reason).increment(1);
 }
--- a/crates/sesamehaven-daemons/src/homes.rs
+++ b/crates/sesamehaven-daemons/src/homes.rs
@@ -110,7 +110,7 @@
     pub fn sweep(&mut self) {
         let sends = self.home.tick(now());
         self.send(sends);
-        gauge!("agent_key_slots").set(self.home.served().count() as f64);
+        gauge!("agent_key_home_slots").set(self.home.served().count() as f64);
         gauge!("agent_key_bytes").set(self.home.bytes() as f64);
     }
 
--- a/crates/sesamehaven-daemons/src/keys.rs
+++ b/crates/sesamehaven-daemons/src/keys.rs
@@ -255,7 +255,7 @@
             }
         }
         self.keys.missed = missed;
-        gauge!("entry_key_slots_unserved").set(unserved.len() as f64);
+        gauge!("entry_key_unserved_slots").set(unserved.len() as f64);
         self.invite_homes(&unserved);
         let actions = self.keys.ledger.resend();
         self.act_on_keys(actions);
--- a/crates/sesamehaven-daemons/tests/metrics.rs
+++ b/crates/sesamehaven-daemons/tests/metrics.rs
@@ -7,7 +7,7 @@
 use std::path::Path;
 
 const PAGE: &str = include_str!("../../../docs/METRICS.md");
-const ENDINGS: [&str; 5] = ["_total", "_bytes", "_seconds", "_ratio", "_info"];
+const ENDINGS: [&str; 6] = ["_slots", "_total", "_bytes", "_seconds", "_ratio", "_info"];
 
 fn sources(dir: &Path, found: &mut Vec<String>) {
     for entry in fs::read_dir(dir).unwrap() {
--- a/crates/sesamehaven-system-tests/tests/keys.rs
+++ b/crates/sesamehaven-system-tests/tests/keys.rs
@@ -46,7 +46,7 @@
     let admin = fleet.daemon(entry).admin();
     wait::until("homes of all keys", || async {
         let metrics = fleet.http.get(admin, "/metrics").await.ok()?.text();
-        let unserved = "entry_key_slots_unserved 0";
+        let unserved = "entry_key_unserved_slots 0";
         metrics.lines().any(|l| l == unserved).then_some(())
     })
     .await
