Count what digested prefixes cover by their lengths

Prefixes are digested at doubling lengths, but the route took them to divide the prompt evenly, so that a short shared head counted for half of a long prompt. A gate can be built from the classes in use, and a route follows changed settings of its pool.

--- a/crates/sesamehaven-daemons/src/intake.rs
+++ b/crates/sesamehaven-daemons/src/intake.rs
@@ -31,8 +31,6 @@
 const TIMEOUT_MAX: Millis = Millis(24 * 3_600_000);
 /// The longest idempotency key, in characters.
 const KEY_MAX_CHARS: usize = 255;
-/// The bytes of prompt text that are counted as one token.
-const BYTES_PER_TOKEN: u64 = 5;
 
 /// The part of a completions request that routing needs.
 #[derive(Debug, Deserialize)]
@@ -190,7 +188,7 @@
         None => party.class.expected_output,
     };
     let work = Work {
-        prompt: Tokens((len as u64).div_ceil(BYTES_PER_TOKEN)),
+        prompt: Tokens((len as u64).div_ceil(prefix::BYTES_PER_TOKEN)),
         output,
         prefixes: prefix::digests(texts),
     };
--- a/crates/sesamehaven/examples/weigh/engine.rs
+++ b/crates/sesamehaven/examples/weigh/engine.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use sesamehaven::id::RequestId;
+use sesamehaven::prefix::covered;
 
 /// The speed and the memory of an engine.
 #[derive(Debug, Clone, Copy)]
@@ -118,7 +119,7 @@
         {
             let held = self.holds(&prefixes) as u64;
             self.touch(&prefixes[..held as usize]);
-            let cached = prompt * held / (prefixes.len() as u64).max(1);
+            let cached = covered(held as usize).min(prompt);
             self.prefilled += prompt - cached;
             self.running.push(Run {
                 id,
--- a/crates/sesamehaven/src/offer.rs
+++ b/crates/sesamehaven/src/offer.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use crate::config::{Endpoint, Objective, Pool, PoolKind, Repeat};
+use crate::config::{Endpoint, Index, Objective, Pool, PoolKind, Repeat};
 use crate::fair::OrganisationDigest;
 use crate::id::RequestId;
 use crate::outcome::Refused;
@@ -41,6 +41,23 @@
             objective: Objective::default(),
         }
     }
+
+    /// Takes the settings of a pool and one of its endpoints, and the most
+    /// urgent class that contracts grant there.
+    ///
+    /// The limit aims at the objective of that class.
+    pub fn in_use(index: &Index, pool: &Pool, endpoint: &Endpoint) -> Self {
+        let mut cfg = GateConfig::new(pool, endpoint);
+        let contracts = index.configuration.contracts.iter();
+        let granting = contracts.filter(|c| c.pools.contains(&pool.name));
+        let classes = granting.flat_map(|c| &c.classes);
+        let classes = classes.filter_map(|name| index.class(name));
+        if let Some(class) = classes.min_by_key(|c| c.tier) {
+            cfg.urgent = class.tier;
+            cfg.objective = class.objective.clone();
+        }
+        cfg
+    }
 }
 
 /// A request as it is offered to a gate.
--- a/crates/sesamehaven/src/prefix.rs
+++ b/crates/sesamehaven/src/prefix.rs
@@ -18,6 +18,9 @@
 /// The prefixes that are digested of one prompt, each twice as long as the one before.
 const DIGESTS_MAX: usize = 8;
 
+/// The bytes of prompt text that are counted as one token.
+pub const BYTES_PER_TOKEN: u64 = 5;
+
 /// Digests the prefixes of a prompt, the shortest first.
 ///
 /// The lengths do not depend on the prompt, so that two prompts have in common
@@ -46,6 +49,15 @@
     }
     digests
 }
+
+/// Estimates the tokens that the first `count` digested prefixes cover.
+pub fn covered(count: usize) -> u64 {
+    match u32::try_from(count) {
+        Ok(0) | Err(_) => 0,
+        Ok(count) => ((SHORTEST_BYTES as u64) << (count - 1).min(32)) / BYTES_PER_TOKEN,
+    }
+}
+
 /// How many of a prompt's prefixes each endpoint is taken to hold.
 pub type Held = SmallVec<[usize; 16]>;
 
@@ -158,8 +170,8 @@
         if held.iter().all(|n| *n == 0)
             && let Some(home) = home(endpoints, prefixes)
         {
-            // Half of what may be shared, as the endpoint has yet to prefill it.
-            held[home] = prefixes.len().saturating_sub(1) / 2;
+            // Only the shortest one, as the endpoint has yet to prefill any.
+            held[home] = 1;
         }
         held
     }
--- a/crates/sesamehaven/src/route.rs
+++ b/crates/sesamehaven/src/route.rs
@@ -10,7 +10,7 @@
 use crate::gate::{Ended, LoadView};
 use crate::id::{EndpointName, RequestId};
 use crate::outcome::{Refusal, Refused};
-use crate::prefix::{PrefixKnowledge, PrefixSummaries};
+use crate::prefix::{PrefixKnowledge, PrefixSummaries, covered};
 use crate::replica::Replica;
 use crate::tier::Tier;
 use crate::unit::{Instant, Millis, Tokens};
@@ -97,7 +97,7 @@
     /// Starts without any endpoint of the given pool.
     pub fn for_pool(pool: &Pool) -> Self {
         let mut route = Route::new(pool.prefix_weight);
-        route.kind = pool.kind;
+        route.set_pool(pool);
         route
     }
 }
@@ -114,6 +114,12 @@
         }
     }
 
+    /// Takes changed settings of the pool; what is known stays.
+    pub fn set_pool(&mut self, pool: &Pool) {
+        self.kind = pool.kind;
+        self.prefix_weight = pool.prefix_weight;
+    }
+
     /// Takes in a load report; reports that are overtaken by later ones are dropped.
     ///
     /// `seq` orders the reports of an endpoint also across restarts of its
@@ -304,17 +310,14 @@
     }
 
     /// Estimates the prompt tokens that each endpoint holds already.
-    ///
-    /// The prefixes are taken to divide the prompt evenly.
     fn held(&self, present: &[(&EndpointName, &Replica)], job: &Job) -> SmallVec<[u64; 16]> {
         if job.prefixes.is_empty() || self.kind == PoolKind::Service {
             return SmallVec::from_elem(0, present.len());
         }
         let names: SmallVec<[_; 16]> = present.iter().map(|(name, _)| *name).collect();
         let held = self.prefixes.held(&names, &job.prefixes);
-        let len = job.prefixes.len() as u64;
-        held.iter()
-            .map(|n| job.prompt.0 * *n as u64 / len)
+        held.into_iter()
+            .map(|n| covered(n).min(job.prompt.0))
             .collect()
     }
 
