--- a/crates/sesamehaven-wire/src/lib.rs
+++ b/crates/sesamehaven-wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod codec;
 pub mod counter;
 pub mod error;
+pub mod guard;
 mod handshake;
 pub mod link;
 pub mod message;
