Tell entries what engines' caches hold, and refuse only when the route does

Agents summarise each second what they dispatched, in 512 bytes for each engine; entries pass it to the route and follow changed pool settings. Gates take the most urgent class in use and its objective, without which the reserve was kept for tier 0 whether or not anybody used it. A request was refused for good after eight offers, below the number of endpoints of a pool, which breaks the rule of shedding; the route now ends it.

--- a/crates/sesamehaven-daemons/src/agent.rs
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -18,6 +18,7 @@
 use spdlog::{info, warn};
 use tokio::sync::{mpsc, oneshot};
 
+use sesamehaven::cache_view::CacheView;
 use sesamehaven::config::{Endpoint, Index, PoolKind, Repeat};
 use sesamehaven::fair::OrganisationDigest;
 use sesamehaven::gate::{Ended, Gate, GateConfig, Step, Verdict, Withdrawal, Work};
@@ -47,6 +48,12 @@
 const TOMBSTONE_RETENTION: Millis = Millis(600_000);
 /// When to come back to an endpoint that is not there.
 const ABSENT_RETRY_AFTER: Millis = Millis(1_000);
+/// The prefixes that an engine's cache is taken to hold at most.
+const CACHE_PREFIXES: usize = 2_048;
+/// The length of the summary of an engine's cache.
+const SUMMARY_BYTES: usize = 512;
+/// The time between two summaries of an engine's cache.
+const SUMMARY_INTERVAL: Millis = Millis(1_000);
 /// How long after a broken call its endpoint is looked at.
 const JUDGE_DELAY: Duration = Duration::from_millis(50);
 /// The notices that are sent at once.
@@ -63,6 +70,23 @@
     healthy: bool,
     /// The contents of calls that broke off and have not been judged.
     broken: SmallVec<[u64; 4]>,
+    /// The prompt prefixes that the engine is taken to hold.
+    cache: CacheView,
+    /// When the cache was last summarised for the entries.
+    summarised: Instant,
+}
+
+impl Door {
+    /// Summarises the engine's cache, if that is due again.
+    fn summary(&mut self, now: Instant) -> bytes::Bytes {
+        let is_due = now.since(self.summarised) >= SUMMARY_INTERVAL;
+        if self.kind == PoolKind::Service || !is_due {
+            return bytes::Bytes::new();
+        }
+        self.summarised = now;
+        let summary = self.cache.summary(SUMMARY_BYTES);
+        bytes::Bytes::copy_from_slice(summary.as_bytes())
+    }
 }
 
 /// The actor that holds the agent's state.
@@ -353,12 +377,13 @@
         let Some(run) = self.runs.get_mut(&id) else {
             return self.end_in_gate_of_none(id, now);
         };
-        let Some(door) = self.doors.get(&run.endpoint) else {
+        let Some(door) = self.doors.get_mut(&run.endpoint) else {
             return;
         };
         let Some(offer) = run.offer.take() else {
             return;
         };
+        door.cache.add(&offer.prefixes);
         counter!("agent_dispatches_total").increment(1);
         run.set_dispatched();
         run.tell(
@@ -539,6 +564,7 @@
         }
         door.healthy = false;
         door.gate.set_health(false);
+        door.cache.clear();
         counter!("agent_endpoint_losses_total").increment(1);
         warn!("endpoint {name} does not answer");
         let address = door.endpoint.address;
@@ -666,7 +692,11 @@
 
     fn report(&mut self) {
         let now = clock::now();
-        let endpoints = self.doors.values().map(|door| load_of(door, now)).collect();
+        let load = |door: &mut Door| Load {
+            prefixes: door.summary(now),
+            ..load_of(door, now)
+        };
+        let endpoints = self.doors.values_mut().map(load).collect();
         self.report_seq += 1;
         let report = Report {
             agent: self.settings.name.clone(),
@@ -690,7 +720,7 @@
             let Some(pool) = index.pool(&endpoint.pool) else {
                 continue;
             };
-            let cfg = GateConfig::new(pool, endpoint);
+            let cfg = GateConfig::in_use(&index, pool, endpoint);
             let mut door = match self.doors.remove(&endpoint.name) {
                 Some(door) if door.pool == pool.name => door,
                 _ => Door {
@@ -700,6 +730,8 @@
                     gate: Gate::new(cfg.clone()),
                     healthy: true,
                     broken: SmallVec::new(),
+                    cache: CacheView::new(CACHE_PREFIXES),
+                    summarised: now,
                 },
             };
             door.gate.set_config(cfg);
--- a/crates/sesamehaven-daemons/src/entry.rs
+++ b/crates/sesamehaven-daemons/src/entry.rs
@@ -526,13 +526,14 @@
         if known != Some(agent) {
             self.agents_of.insert(load.endpoint.clone(), agent.clone());
         }
-        let weight = self.index.pool(&load.pool).map(|pool| pool.prefix_weight);
-        let Some(weight) = weight else {
+        let Some(pool) = self.index.pool(&load.pool) else {
             return;
         };
         let route = self.routes.entry(load.pool.clone());
-        let route = route.or_insert_with(|| Route::new(weight));
+        let route = route.or_insert_with(|| Route::for_pool(pool));
+        route.set_pool(pool);
         route.on_report(&load.endpoint, view_of(load), seq, now);
+        route.on_prefixes(&load.endpoint, &load.prefixes);
     }
 
     /// Opens a link to an agent unless there is one.
--- a/crates/sesamehaven/src/flight.rs
+++ b/crates/sesamehaven/src/flight.rs
@@ -20,8 +20,14 @@
 pub const OFFER_TIMEOUT: Millis = Millis(2_500);
 /// How soon a caller may ask again about a request whose outcome is unknown.
 pub const UNKNOWN_RETRY_AFTER: Millis = Millis(1_000);
-/// The offers that one request may cause.
+/// The offers that one request may cause before its run is not repeated any more.
 pub const OFFERS_MAX: u32 = 8;
+/// The offers that one request may cause before a refusal is passed on.
+///
+/// The route refuses earlier, once no endpoint can take the request; a bound
+/// below the number of endpoints would refuse while less urgent work is queued,
+/// see [`docs/POLICY.md`](../../../docs/POLICY.md#shedding).
+pub const REFUSED_OFFERS_MAX: u32 = 64;
 
 /// What happened to a request; `P` names the place of an offer.
 #[derive(Debug, Clone, PartialEq)]
@@ -389,7 +395,7 @@
     }
 
     fn hand_back(&mut self, refused: Refused) -> Steps<P> {
-        if refused.reason.is_local() && self.offers < OFFERS_MAX {
+        if refused.reason.is_local() && self.offers < REFUSED_OFFERS_MAX {
             return self.reroute();
         }
         self.not_run(refused)
