Ask a peer whose answer was of no use again only after a second

Cause: a daemon that cannot read what its peers serve, as parts of a later build, asked them again as soon as they had answered, without end. A change that is put in force clears the pause, so changes in quick succession are not held up.

--- a/crates/sesamehaven-daemons/src/feed.rs
+++ b/crates/sesamehaven-daemons/src/feed.rs
@@ -246,13 +246,13 @@
         let now = self.now();
         let Ok(head) = Head::from_slice(&raw) else {
             refuse("malformed_head");
-            return self.delivery.peer_failed(peer, now);
+            return self.delivery.peer_answered(peer, now);
         };
         let mark = mark_of(&head);
         let verdict = self.delivery.judge(mark, now);
         if !matches!(verdict, Verdict::Serve | Verdict::Hold) {
             self.alarm(verdict, mark, "peer");
-            return self.delivery.peer_answered(peer);
+            return self.delivery.peer_answered(peer, now);
         }
         let assembly = match &mut self.assembly {
             Some(assembly) if assembly.mark() == mark => assembly,
@@ -263,11 +263,11 @@
             Assembled::Foreign => {
                 refuse("digest_mismatch");
                 self.assembly = None;
-                self.delivery.peer_failed(peer, now);
+                self.delivery.peer_answered(peer, now);
             }
             Assembled::Whole(candidate) => {
                 self.assembly = None;
-                self.delivery.peer_answered(peer);
+                self.delivery.peer_answered(peer, now);
                 self.offer(candidate, "peer");
             }
         }
--- a/crates/sesamehaven-system-tests/tests/operators.rs
+++ b/crates/sesamehaven-system-tests/tests/operators.rs
@@ -294,6 +294,40 @@
     assert_eq!(operators.history().await, json!([]));
 }
 
+/// The platform comes back with an old head; the daemons keep theirs, and the way out is shown.
+#[actix_rt::test]
+async fn a_restored_platform_is_seen_and_overtaken() {
+    let mut operators = Operators::new().await;
+    for (name, base) in [("first", 0), ("second", 1), ("third", 2)] {
+        assert_eq!(operators.apply(name, base).await.code, 0);
+    }
+    operators.fleet.start_entry("entry-1", "").await.unwrap();
+    operators.serves("entry-1", 3).await;
+    let daemon = operators.fleet.daemon("entry-1").admin().to_string();
+    let status = ["status", "--daemon", &daemon];
+    assert_eq!(operators.run(&status).await.code, 0);
+
+    let (http, at) = (operators.fleet.http.clone(), operators.fleet.platform());
+    let old = http.get(at, "/objects/config/history/1").await.unwrap();
+    let url = format!("http://{at}/objects/config/head");
+    http.send("PUT", &url, &[], old.body).await.unwrap();
+    let seen = operators.run(&status).await;
+    assert_eq!(seen.code, 1);
+    assert!(seen.text.contains("--above 3"), "{}", seen.text);
+
+    let file = operators.file("fourth").display().to_string();
+    let args = [
+        "apply", &file, "--base", "1", "--above", "3", "--note", "go on", "--json",
+    ];
+    let applied = operators.run(&args).await;
+    assert_eq!(
+        (applied.code, &applied.json()["generation"]),
+        (0, &json!(4))
+    );
+    operators.serves("entry-1", 4).await;
+    assert_eq!(operators.run(&status).await.code, 0);
+}
+
 /// The size that the system has to carry: parts stay small, a change moves one, and peers pass all on.
 #[actix_rt::test]
 async fn forty_two_thousand_organisations_reach_a_daemon_that_starts_during_an_outage() {
--- a/crates/sesamehaven/src/delivery.rs
+++ b/crates/sesamehaven/src/delivery.rs
@@ -83,13 +83,6 @@
     Forked,
 }
 
-impl Verdict {
-    /// Returns whether the source contradicts what is in force, which raises an alarm.
-    pub fn is_alarm(self) -> bool {
-        matches!(self, Verdict::Backward | Verdict::Forked)
-    }
-}
-
 /// How the platform is read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Read {
@@ -200,6 +193,7 @@
             Verdict::Serve => {
                 self.in_force = Some(mark);
                 self.held = None;
+                self.hints.values_mut().for_each(|h| h.not_before = now);
             }
             Verdict::Hold if self.held.is_none_or(|h| h.generation < mark.generation) => {
                 self.held = Some(mark);
@@ -242,20 +236,17 @@
 
     /// Notes that the connection to a peer is gone.
     pub fn peer_gone(&mut self, peer: &DaemonName, now: Instant) {
-        self.peer_failed(peer, now);
+        self.peer_answered(peer, now);
         self.hints.remove(peer);
     }
 
-    /// Notes that a fetch from a peer gave its configuration, whatever the verdict.
-    pub fn peer_answered(&mut self, peer: &DaemonName) {
+    /// Notes that a fetch from a peer is over, whatever came of it.
+    ///
+    /// The peer is not asked again at once, as its answer may have been of no use.
+    pub fn peer_answered(&mut self, peer: &DaemonName, now: Instant) {
         if self.fetching.as_ref().is_some_and(|(p, _)| p == peer) {
             self.fetching = None;
         }
-    }
-
-    /// Notes that a fetch from a peer gave nothing.
-    pub fn peer_failed(&mut self, peer: &DaemonName, now: Instant) {
-        self.peer_answered(peer);
         if let Some(hint) = self.hints.get_mut(peer) {
             hint.not_before = now.after(self.policy.peer_timeout);
         }
@@ -339,7 +330,7 @@
         if let Some((peer, deadline)) = self.fetching.clone()
             && deadline <= now
         {
-            self.peer_failed(&peer, now);
+            self.peer_answered(&peer, now);
         }
     }
 
--- a/crates/sesamehaven/tests/delivery.rs
+++ b/crates/sesamehaven/tests/delivery.rs
@@ -109,6 +109,19 @@
     assert!(agent.is_watcher());
 }
 
+#[test]
+fn a_peer_whose_answer_is_of_no_use_is_not_asked_again_at_once() {
+    let mut delivery = serving(5);
+    delivery.hint(name(1), Generation(6), Instant(1_000));
+    assert_eq!(delivery.next(Instant(1_000)), Step::Fetch(name(1)));
+    // Its parts cannot be read by this build, so nothing is offered.
+    delivery.peer_answered(&name(1), Instant(1_010));
+    assert!(!matches!(delivery.next(Instant(1_010)), Step::Fetch(_)));
+    delivery.hint(name(1), Generation(6), Instant(1_500));
+    assert!(!matches!(delivery.next(Instant(1_500)), Step::Fetch(_)));
+    assert_eq!(delivery.next(Instant(2_100)), Step::Fetch(name(1)));
+}
+
 /// What may happen to a small fleet in any order.
 #[derive(Debug, Clone)]
 enum Event {
@@ -212,7 +225,7 @@
         let j = (0..FLEET).find(|j| name(*j) == *peer).unwrap();
         match self.daemons[j].in_force() {
             Some(served) if i != j => {
-                self.daemons[i].peer_answered(peer);
+                self.daemons[i].peer_answered(peer, self.now);
                 self.daemons[i].hint(peer.clone(), served.generation, self.now);
                 self.offer(i, served);
             }
