--- a/crates/sesamehaven-daemons/src/platform.rs
+++ b/crates/sesamehaven-daemons/src/platform.rs
@@ -25,6 +25,7 @@
 
 pub use crate::platform_error::{Error, Result};
 use crate::platform_error::{answer_lost, malformed, no_version, refused, unavailable};
+use crate::strict;
 
 const VERSION_HEADER: &str = "Object-Version";
 const CONDITION_HEADER: &str = "If-Version";
@@ -154,8 +155,9 @@
 
     /// Builds a client from a URL without a path, such as `http://10.0.0.1:80`.
     pub fn at(url: &str, timeout: Millis) -> Self {
+        let builder = Client::builder().connector(strict::connector());
         Platform {
-            client: Client::builder().disable_redirects().finish(),
+            client: builder.disable_redirects().finish(),
             url: url.trim_end_matches('/').into(),
             timeout: timeout.duration(),
         }
--- a/crates/sesamehaven-wire/src/message.rs
+++ b/crates/sesamehaven-wire/src/message.rs
@@ -16,6 +16,8 @@
 use sesamehaven::quarantine::Notice;
 use sesamehaven::unit::{Millis, Tokens};
 
+use crate::guard::GuardMessage;
+
 /// The version of the protocol that this build speaks.
 pub const VERSION: u16 = 1;
 
@@ -94,6 +96,8 @@
     },
     /// Tells of requests that were near crashes of endpoints.
     Notices(Vec<Notice>),
+    /// About the homes of idempotency keys.
+    Guard(GuardMessage),
 }
 
 /// What an entry says to an agent about a request.
