--- a/crates/sesamehaven-daemons/src/agent.rs
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -60,7 +60,6 @@
 const SUMMARY_INTERVAL: Millis = Millis(1_000);
 /// How long after a broken call its endpoint is looked at.
 const JUDGE_DELAY: Duration = Duration::from_millis(20);
-const JUDGE_DELAY: Duration = Duration::from_millis(50);
 /// How long a resumption waits for the request's offer, which may be on its way.
 const OFFER_GRACE: Millis = Millis(150);
 /// The notices that are sent at once.
@@ -77,8 +76,6 @@
     healthy: bool,
     /// The calls that broke off and have not been judged.
     broken: SmallVec<[RequestId; 4]>,
-    /// The contents of calls that broke off and have not been judged.
-    broken: SmallVec<[u64; 4]>,
     /// The prompt prefixes that the engine is taken to hold.
     cache: CacheView,
     /// When the cache was last summarised for the entries.
--- a/crates/sesamehaven-daemons/src/entry.rs
+++ b/crates/sesamehaven-daemons/src/entry.rs
@@ -86,7 +86,7 @@
     upto: u64,
     first_token: bool,
     /// How often the request got a new id, because an agent takes the old one no more.
-    attempt: u8,
+    pub(crate) attempt: u8,
 }
 
 /// The actor that holds the entry's state.
@@ -359,11 +359,6 @@
         let Some((_, tx)) = link else {
             return;
         };
-        let attempt = self.active.get(&id).map_or(0, |active| active.attempt);
-        if tx
-            .try_send(Frame::Request(id.attempt(attempt), msg))
-            .is_err()
-        {
         if self.must_wait_to_read(id) {
             return;
         }
@@ -463,11 +458,9 @@
         }
     }
 
-    fn on_reply(&mut self, agent: &DaemonName, id: RequestId, reply: ToEntry) {
-        let Some(active) = self.active.get_mut(&id.origin()) else {
     fn on_reply(&mut self, agent: &DaemonName, number: RequestId, reply: ToEntry) {
-        let id = match self.active.contains_key(&number) {
-            true => number,
+        let id = match self.active.contains_key(&number.origin()) {
+            true => number.origin(),
             false => self.keys.reader(number).unwrap_or(number),
         };
         let Some(active) = self.active.get_mut(&id) else {
@@ -475,12 +468,11 @@
         };
         // Words of an agent that does not have the request any more are late.
         let place = active.flight.place();
-        let current = id == id.origin().attempt(active.attempt);
-        if !current || place.is_none_or(|place| place.agent != *agent) {
+        let is_current = number.attempt(active.attempt) == number;
+        if !is_current || place.is_none_or(|place| place.agent != *agent) {
             counter!("entry_late_replies_total").increment(1);
             return;
         }
-        let id = id.origin();
         let now = clock::now();
         let route = self.routes.get_mut(&active.job.pool);
         let event = match reply {
@@ -503,11 +495,7 @@
             ToEntry::Withdrawn => Event::Withdrawn,
             ToEntry::AlreadyDispatched => Event::AlreadyDispatched,
             ToEntry::Unheard => {
-                active.attempt = active.attempt.saturating_add(1);
-                let place = active.flight.place().cloned();
-                active
-                    .excluded
-                    .retain(|e| place.as_ref().is_none_or(|p| p.endpoint != *e));
+                active.renumber();
                 if let Some(route) = route {
                     route.on_withdrawn(id);
                 }
@@ -783,6 +771,18 @@
 }
 
 impl Active {
+    /// Lets the request be offered again where it was not heard of.
+    ///
+    /// A guarded request keeps its number, by which its home and the readers of
+    /// its answer know it, and goes to another endpoint.
+    fn renumber(&mut self) {
+        if self.guarded {
+            return;
+        }
+        self.attempt = self.attempt.saturating_add(1);
+        self.excluded.pop();
+    }
+
     fn route_job(&self) -> route::Job {
         route::Job {
             tier: self.job.tier,
--- a/crates/sesamehaven-daemons/src/intake.rs
+++ b/crates/sesamehaven-daemons/src/intake.rs
@@ -30,10 +30,6 @@
 
 /// The longest time that a caller may ask for.
 const TIMEOUT_MAX: Millis = Millis(24 * 3_600_000);
-/// The bytes of prompt text that are counted as one token.
-const BYTES_PER_TOKEN: u64 = 5;
-/// The longest idempotency key, in characters.
-const KEY_MAX_CHARS: usize = 255;
 
 /// The part of a completions request that routing needs.
 #[derive(Debug, Deserialize)]
--- a/crates/sesamehaven-daemons/src/keys.rs
+++ b/crates/sesamehaven-daemons/src/keys.rs
@@ -450,7 +450,12 @@
 
     /// Returns the number under which a request's place knows it.
     pub(crate) fn number_at_place(&self, id: RequestId) -> RequestId {
-        let attached = self.active.get(&id).and_then(|a| a.keyed.attached.as_ref());
-        attached.map_or(id, |(of, _)| *of)
+        let Some(active) = self.active.get(&id) else {
+            return id;
+        };
+        match &active.keyed.attached {
+            Some((of, _)) => *of,
+            None => id.attempt(active.attempt),
+        }
     }
 }
--- a/crates/sesamehaven-wire/src/link.rs
+++ b/crates/sesamehaven-wire/src/link.rs
@@ -152,6 +152,7 @@
     /// # Errors
     ///
     /// Returns the frame when it was not taken.
+    #[allow(clippy::result_large_err)] // The lint adds up variants; a frame takes 96 bytes.
     pub fn try_send(&self, frame: Frame) -> std::result::Result<(), Unsent> {
         if self.check(&frame).is_err() {
             return Err(Unsent::Oversized(frame));
