Probe endpoints by an open connection, not by a request

Cause: a probe by HTTP was a call that a plain service ran and recorded. Ruled out: a second dispatch of the call. Before: three records for one call in broken_answers.rs; after: one, and crash.rs passes as before.

--- a/crates/sesamehaven-daemons/src/agent.rs
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -585,11 +585,10 @@
         }
         let address = door.endpoint.address;
         let agent = cx.address();
-        let client = self.client.clone();
         let name = name.clone();
         actix_rt::spawn(async move {
             tokio::time::sleep(JUDGE_DELAY).await;
-            let answers = call::answers(&client, address).await;
+            let answers = call::is_alive(address).await;
             agent.do_send(Judge { name, answers });
         });
     }
@@ -663,10 +662,9 @@
         warn!("endpoint {name} does not answer");
         let address = door.endpoint.address;
         let agent = cx.address();
-        let client = self.client.clone();
         let name = name.clone();
         actix_rt::spawn(async move {
-            while !call::answers(&client, address).await {
+            while !call::is_alive(address).await {
                 tokio::time::sleep(PROBE_INTERVAL).await;
             }
             agent.do_send(Recovered(name));
--- a/crates/sesamehaven-daemons/src/call.rs
+++ b/crates/sesamehaven-daemons/src/call.rs
@@ -12,6 +12,8 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use smol_str::{SmolStr, format_smolstr};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout;
 
@@ -30,7 +32,9 @@
 const KEEP_ALIVE: Duration = Duration::from_millis(1_000);
 /// The longest wait for an endpoint's answer to a cancellation.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// The longest wait for an endpoint's answer to a probe.
+/// How long a probe's connection has to stay open.
+const PROBE_OPEN: Duration = Duration::from_millis(30);
+/// The longest wait for a probe's connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// What ends a whole stream of server-sent events.
 const DONE: &[u8] = b"data: [DONE]";
@@ -109,15 +113,18 @@
         .finish()
 }
 
-/// Returns whether an endpoint answers HTTP, whatever it says.
+/// Returns whether an endpoint accepts a connection and leaves it open.
 ///
 /// A connection alone is no sign of life, since a crashed endpoint's address
-/// may still accept and close them.
-pub async fn answers(client: &Client, address: SocketAddr) -> bool {
-    let url = format_smolstr!("http://{address}/");
-    let req = client.get(url.as_str()).force_close();
-    let sent = timeout(PROBE_TIMEOUT, req.send()).await;
-    sent.is_ok_and(|res| res.is_ok())
+/// may still accept and close them; a request would be a call that the endpoint
+/// runs.
+pub async fn is_alive(address: SocketAddr) -> bool {
+    let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+    let Ok(Ok(mut stream)) = connected else {
+        return false;
+    };
+    let closed = timeout(PROBE_OPEN, stream.read(&mut [0])).await;
+    closed.is_err()
 }
 
 /// A call that is about to start.
