Tell entries of a crash before callers learn that their call broke off

A caller sent a crashing request again before the agent had judged the crash and told the entries, so that one request crashed five endpoints of four engines in tests/crash.rs.

--- a/crates/sesamehaven-daemons/src/agent.rs
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -68,8 +68,8 @@
     kind: PoolKind,
     gate: Gate,
     healthy: bool,
-    /// The contents of calls that broke off and have not been judged.
-    broken: SmallVec<[u64; 4]>,
+    /// The calls that broke off and have not been judged, with their contents.
+    broken: SmallVec<[(RequestId, u64); 4]>,
     /// The prompt prefixes that the engine is taken to hold.
     cache: CacheView,
     /// When the cache was last summarised for the entries.
@@ -469,34 +469,48 @@
         counter!("agent_calls_total", "end" => end_label(told)).increment(1);
         match end {
             CallEnd::Whole => self.quarantine.on_finished(fingerprint),
-            CallEnd::Broken => self.judge_later(&name, fingerprint, cx),
+            CallEnd::Broken => self.judge_later(&name, id, fingerprint, cx),
             CallEnd::NotSent | CallEnd::Stalled | CallEnd::Cancelled => {}
         }
-        let Some(run) = self.runs.get_mut(&id) else {
-            return;
-        };
         if let Some(door) = self.doors.get_mut(&name) {
             door.gate.on_end(id, ended, now);
         }
-        if end == CallEnd::NotSent {
-            self.hand_back(id, absent(Refusal::Unavailable));
-            self.set_unhealthy(&name, cx);
-        } else {
-            run.set_end(told, now);
-            run.pump(id);
-            if run.is_delivered() && run.key.is_none() {
-                self.runs.remove(&id);
+        match end {
+            CallEnd::NotSent => {
+                self.hand_back(id, absent(Refusal::Unavailable));
+                self.set_unhealthy(&name, cx);
             }
+            // The entries learn of a crash before the callers do, who would send it again.
+            CallEnd::Broken if self.doors.contains_key(&name) => {}
+            _ => self.end(id, told, now),
         }
         self.poll(&name, now, cx);
     }
 
+    /// Tells the reader of an answer that it is over.
+    fn end(&mut self, id: RequestId, told: End, now: Instant) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        run.set_end(told, now);
+        run.pump(id);
+        if run.is_delivered() && run.key.is_none() {
+            self.runs.remove(&id);
+        }
+    }
+
     /// Looks shortly after a call broke off whether its endpoint has crashed.
-    fn judge_later(&mut self, name: &EndpointName, fingerprint: u64, cx: &mut Context<Self>) {
+    fn judge_later(
+        &mut self,
+        name: &EndpointName,
+        id: RequestId,
+        fingerprint: u64,
+        cx: &mut Context<Self>,
+    ) {
         let Some(door) = self.doors.get_mut(name) else {
             return;
         };
-        door.broken.push(fingerprint);
+        door.broken.push((id, fingerprint));
         if door.broken.len() > 1 {
             return;
         }
@@ -510,7 +524,8 @@
         });
     }
 
-    /// Decides whether calls broke off because their endpoint crashed.
+    /// Decides whether calls broke off because their endpoint crashed, and then
+    /// ends them.
     ///
     /// An endpoint that restarts at once is known by none of its calls going on.
     fn judge(&mut self, name: &EndpointName, answers: bool, cx: &mut Context<Self>) {
@@ -518,19 +533,26 @@
         let Some(door) = self.doors.get_mut(name) else {
             return;
         };
-        let mut suspects = std::mem::take(&mut door.broken);
-        if answers && door.gate.running() > 0 {
-            return;
+        let broken = std::mem::take(&mut door.broken);
+        if !answers || door.gate.running() == 0 {
+            let mut suspects: Vec<u64> = broken.iter().map(|(_, f)| *f).collect();
+            suspects.extend(door.gate.fingerprints());
+            self.on_crash(name, &suspects, now);
+        }
+        for (id, _) in broken {
+            self.end(id, End::Broken, now);
+        }
+        if !answers {
+            self.set_unhealthy(name, cx);
         }
-        suspects.extend(door.gate.fingerprints());
+    }
+
+    fn on_crash(&mut self, name: &EndpointName, suspects: &[u64], now: Instant) {
         self.crashes += 1;
         counter!("agent_endpoint_crashes_total").increment(1);
         let crash = CrashId::new(name, self.incarnation, self.crashes);
-        self.quarantine.on_crash(crash, &suspects, now);
+        self.quarantine.on_crash(crash, suspects, now);
         self.spread_notices(now);
-        if !answers {
-            self.set_unhealthy(name, cx);
-        }
     }
 
     /// Tells the entries what has changed about requests near crashes.
@@ -743,6 +765,9 @@
             for (id, refused) in door.gate.leave(now) {
                 self.hand_back(id, refused);
             }
+            for (id, _) in std::mem::take(&mut door.broken) {
+                self.end(id, End::Broken, now);
+            }
         }
         let Generation(generation) = index.generation;
         self.links_cfg
