--- a/crates/sesamehaven-daemons/src/agent.rs
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -22,19 +22,25 @@
 use sesamehaven::config::{Endpoint, Index, PoolKind, Repeat};
 use sesamehaven::fair::OrganisationDigest;
 use sesamehaven::gate::{Ended, Gate, GateConfig, Step, Verdict, Withdrawal, Work};
+use sesamehaven::guard::{self, Slot};
+use sesamehaven::home::Bootstrap;
 use sesamehaven::id::{DaemonName, EndpointName, Generation, Incarnation, PoolName, RequestId};
+use sesamehaven::offers::{Heard, Offers, Taking};
 use sesamehaven::outcome::{Refusal, Refused};
 use sesamehaven::quarantine::{CrashId, Quarantine, Standing};
 use sesamehaven::unit::{Instant, Millis};
+use sesamehaven_wire::guard::GuardMessage;
 use sesamehaven_wire::link::{Link, LinkConfig, Sender};
 use sesamehaven_wire::message::{End, Frame, Load, Offer, Report, ToAgent, ToEntry};
 
 use crate::admin::Status;
-use crate::call::{Call, CallEnd, CallEvent, Progress};
+use crate::call::{self, Call, CallEnd, CallEvent, Progress};
 use crate::clock;
 use crate::feed::{FromPeer, ToPeer};
 use crate::gossip;
+use crate::homes::{self, Homes};
 use crate::peer::{self, LinkEvent, LinkId};
+use crate::platform::{PLATFORM_TIMEOUT, Platform, VmState};
 use crate::run::{Reader, Run};
 use crate::settings::AgentSettings;
 
@@ -44,8 +50,6 @@
 const SWEEP: Duration = Duration::from_millis(250);
 /// How long work goes on for an entry whose link was lost.
 const ORPHAN_GRACE: Millis = Millis(5_000);
-/// How long a refused resumption is remembered, so that a late offer is refused as well.
-const TOMBSTONE_RETENTION: Millis = Millis(600_000);
 /// When to come back to an endpoint that is not there.
 const ABSENT_RETRY_AFTER: Millis = Millis(1_000);
 /// The prefixes that an engine's cache is taken to hold at most.
@@ -55,7 +59,9 @@
 /// The time between two summaries of an engine's cache.
 const SUMMARY_INTERVAL: Millis = Millis(1_000);
 /// How long after a broken call its endpoint is looked at.
-const JUDGE_DELAY: Duration = Duration::from_millis(50);
+const JUDGE_DELAY: Duration = Duration::from_millis(20);
+/// How long a resumption waits for the request's offer, which may be on its way.
+const OFFER_GRACE: Millis = Millis(150);
 /// The notices that are sent at once.
 const NOTICES_MAX: usize = 64;
 /// The pause between two tries to connect to an endpoint that does not answer.
@@ -68,8 +74,8 @@
     kind: PoolKind,
     gate: Gate,
     healthy: bool,
-    /// The calls that broke off and have not been judged, with their contents.
-    broken: SmallVec<[(RequestId, u64); 4]>,
+    /// The calls that broke off and have not been judged.
+    broken: SmallVec<[RequestId; 4]>,
     /// The prompt prefixes that the engine is taken to hold.
     cache: CacheView,
     /// When the cache was last summarised for the entries.
@@ -104,13 +110,25 @@
     quarantine: Quarantine,
     crashes: u64,
     feed: mpsc::Sender<FromPeer>,
-    tombstones: HashMap<RequestId, Instant>,
+    offers: Offers,
+    early: Vec<Early>,
+    homes: Homes,
+    platform: Platform,
     next_link: u64,
     report_seq: u64,
     leaving: bool,
     link_address: std::net::SocketAddr,
 }
 
+/// A resumption that came before the request's offer.
+struct Early {
+    link: LinkId,
+    id: RequestId,
+    next: u64,
+    upto: u64,
+    until: Instant,
+}
+
 /// A link that an entry has opened.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -126,6 +144,16 @@
 #[rtype(result = "()")]
 struct Recovered(EndpointName);
 
+/// What the platform says of slots that no entry remembers a home of.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct Opened(Vec<(Slot, Bootstrap)>);
+
+/// The entries' VMs as the platform lists them.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct EntriesListed(pub Vec<(DaemonName, VmState)>);
+
 /// What a probe found out about an endpoint whose calls broke off.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -155,6 +183,11 @@
         reports: mpsc::Sender<Report>,
         feed: mpsc::Sender<FromPeer>,
     ) -> Self {
+        let me = guard::Run {
+            name: settings.name.clone(),
+            incarnation: links_cfg.me.incarnation,
+        };
+        let platform = Platform::new(settings.platform, PLATFORM_TIMEOUT);
         Agent {
             incarnation: links_cfg.me.incarnation,
             settings,
@@ -169,7 +202,10 @@
             quarantine: Quarantine::default(),
             crashes: 0,
             feed,
-            tombstones: HashMap::new(),
+            offers: Offers::default(),
+            early: Vec::new(),
+            homes: Homes::new(me),
+            platform,
             next_link: 0,
             report_seq: 0,
             leaving: false,
@@ -185,6 +221,9 @@
                 self.quarantine.merge(&notices, now);
                 return;
             }
+            Frame::Guard(GuardMessage::ToHome(messages)) => {
+                return self.homes.take(link, messages);
+            }
             frame => {
                 let Some((peer, _)) = self.links.get(&link) else {
                     return;
@@ -213,14 +252,14 @@
         let Some((_, tx)) = self.links.get(&link).cloned() else {
             return;
         };
-        if self.tombstones.contains_key(&id) {
-            return self.reply(link, id, ToEntry::Unheard);
-        }
         let upto = offer.upto;
-        if self.runs.contains_key(&id) {
-            return self.on_resume(link, id, 0, upto, now);
+        match self.offers.take(id, now) {
+            Taking::Take => {}
+            Taking::Repeated => return self.on_resume(link, id, 0, upto, now),
+            Taking::Refuse => return self.reply(link, id, ToEntry::Unheard),
         }
         let Some(door) = self.doors.get_mut(&offer.endpoint) else {
+            self.offers.refuse(id, now);
             let refused = absent(Refusal::Unavailable);
             return self.reply(link, id, ToEntry::Refused(refused));
         };
@@ -229,6 +268,7 @@
             let mut refused = absent(Refusal::Quarantined);
             refused.retry_after = self.quarantine.remaining(offer.fingerprint, now);
             count_refusal(refused.reason);
+            self.offers.refuse(id, now);
             return self.reply(link, id, ToEntry::Refused(refused));
         }
         let class = self.index.class(&offer.class);
@@ -245,6 +285,7 @@
             } => (first_token, evicted),
             Verdict::Refused(refused) => {
                 count_refusal(refused.reason);
+                self.offers.refuse(id, now);
                 return self.reply(link, id, ToEntry::Refused(refused));
             }
         };
@@ -265,10 +306,7 @@
         let reply = match self.withdraw(id, now) {
             Withdrawal::Withdrawn => ToEntry::Withdrawn,
             Withdrawal::AlreadyDispatched => ToEntry::AlreadyDispatched,
-            Withdrawal::Unknown => {
-                self.tombstones.insert(id, now);
-                ToEntry::Unheard
-            }
+            Withdrawal::Unknown => self.unknown(id, now),
         };
         self.reply(link, id, reply);
     }
@@ -285,10 +323,21 @@
             door.gate.withdraw(id, now);
         }
         self.runs.remove(&id);
-        self.tombstones.insert(id, now);
+        self.offers.refuse(id, now);
         Withdrawal::Withdrawn
     }
 
+    /// Tells of a request that is not held: never offered, or forgotten since.
+    fn unknown(&mut self, id: RequestId, now: Instant) -> ToEntry {
+        match self.offers.ask(id, now) {
+            Heard::Never => ToEntry::Unheard,
+            Heard::Taken | Heard::Forgotten => ToEntry::End {
+                chunks: 0,
+                end: End::Forgotten,
+            },
+        }
+    }
+
     fn on_cancel(&mut self, link: LinkId, id: RequestId, now: Instant) {
         let Some(run) = self.runs.get_mut(&id) else {
             return;
@@ -322,8 +371,18 @@
             return;
         };
         let Some(run) = self.runs.get_mut(&id) else {
-            self.tombstones.insert(id, now);
-            return self.reply(link, id, ToEntry::Unheard);
+            if self.offers.is_new(id) {
+                let until = now.after(OFFER_GRACE);
+                return self.early.push(Early {
+                    link,
+                    id,
+                    next,
+                    upto,
+                    until,
+                });
+            }
+            let reply = self.unknown(id, now);
+            return self.reply(link, id, reply);
         };
         run.attach(Reader::new(link, tx, next, upto));
         let reply = match run.is_dispatched() {
@@ -336,10 +395,24 @@
         self.reply(link, id, reply);
     }
 
+    /// Answers resumptions whose offer has come by now, or did not come in time.
+    fn answer_early(&mut self, now: Instant) {
+        let offers = &self.offers;
+        let is_ready = |early: &mut Early| now >= early.until || !offers.is_new(early.id);
+        let ready: Vec<Early> = self.early.extract_if(.., is_ready).collect();
+        for early in ready {
+            if self.offers.is_new(early.id) {
+                self.offers.refuse(early.id, now);
+            }
+            self.on_resume(early.link, early.id, early.next, early.upto, now);
+        }
+    }
+
     /// Gives an undispatched request back to its entry.
     fn hand_back(&mut self, id: RequestId, refused: Refused) {
         count_refusal(refused.reason);
         if let Some(run) = self.runs.remove(&id) {
+            self.offers.refuse(id, clock::now());
             run.tell(id, &ToEntry::Refused(refused));
         }
     }
@@ -467,11 +540,6 @@
             CallEnd::Cancelled => (Ended::Cancelled, End::Cancelled),
         };
         counter!("agent_calls_total", "end" => end_label(told)).increment(1);
-        match end {
-            CallEnd::Whole => self.quarantine.on_finished(fingerprint),
-            CallEnd::Broken => self.judge_later(&name, id, fingerprint, cx),
-            CallEnd::NotSent | CallEnd::Stalled | CallEnd::Cancelled => {}
-        }
         if let Some(door) = self.doors.get_mut(&name) {
             door.gate.on_end(id, ended, now);
         }
@@ -480,19 +548,23 @@
                 self.hand_back(id, absent(Refusal::Unavailable));
                 self.set_unhealthy(&name, cx);
             }
-            // The entries learn of a crash before the callers do, who would send it again.
-            CallEnd::Broken if self.doors.contains_key(&name) => {}
-            _ => self.end(id, told, now),
+            CallEnd::Broken => self.judge_later(&name, id, cx),
+            CallEnd::Whole | CallEnd::Stalled | CallEnd::Cancelled => {
+                if end == CallEnd::Whole {
+                    self.quarantine.on_finished(fingerprint);
+                }
+                self.conclude(id, told, now);
+            }
         }
         self.poll(&name, now, cx);
     }
 
-    /// Tells the reader of an answer that it is over.
-    fn end(&mut self, id: RequestId, told: End, now: Instant) {
+    /// Lets the readers of an answer have its end.
+    fn conclude(&mut self, id: RequestId, end: End, now: Instant) {
         let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
-        run.set_end(told, now);
+        run.set_end(end, now);
         run.pump(id);
         if run.is_delivered() && run.key.is_none() {
             self.runs.remove(&id);
@@ -500,32 +572,29 @@
     }
 
     /// Looks shortly after a call broke off whether its endpoint has crashed.
-    fn judge_later(
-        &mut self,
-        name: &EndpointName,
-        id: RequestId,
-        fingerprint: u64,
-        cx: &mut Context<Self>,
-    ) {
+    ///
+    /// The entry has the end of the call only after the verdict, so that it
+    /// knows of a crash before it may have the request run again.
+    fn judge_later(&mut self, name: &EndpointName, id: RequestId, cx: &mut Context<Self>) {
         let Some(door) = self.doors.get_mut(name) else {
             return;
         };
-        door.broken.push((id, fingerprint));
+        door.broken.push(id);
         if door.broken.len() > 1 {
             return;
         }
         let address = door.endpoint.address;
         let agent = cx.address();
+        let client = self.client.clone();
         let name = name.clone();
         actix_rt::spawn(async move {
             tokio::time::sleep(JUDGE_DELAY).await;
-            let answers = tokio::net::TcpStream::connect(address).await.is_ok();
+            let answers = call::answers(&client, address).await;
             agent.do_send(Judge { name, answers });
         });
     }
 
-    /// Decides whether calls broke off because their endpoint crashed, and then
-    /// ends them.
+    /// Decides whether calls broke off because their endpoint crashed.
     ///
     /// An endpoint that restarts at once is known by none of its calls going on.
     fn judge(&mut self, name: &EndpointName, answers: bool, cx: &mut Context<Self>) {
@@ -534,20 +603,23 @@
             return;
         };
         let broken = std::mem::take(&mut door.broken);
-        if !answers || door.gate.running() == 0 {
-            let mut suspects: Vec<u64> = broken.iter().map(|(_, f)| *f).collect();
-            suspects.extend(door.gate.fingerprints());
-            self.on_crash(name, &suspects, now);
+        let crashed = !answers || door.gate.running() == 0;
+        if crashed {
+            let mut suspects: Vec<_> = door.gate.fingerprints().collect();
+            let runs = broken.iter().filter_map(|id| self.runs.get(id));
+            suspects.extend(runs.map(|run| run.fingerprint));
+            self.note_crash(name, &suspects, now);
         }
-        for (id, _) in broken {
-            self.end(id, End::Broken, now);
+        for id in broken {
+            self.conclude(id, End::Broken, now);
         }
-        if !answers {
+        if crashed {
+            // Until it answers again, calls that break off say nothing of their content.
             self.set_unhealthy(name, cx);
         }
     }
 
-    fn on_crash(&mut self, name: &EndpointName, suspects: &[u64], now: Instant) {
+    fn note_crash(&mut self, name: &EndpointName, suspects: &[u64], now: Instant) {
         self.crashes += 1;
         counter!("agent_endpoint_crashes_total").increment(1);
         let crash = CrashId::new(name, self.incarnation, self.crashes);
@@ -591,18 +663,32 @@
         warn!("endpoint {name} does not answer");
         let address = door.endpoint.address;
         let agent = cx.address();
+        let client = self.client.clone();
         let name = name.clone();
         actix_rt::spawn(async move {
-            loop {
+            while !call::answers(&client, address).await {
                 tokio::time::sleep(PROBE_INTERVAL).await;
-                if tokio::net::TcpStream::connect(address).await.is_ok() {
-                    return agent.do_send(Recovered(name));
-                }
             }
+            agent.do_send(Recovered(name));
+        });
+    }
+
+    /// Asks the platform about slots of keys that no entry remembers a home of.
+    fn open_slots(&mut self, cx: &mut Context<Self>) {
+        let slots = self.homes.to_open();
+        if slots.is_empty() {
+            return;
+        }
+        let platform = self.platform.clone();
+        let agent = cx.address();
+        actix_rt::spawn(async move {
+            let opened = homes::open_slots(&platform, &slots).await;
+            agent.do_send(Opened(opened));
         });
     }
 
     fn on_link_lost(&mut self, link: LinkId) {
+        self.homes.link_lost(link);
         let now = clock::now();
         if let Some((peer, _)) = self.links.remove(&link)
             && !self.links.values().any(|(name, _)| *name == peer)
@@ -621,6 +707,7 @@
 
     fn tick(&mut self, cx: &mut Context<Self>) {
         let now = clock::now();
+        self.answer_early(now);
         let names: Vec<_> = self.doors.keys().cloned().collect();
         for name in names {
             self.poll(&name, now, cx);
@@ -628,7 +715,9 @@
     }
 
     /// Forgets answers and tombstones that nobody will ask for, and ends orphans.
-    fn sweep(&mut self) {
+    fn sweep(&mut self, cx: &mut Context<Self>) {
+        self.homes.sweep();
+        self.open_slots(cx);
         let now = clock::now();
         let retention = self.settings.limits.answer_retention;
         self.runs.retain(|_, run| match run.ended {
@@ -636,8 +725,8 @@
             Some(ended) => now.since(ended) < ORPHAN_GRACE,
             None => true,
         });
-        self.tombstones
-            .retain(|_, since| now.since(*since) < TOMBSTONE_RETENTION);
+        let runs = &self.runs;
+        self.offers.age(now, |id| runs.contains_key(&id));
         self.forget_over_bound();
         for id in self.orphans(now) {
             match self.withdraw(id, now) {
@@ -765,10 +854,9 @@
             for (id, refused) in door.gate.leave(now) {
                 self.hand_back(id, refused);
             }
-            for (id, _) in std::mem::take(&mut door.broken) {
-                self.end(id, End::Broken, now);
-            }
         }
+        let entries = index.configuration.entries.iter();
+        self.homes.expect(entries.map(|e| e.name.clone()).collect());
         let Generation(generation) = index.generation;
         self.links_cfg
             .generation
@@ -850,7 +938,7 @@
     fn started(&mut self, cx: &mut Context<Self>) {
         cx.set_mailbox_capacity(1 << 16);
         cx.run_interval(TICK, |agent, cx| agent.tick(cx));
-        cx.run_interval(SWEEP, |agent, _| agent.sweep());
+        cx.run_interval(SWEEP, |agent, cx| agent.sweep(cx));
         let interval = self.settings.limits.report_interval.duration();
         cx.run_interval(interval, |agent, _| agent.report());
     }
@@ -884,6 +972,11 @@
             // A new link has room for its first frames.
             let _ = link.tx.try_send(Frame::Notices(summary));
         }
+        let run = guard::Run {
+            name: link.peer.name.clone(),
+            incarnation: link.peer.incarnation,
+        };
+        self.homes.link_up(id, run, link.tx.clone());
         let peer = link.peer.name;
         actix_rt::spawn(gossip::follow(
             peer.clone(),
@@ -933,6 +1026,24 @@
     fn finished(&mut self, _: &mut Context<Self>) {}
 }
 
+impl Handler<Opened> for Agent {
+    type Result = ();
+
+    fn handle(&mut self, Opened(slots): Opened, _: &mut Context<Self>) {
+        self.homes.opened(slots);
+    }
+}
+
+impl Handler<EntriesListed> for Agent {
+    type Result = ();
+
+    fn handle(&mut self, EntriesListed(vms): EntriesListed, _: &mut Context<Self>) {
+        let configured = self.index.configuration.entries.iter();
+        let configured = configured.map(|entry| entry.name.clone());
+        self.homes.listed(&vms, configured.collect());
+    }
+}
+
 impl Handler<Recovered> for Agent {
     type Result = ();
 
