End broken calls of endpoints that leave the configuration

A call that broke off and had not been judged yet was never ended when its endpoint was taken out of the configuration within those 50 ms. Found by reading; there is no test for it.

--- a/crates/sesamehaven-daemons/src/agent.rs
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -854,6 +854,9 @@
             for (id, refused) in door.gate.leave(now) {
                 self.hand_back(id, refused);
             }
+            for id in std::mem::take(&mut door.broken) {
+                self.conclude(id, End::Broken, now);
+            }
         }
         let entries = index.configuration.entries.iter();
         self.homes.expect(entries.map(|e| e.name.clone()).collect());
