--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod guard;
 pub mod home;
 pub mod id;
+pub mod job;
 pub mod key;
 pub mod ledger;
 pub mod limit;
--- a/crates/sesamehaven/src/route.rs
+++ b/crates/sesamehaven/src/route.rs
@@ -9,11 +9,12 @@
 use crate::config::{Pool, PoolKind};
 use crate::gate::{Ended, LoadView};
 use crate::id::{EndpointName, RequestId};
+pub use crate::job::{Choice, Job};
 use crate::outcome::{Refusal, Refused};
 use crate::prefix::{PrefixKnowledge, PrefixSummaries, covered};
 use crate::replica::Replica;
 use crate::tier::Tier;
-use crate::unit::{Instant, Millis, Tokens};
+use crate::unit::{Instant, Millis};
 
 /// The endpoints among which the choice is made.
 const CHOICES: usize = 3;
@@ -35,37 +36,6 @@
 /// When to come back if no agent said so.
 const RETRY_OTHERWISE: Millis = Millis(2_000);
 
-/// A request that needs an endpoint.
-#[derive(Debug, Clone)]
-pub struct Job {
-    /// The rank.
-    pub tier: Tier,
-    /// The estimated length of the prompt.
-    pub prompt: Tokens,
-    /// The estimated length of the answer.
-    pub output: Tokens,
-    /// The digests of the prompt's prefixes, the shortest first.
-    pub prefixes: SmallVec<[u64; 8]>,
-    /// When the answer is due.
-    pub deadline: Instant,
-    /// Whether the content was near a crash of an endpoint before.
-    pub suspect: bool,
-    /// The endpoints that have lost the request before dispatch, or refused it
-    /// for a reason other than [`Refusal::is_for_room`].
-    pub excluded: SmallVec<[EndpointName; 4]>,
-    /// The last refusal of the request by an agent.
-    pub refused: Option<Refused>,
-}
-
-/// Where a request goes.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Choice {
-    /// Offer it to the agent of this endpoint.
-    Offer(EndpointName),
-    /// No endpoint of the pool can take it.
-    Refuse(Refused),
-}
-
 /// An offer that has not come to its end.
 #[derive(Debug, Clone)]
 struct Offered {
