--- a/crates/sesamehaven-daemons/src/entry.rs
+++ b/crates/sesamehaven-daemons/src/entry.rs
@@ -30,7 +30,7 @@
 use sesamehaven::route::{self, Choice, Route};
 use sesamehaven::unit::{Instant, Millis, TokenRate};
 use sesamehaven_wire::link::{self, Link, LinkConfig, Sender};
-use sesamehaven_wire::message::{End, Frame, Load, Offer, Report, ToAgent, ToEntry};
+use sesamehaven_wire::message::{End, Frame, Load, Offer, Report, Role, ToAgent, ToEntry};
 
 use crate::admin::Status;
 use crate::caller::{CallerGone, Consumed, Job, Submit, ToCaller};
@@ -85,6 +85,8 @@
     pub(crate) next_chunk: u64,
     upto: u64,
     first_token: bool,
+    /// How often the request got a new id, because an agent takes the old one no more.
+    pub(crate) attempt: u8,
 }
 
 /// The actor that holds the entry's state.
@@ -194,6 +196,7 @@
             next_chunk: 0,
             upto: u64::from(self.settings.limits.window_chunks),
             first_token: false,
+            attempt: 0,
         };
         self.active.insert(id, active);
         self.route(id);
@@ -456,8 +459,8 @@
     }
 
     fn on_reply(&mut self, agent: &DaemonName, number: RequestId, reply: ToEntry) {
-        let id = match self.active.contains_key(&number) {
-            true => number,
+        let id = match self.active.contains_key(&number.origin()) {
+            true => number.origin(),
             false => self.keys.reader(number).unwrap_or(number),
         };
         let Some(active) = self.active.get_mut(&id) else {
@@ -465,7 +468,8 @@
         };
         // Words of an agent that does not have the request any more are late.
         let place = active.flight.place();
-        if place.is_none_or(|place| place.agent != *agent) {
+        let is_current = number.attempt(active.attempt) == number;
+        if !is_current || place.is_none_or(|place| place.agent != *agent) {
             counter!("entry_late_replies_total").increment(1);
             return;
         }
@@ -491,6 +495,10 @@
             ToEntry::Withdrawn => Event::Withdrawn,
             ToEntry::AlreadyDispatched => Event::AlreadyDispatched,
             ToEntry::Unheard => {
+                active.renumber();
+                if let Some(route) = route {
+                    route.on_withdrawn(id);
+                }
                 self.on_unheard(id);
                 Event::Unheard
             }
@@ -588,13 +596,14 @@
         if known != Some(agent) {
             self.agents_of.insert(load.endpoint.clone(), agent.clone());
         }
-        let weight = self.index.pool(&load.pool).map(|pool| pool.prefix_weight);
-        let Some(weight) = weight else {
+        let Some(pool) = self.index.pool(&load.pool) else {
             return;
         };
         let route = self.routes.entry(load.pool.clone());
-        let route = route.or_insert_with(|| Route::new(weight));
+        let route = route.or_insert_with(|| Route::for_pool(pool));
+        route.set_pool(pool);
         route.on_report(&load.endpoint, view_of(load), seq, now);
+        route.on_prefixes(&load.endpoint, &load.prefixes);
     }
 
     /// Opens a link to an agent unless there is one.
@@ -623,7 +632,10 @@
         let Some(peer) = self.peers.get_mut(name) else {
             return;
         };
-        if link.peer.incarnation < peer.incarnation {
+        // Another process may listen where the agent was.
+        let is_agent = link.peer.name == *name && link.peer.role == Role::Agent;
+        if !is_agent || link.peer.incarnation < peer.incarnation {
+            counter!("entry_wrong_peers_total").increment(1);
             return;
         }
         let same_run = link.peer.incarnation == peer.incarnation;
@@ -759,6 +771,18 @@
 }
 
 impl Active {
+    /// Lets the request be offered again where it was not heard of.
+    ///
+    /// A guarded request keeps its number, by which its home and the readers of
+    /// its answer know it, and goes to another endpoint.
+    fn renumber(&mut self) {
+        if self.guarded {
+            return;
+        }
+        self.attempt = self.attempt.saturating_add(1);
+        self.excluded.pop();
+    }
+
     fn route_job(&self) -> route::Job {
         route::Job {
             tier: self.job.tier,
