--- a/crates/sesamehaven/src/memory.rs
+++ b/crates/sesamehaven/src/memory.rs
@@ -129,6 +129,9 @@
         if !old.is_empty() {
             self.add(now, old);
         }
+        if self.grants.capacity() > 4 * self.grants.len() {
+            self.grants.shrink_to(2 * self.grants.len());
+        }
         let kept = |g: &Group| now.since(g.since).0 < RETENTION.0 + GROUP_SPAN.0;
         self.groups.retain(kept);
     }
