Claim keys in the platform before claimed work is dispatched

The agent claims after the gate has given the request a place and before it calls the endpoint; the outcome is recorded after. Tried with real processes: a booking sent twice runs once, one during an outage is refused with 503, Retry-After and not-run and runs after it, one whose claim loses its answer runs once.

--- a/crates/sesamehaven-daemons/src/agent.rs
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -19,12 +19,15 @@
 use tokio::sync::{mpsc, oneshot};
 
 use sesamehaven::cache_view::CacheView;
+use sesamehaven::claim::{self, Outcome, Reply};
 use sesamehaven::config::{Endpoint, Index, PoolKind, Repeat};
 use sesamehaven::fair::OrganisationDigest;
 use sesamehaven::gate::{Ended, Gate, GateConfig, Step, Verdict, Withdrawal, Work};
 use sesamehaven::guard::{self, Slot};
 use sesamehaven::home::Bootstrap;
-use sesamehaven::id::{DaemonName, EndpointName, Generation, Incarnation, PoolName, RequestId};
+use sesamehaven::id::{
+    DaemonName, EndpointName, Generation, Incarnation, KeyDigest, PoolName, RequestId,
+};
 use sesamehaven::offers::{Heard, Offers, Taking};
 use sesamehaven::outcome::{Refusal, Refused};
 use sesamehaven::quarantine::{CrashId, Quarantine, Standing};
@@ -35,6 +38,7 @@
 
 use crate::admin::Status;
 use crate::call::{self, Call, CallEnd, CallEvent, Progress};
+use crate::claims::{self, Claims, Decided, ShardId};
 use crate::clock;
 use crate::feed::{FromPeer, ToPeer};
 use crate::gossip;
@@ -112,6 +116,8 @@
     feed: mpsc::Sender<FromPeer>,
     offers: Offers,
     early: Vec<Early>,
+    claims: Claims,
+    claiming: HashMap<RequestId, KeyDigest>,
     homes: Homes,
     platform: Platform,
     next_link: u64,
@@ -144,6 +150,11 @@
 #[rtype(result = "()")]
 struct Recovered(EndpointName);
 
+/// What came of a call of the platform for claims.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct ClaimReplied(ShardId, Reply);
+
 /// What the platform says of slots that no entry remembers a home of.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -204,6 +215,8 @@
             feed,
             offers: Offers::default(),
             early: Vec::new(),
+            claims: Claims::default(),
+            claiming: HashMap::new(),
             homes: Homes::new(me),
             platform,
             next_link: 0,
@@ -446,7 +459,65 @@
         }
     }
 
+    /// Dispatches a request, after its key was claimed if its class asks for it.
     fn dispatch(&mut self, id: RequestId, now: Instant, cx: &mut Context<Self>) {
+        let Some(run) = self.runs.get(&id) else {
+            return self.end_in_gate_of_none(id, now);
+        };
+        let class = run.offer.as_ref().and_then(|o| self.index.class(&o.class));
+        let is_claimed = class.is_some_and(|class| class.repeat == Repeat::Claimed);
+        match run.key {
+            Some(key) if is_claimed => {
+                self.claiming.insert(id, key);
+                let decided = self.claims.claim(key, id);
+                self.on_claims(decided, cx);
+            }
+            _ => self.dispatch_claimed(id, now, cx),
+        }
+    }
+
+    fn on_claims(&mut self, (verdicts, due): Decided, cx: &mut Context<Self>) {
+        for due in due {
+            let platform = self.platform.clone();
+            let agent = cx.address();
+            actix_rt::spawn(async move {
+                let (shard, reply) = claims::call(&platform, due).await;
+                agent.do_send(ClaimReplied(shard, reply));
+            });
+        }
+        for (id, verdict) in verdicts {
+            self.on_verdict(id, verdict, cx);
+        }
+    }
+
+    fn on_verdict(&mut self, id: RequestId, verdict: claim::Verdict, cx: &mut Context<Self>) {
+        let now = clock::now();
+        let key = self.claiming.remove(&id);
+        if verdict == claim::Verdict::Claimed {
+            if let Some(run) = self.runs.get_mut(&id) {
+                run.claimed = true;
+            } else if let Some(key) = key {
+                // The request was withdrawn meanwhile.
+                let decided = self.claims.void(key, id);
+                self.on_claims(decided, cx);
+            }
+            return self.dispatch_claimed(id, now, cx);
+        }
+        counter!("agent_claims_refused_total").increment(1);
+        self.end_in_gate_of_none(id, now);
+        match verdict {
+            claim::Verdict::PlatformDown => self.hand_back(id, absent(Refusal::PlatformDown)),
+            _ => {
+                // The key was used, and what came of it is not held here.
+                if let Some(run) = self.runs.get_mut(&id) {
+                    run.set_end(End::Forgotten, now);
+                    run.pump(id);
+                }
+            }
+        }
+    }
+
+    fn dispatch_claimed(&mut self, id: RequestId, now: Instant, cx: &mut Context<Self>) {
         let Some(run) = self.runs.get_mut(&id) else {
             return self.end_in_gate_of_none(id, now);
         };
@@ -533,6 +604,14 @@
         };
         let name = run.endpoint.clone();
         let fingerprint = run.fingerprint;
+        if let (true, Some(key)) = (run.claimed, run.key) {
+            let decided = match end {
+                CallEnd::Whole => self.claims.record(key, id, Outcome::Answered),
+                CallEnd::NotSent => self.claims.void(key, id),
+                _ => self.claims.record(key, id, Outcome::Unknown),
+            };
+            self.on_claims(decided, cx);
+        }
         let (ended, told) = match end {
             CallEnd::Whole => (Ended::Whole, End::Whole),
             CallEnd::Broken | CallEnd::NotSent => (Ended::Broken, End::Broken),
@@ -708,6 +787,8 @@
     fn tick(&mut self, cx: &mut Context<Self>) {
         let now = clock::now();
         self.answer_early(now);
+        let decided = self.claims.tick();
+        self.on_claims(decided, cx);
         let names: Vec<_> = self.doors.keys().cloned().collect();
         for name in names {
             self.poll(&name, now, cx);
@@ -1026,6 +1107,15 @@
     fn finished(&mut self, _: &mut Context<Self>) {}
 }
 
+impl Handler<ClaimReplied> for Agent {
+    type Result = ();
+
+    fn handle(&mut self, ClaimReplied(shard, reply): ClaimReplied, cx: &mut Context<Self>) {
+        let decided = self.claims.on_reply(shard, reply);
+        self.on_claims(decided, cx);
+    }
+}
+
 impl Handler<Opened> for Agent {
     type Result = ();
 
--- a/crates/sesamehaven-daemons/src/lib.rs
+++ b/crates/sesamehaven-daemons/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod agent_main;
 pub mod call;
 pub mod caller;
+pub mod claims;
 pub mod cli;
 pub mod clock;
 pub mod ctl;
--- a/crates/sesamehaven-daemons/src/run.rs
+++ b/crates/sesamehaven-daemons/src/run.rs
@@ -75,6 +75,8 @@
     pub give_up_at: Option<Instant>,
     /// When the request was over.
     pub ended: Option<Instant>,
+    /// Whether the key was claimed in the platform.
+    pub claimed: bool,
     dispatched: bool,
     head: Option<Head>,
     answer: Answer<Bytes>,
@@ -100,6 +102,7 @@
             begun: false,
             give_up_at: None,
             ended: None,
+            claimed: false,
             dispatched: false,
             head: None,
             answer: Answer::new(max_bytes),
--- a/crates/sesamehaven-system-tests/tests/keys.rs
+++ b/crates/sesamehaven-system-tests/tests/keys.rs
@@ -304,3 +304,69 @@
     );
     assert!(answered > told.len() / 2, "the system hardly worked");
 }
+
+async fn book(fleet: &Fleet, key: &str) -> Result<Reply> {
+    let entry = fleet.daemon("entry-1").address();
+    let url = format!("http://{entry}/services/booking/visits");
+    let headers = [
+        AUTHORIZATION,
+        ("work-class", "claimed"),
+        ("idempotency-key", key),
+    ];
+    fleet.http.send("POST", &url, &headers, "a visit").await
+}
+
+#[actix_rt::test]
+async fn bookings_are_claimed_and_refused_while_the_platform_is_down() {
+    let mut fleet = fleet().await.unwrap();
+    fleet
+        .add_service("service-1", "booking", "agent-1", &[])
+        .await
+        .unwrap();
+    fleet.apply().await.unwrap();
+    fleet.serving("entry-1", 4).await.unwrap();
+    let reply = book(&fleet, "visit-1").await.unwrap();
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    let again = book(&fleet, "visit-1").await.unwrap();
+    assert_eq!((again.status, again.text()), (200, reply.text()));
+
+    let platform = fleet.platform();
+    let faults = |down: bool| json!({ "down": down });
+    fleet
+        .http
+        .post_json(platform, "/control/faults", &faults(true))
+        .await
+        .unwrap();
+    let refused = book(&fleet, "visit-2").await.unwrap();
+    assert_eq!(refused.status, 503, "{}", refused.text());
+    assert_eq!(refused.header("request-outcome"), Some("not-run"));
+    assert!(refused.header("retry-after").is_some());
+
+    fleet
+        .http
+        .post_json(platform, "/control/faults", &faults(false))
+        .await
+        .unwrap();
+    let booked = wait::until("a booking after the outage", || async {
+        let reply = book(&fleet, "visit-2").await.ok()?;
+        (reply.status == 200).then_some(reply)
+    });
+    booked.await.unwrap();
+    let service = fleet.standin("service-1").address();
+    let records: Vec<Value> = fleet
+        .http
+        .get_json(service, "/control/records")
+        .await
+        .unwrap();
+    let keys: Vec<&str> = records.iter().filter_map(|r| r["key"].as_str()).collect();
+    assert_eq!(keys, ["visit-1", "visit-2"]);
+    // A claim whose answer is lost is settled by reading back.
+    let lose = json!({ "lose_answers": 1 });
+    fleet
+        .http
+        .post_json(platform, "/control/faults", &lose)
+        .await
+        .unwrap();
+    let reply = book(&fleet, "visit-3").await.unwrap();
+    assert_eq!(reply.status, 200, "{}", reply.text());
+}
--- a/crates/sesamehaven/src/claim.rs
+++ b/crates/sesamehaven/src/claim.rs
@@ -207,7 +207,10 @@
                 }
             }
             Reply::Conflict => {}
-            Reply::Failed => self.retry_at = now.after(RETRY_PAUSE),
+            Reply::Failed => {
+                self.retry_at = now.after(RETRY_PAUSE);
+                self.refuse_unsent(&mut progress);
+            }
         }
         self.go_on(now, wall, &mut progress);
         progress
@@ -268,6 +271,14 @@
         }
     }
 
+    /// Refuses claims that no write has held yet, so that callers learn at once.
+    fn refuse_unsent(&mut self, progress: &mut Progress) {
+        let is_unsent = |w: &mut Waiting| !w.sent && matches!(w.op, Op::Claim { .. });
+        let refused = self.waiting.extract_if(.., is_unsent);
+        let verdicts = refused.map(|w| (w.nonce, Verdict::PlatformDown));
+        progress.verdicts.extend(verdicts);
+    }
+
     fn expire(&mut self, now: Instant, progress: &mut Progress) {
         let is_late = |w: &Waiting| matches!(w.op, Op::Claim { .. }) && now >= w.deadline;
         let (late, waiting) = std::mem::take(&mut self.waiting)
