Drain an agent whose VM the platform lists as leaving

Entries, which are few, read the list each second and tell each agent about its VM. An agent believes the word only after it has seen its VM live in the same run, since the list lags and may speak of an earlier VM of that name. Weighed: each agent reads the list itself, which costs the platform a read a second for each endpoint VM.

--- a/crates/sesamehaven-daemons/src/agent.rs
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -16,7 +16,7 @@
 use serde_json::json;
 use smallvec::SmallVec;
 use spdlog::{info, warn};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 
 use sesamehaven::cache_view::CacheView;
 use sesamehaven::claim::{self, Outcome, Reply};
@@ -43,6 +43,7 @@
 use crate::feed::{FromPeer, ToPeer};
 use crate::gossip;
 use crate::homes::{self, Homes};
+use crate::listing::Listing;
 use crate::peer::{self, LinkEvent, LinkId};
 use crate::platform::{PLATFORM_TIMEOUT, Platform, VmState};
 use crate::run::{Reader, Run};
@@ -114,6 +115,8 @@
     quarantine: Quarantine,
     crashes: u64,
     feed: mpsc::Sender<FromPeer>,
+    listing: Listing,
+    listed_leaving: Rc<Notify>,
     offers: Offers,
     early: Vec<Early>,
     claims: Claims,
@@ -193,6 +196,7 @@
         status: Status,
         reports: mpsc::Sender<Report>,
         feed: mpsc::Sender<FromPeer>,
+        listed_leaving: Rc<Notify>,
     ) -> Self {
         let me = guard::Run {
             name: settings.name.clone(),
@@ -213,6 +217,8 @@
             quarantine: Quarantine::default(),
             crashes: 0,
             feed,
+            listing: Listing::default(),
+            listed_leaving,
             offers: Offers::default(),
             early: Vec::new(),
             claims: Claims::default(),
@@ -234,6 +240,12 @@
                 self.quarantine.merge(&notices, now);
                 return;
             }
+            Frame::Listed(state) => {
+                if self.listing.hear(state) && !self.leaving {
+                    self.listed_leaving.notify_one();
+                }
+                return;
+            }
             Frame::Guard(GuardMessage::ToHome(messages)) => {
                 return self.homes.take(link, messages);
             }
@@ -874,6 +886,7 @@
             "incarnation": self.incarnation,
             "generation": self.index.generation,
             "leaving": self.leaving,
+            "vm": self.listing.as_str(),
             "links": self.links.len(),
             "requests": self.runs.len(),
             "endpoints": doors.collect::<Vec<_>>(),
--- a/crates/sesamehaven-daemons/src/agent_main.rs
+++ b/crates/sesamehaven-daemons/src/agent_main.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 use metrics::counter;
 use spdlog::{info, warn};
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use sesamehaven::delivery::Policy;
 use sesamehaven::id::DaemonName;
@@ -26,6 +27,7 @@
 use crate::drain;
 use crate::feed::{Feed, FeedConfig, Peers};
 use crate::gossip;
+use crate::listing;
 use crate::logs;
 use crate::peer;
 use crate::platform::{PLATFORM_TIMEOUT, Platform, Vm, VmState};
@@ -71,6 +73,7 @@
         .await
         .map_err(io::Error::other)?;
 
+    let listed_leaving = Rc::new(Notify::new());
     let (gossip, peers) = gossip::channel();
     let advertised = settings.advertise.unwrap_or(bound);
     let agent = Agent::new(
@@ -81,6 +84,7 @@
         status,
         reports,
         gossip.tx,
+        Rc::clone(&listed_leaving),
     );
     let agent = Agent::create(|cx| {
         let mut rx = gossip.rx;
@@ -112,7 +116,7 @@
     }
     info!("agent {} accepts links on {bound}", settings.name);
 
-    drain::stop_requested().await?;
+    listing::stop_requested(&listed_leaving).await?;
     agent.do_send(Leave);
     let in_flight = || async { agent.send(InFlight).await.unwrap_or(0) };
     drain::wait_until_idle(settings.drain.longest, in_flight).await;
--- a/crates/sesamehaven-daemons/src/entry_main.rs
+++ b/crates/sesamehaven-daemons/src/entry_main.rs
@@ -22,6 +22,7 @@
 use crate::feed::{Feed, FeedConfig};
 use crate::front::{self, Front};
 use crate::gossip;
+use crate::listing;
 use crate::logs;
 use crate::peer;
 use crate::platform::{PLATFORM_TIMEOUT, Platform};
@@ -88,6 +89,10 @@
             }
         }
     });
+    actix_rt::spawn(listing::follow(
+        Platform::new(settings.platform, PLATFORM_TIMEOUT),
+        entry.clone(),
+    ));
     let front = Front {
         entry: entry.clone(),
         index,
--- a/crates/sesamehaven-daemons/src/lib.rs
+++ b/crates/sesamehaven-daemons/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod homes;
 pub mod intake;
 pub mod keys;
+pub mod listing;
 pub mod logs;
 pub mod peer;
 pub mod platform;
--- a/crates/sesamehaven-system-tests/tests/drain.rs
+++ b/crates/sesamehaven-system-tests/tests/drain.rs
@@ -137,3 +137,70 @@
     let status = fleet.daemon_mut("agent-1").process.wait().await.unwrap();
     assert!(status.success(), "{status}");
 }
+
+/// Puts the platform's list of VMs, with `agent-1` in the given state.
+async fn list_vms(fleet: &Fleet, state: &str) -> Result<()> {
+    let vm = |name: &str, role: &str, state: &str| {
+        json!({
+            "name": name, "data_centre": "dc-1", "role": role,
+            "address": "127.0.0.1", "state": state,
+        })
+    };
+    let vms = json!([
+        vm("agent-1", "agent", state),
+        vm("agent-2", "agent", "live"),
+        vm("entry-1", "entry", "live"),
+    ]);
+    let url = format!("http://{}/control/vms", fleet.platform());
+    let headers = [("content-type", "application/json")];
+    let reply = fleet
+        .http
+        .send("PUT", &url, &headers, vms.to_string())
+        .await?;
+    assert!(reply.status < 300, "{}", reply.text());
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn an_agent_whose_vm_is_listed_as_leaving_drains_and_ends() {
+    let mut fleet = fleet("64").await.unwrap();
+    list_vms(&fleet, "live").await.unwrap();
+    let admin = fleet.daemon("agent-1").admin();
+    wait::until("an agent that has seen its VM live", || async {
+        let status = fleet.http.get_json::<Value>(admin, "/status").await.ok()?;
+        (status["vm"] == "live").then_some(())
+    })
+    .await
+    .unwrap();
+    let mut streams = Vec::new();
+    while records(&fleet, "engine-1").await.unwrap().is_empty() {
+        streams.push(begin(&fleet).await.unwrap());
+    }
+    list_vms(&fleet, "leaving").await.unwrap();
+    fleet.serving("entry-1", 1).await.unwrap();
+    for stream in &mut streams {
+        let rest = stream.rest().await.unwrap();
+        assert!(rest.ends_with(b"data: [DONE]\n\n"), "a stream was cut off");
+    }
+    let agent = &mut fleet.daemon_mut("agent-1").process;
+    assert!(agent.wait().await.unwrap().success());
+}
+
+#[actix_rt::test]
+async fn an_agent_that_never_saw_its_vm_live_takes_the_list_for_old() {
+    let fleet = fleet("64").await.unwrap();
+    list_vms(&fleet, "leaving").await.unwrap();
+    let admin = fleet.daemon("agent-1").admin();
+    wait::until("an agent that has seen the list", || async {
+        let status = fleet.http.get_json::<Value>(admin, "/status").await.ok()?;
+        (status["vm"] == "leaving").then_some(())
+    })
+    .await
+    .unwrap();
+    let status = fleet
+        .http
+        .get_json::<Value>(admin, "/status")
+        .await
+        .unwrap();
+    assert_eq!(status["leaving"], false);
+}
--- a/crates/sesamehaven-wire/src/message.rs
+++ b/crates/sesamehaven-wire/src/message.rs
@@ -98,6 +98,19 @@
     Notices(Vec<Notice>),
     /// About the homes of idempotency keys.
     Guard(GuardMessage),
+    /// Tells an agent how the platform lists its VM.
+    Listed(VmState),
+}
+
+/// How the platform lists a VM; the list lags.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum VmState {
+    /// The VM runs.
+    Live,
+    /// The VM will be taken away.
+    Leaving,
+    /// The VM is no more.
+    Gone,
 }
 
 /// What an entry says to an agent about a request.
