Do not take a slot of keys for lost because its first home asked twice

Ruled out: lost links and restarts, of which the logs show none; the load, since entries had no unserved slot. Now the note names the agent's run, which knows whether it has served the slot, and a starting entry waits for a slot's first candidate before it invites another.

--- a/crates/sesamehaven-daemons/src/agent.rs
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -764,14 +764,13 @@
 
     /// Asks the platform about slots of keys that no entry remembers a home of.
     fn open_slots(&mut self, cx: &mut Context<Self>) {
-        let slots = self.homes.to_open();
-        if slots.is_empty() {
+        let Some(opening) = self.homes.to_open() else {
             return;
-        }
+        };
         let platform = self.platform.clone();
         let agent = cx.address();
         actix_rt::spawn(async move {
-            let opened = homes::open_slots(&platform, &slots).await;
+            let opened = homes::open_slots(&platform, &opening).await;
             agent.do_send(Opened(opened));
         });
     }
--- a/crates/sesamehaven-daemons/src/homes.rs
+++ b/crates/sesamehaven-daemons/src/homes.rs
@@ -29,9 +29,12 @@
 
 /// The homes of keys at this agent, with the links to the entries.
 pub struct Homes {
+    me: SmolStr,
     home: Home,
     links: HashMap<LinkId, (Run, Sender)>,
     opening: bool,
+    /// The slots that this run has ever served.
+    served: BTreeSet<Slot>,
     absent: BTreeSet<DaemonName>,
 }
 
@@ -39,9 +42,11 @@
     /// Builds the homes of a run that has just started.
     pub fn new(me: Run) -> Self {
         Homes {
+            me: format_smolstr!("{}@{}", me.name, me.incarnation),
             home: Home::new(me, BTreeSet::new()),
             links: HashMap::new(),
             opening: false,
+            served: BTreeSet::new(),
             absent: BTreeSet::new(),
         }
     }
@@ -115,13 +120,20 @@
     }
 
     /// Lists slots whose past the platform has to be asked about, once.
-    pub fn to_open(&mut self) -> Vec<Slot> {
+    pub fn to_open(&mut self) -> Option<Opening> {
         if self.opening {
-            return Vec::new();
+            return None;
         }
-        let slots: Vec<Slot> = self.home.unopened().collect();
-        self.opening = !slots.is_empty();
-        slots
+        let slots = self.home.unopened();
+        let slots: Vec<_> = slots
+            .map(|slot| (slot, self.served.contains(&slot)))
+            .collect();
+        if slots.is_empty() {
+            return None;
+        }
+        self.opening = true;
+        let me = self.me.clone();
+        Some(Opening { me, slots })
     }
 
     /// Takes the platform's word on slots.
@@ -136,9 +148,12 @@
         }
     }
 
-    fn send(&self, sends: Sends) {
+    fn send(&mut self, sends: Sends) {
         let mut by_run: BTreeMap<Run, Vec<FromHome>> = BTreeMap::new();
         for (run, message) in sends {
+            if let FromHome::Serve(slot, _) = &message {
+                self.served.insert(*slot);
+            }
             by_run.entry(run).or_default().push(message);
         }
         for (run, messages) in by_run {
@@ -165,43 +180,54 @@
 
 /// Finds out which slots never had a home, and notes that they have one now.
 ///
-/// The note carries a nonce, so that a lost answer is settled by reading back.
-/// Without an answer of the platform the slots count as lost, which is safe.
-pub async fn open_slots(platform: &Platform, slots: &[Slot]) -> Vec<(Slot, Bootstrap)> {
-    let nonce = format_smolstr!("{:032x}", rand::random::<u128>());
+/// The note names the last agent's run that asked. A run that finds itself there
+/// and has never served the slot is still its first home, so that a lost answer
+/// or an attempt that came to nothing does not count as a loss. Without an answer
+/// of the platform the slots count as lost, which is safe.
+pub async fn open_slots(platform: &Platform, opening: &Opening) -> Vec<(Slot, Bootstrap)> {
     for _ in 0..OPEN_TRIES {
-        if let Some(opened) = try_open(platform, slots, &nonce).await {
+        if let Some(opened) = try_open(platform, opening).await {
             return opened;
         }
         tokio::time::sleep(OPEN_PAUSE).await;
     }
-    slots.iter().map(|slot| (*slot, Bootstrap::Lost)).collect()
+    let slots = opening.slots.iter();
+    slots.map(|(slot, _)| (*slot, Bootstrap::Lost)).collect()
 }
 
-async fn try_open(
-    platform: &Platform,
-    slots: &[Slot],
-    nonce: &SmolStr,
-) -> Option<Vec<(Slot, Bootstrap)>> {
+async fn try_open(platform: &Platform, opening: &Opening) -> Option<Vec<(Slot, Bootstrap)>> {
     let object = platform.get(OPENED).await.ok()?;
     let version = object.as_ref().map_or(Version::ABSENT, |o| o.version);
     let mut opened: BTreeMap<u16, SmolStr> = match object {
         Some(object) => serde_json::from_slice(&object.value).ok()?,
         None => BTreeMap::new(),
     };
-    let before = opened.len();
-    for slot in slots {
-        opened.entry(slot.0).or_insert_with(|| nonce.clone());
+    let mut verdicts = Vec::with_capacity(opening.slots.len());
+    let mut is_changed = false;
+    for (slot, has_served) in &opening.slots {
+        let before = opened.insert(slot.0, opening.me.clone());
+        let is_mine = before.as_ref() == Some(&opening.me);
+        is_changed |= !is_mine;
+        let is_first = before.is_none() || (is_mine && !has_served);
+        let bootstrap = match is_first {
+            true => Bootstrap::First,
+            false => Bootstrap::Lost,
+        };
+        verdicts.push((*slot, bootstrap));
     }
-    if opened.len() > before {
+    if is_changed {
         let value = serde_json::to_vec(&opened).ok()?;
         let condition = Condition::Version(version);
         let written = platform.put(OPENED, Bytes::from(value), condition).await;
         written.ok()?;
     }
-    let verdict = |slot: &Slot| match opened.get(&slot.0) == Some(nonce) {
-        true => (*slot, Bootstrap::First),
-        false => (*slot, Bootstrap::Lost),
-    };
-    Some(slots.iter().map(verdict).collect())
+    Some(verdicts)
+}
+
+/// A question to the platform about the past of slots.
+#[derive(Debug)]
+pub struct Opening {
+    me: SmolStr,
+    /// The slots, and whether this run has ever served them.
+    slots: Vec<(Slot, bool)>,
 }
--- a/crates/sesamehaven-daemons/src/keys.rs
+++ b/crates/sesamehaven-daemons/src/keys.rs
@@ -30,6 +30,9 @@
 const DEADLINE_MARGIN: Millis = Millis(30);
 /// How long a home may be out of reach before another agent is invited.
 const HOME_GRACE: Millis = Millis(1_000);
+/// How long a starting entry waits for a slot's first candidate before it invites
+/// another one, so that entries whose links come up in different order agree.
+const SETTLE: Millis = Millis(3_000);
 /// The endpoint of a place that stands for none.
 const NO_ENDPOINT: &str = "none";
 
@@ -63,6 +66,8 @@
     releasing: HashMap<RequestId, Releasing>,
     /// Requests that read the answer of another one; the first of each is reading.
     readers: HashMap<RequestId, VecDeque<RequestId>>,
+    /// Since when the homes are known.
+    since: Instant,
     /// Homes that are out of reach, and since when.
     missed: BTreeMap<Run, Instant>,
 }
@@ -73,6 +78,7 @@
         Keys {
             ledger: Ledger::new(me),
             homes: Vec::new(),
+            since: clock::now(),
             waits: HashMap::new(),
             releasing: HashMap::new(),
             readers: HashMap::new(),
@@ -323,7 +329,10 @@
         let mut invites = Vec::new();
         for slot in slots {
             let candidates = slot.candidates(&self.keys.homes);
-            let reachable = candidates.into_iter().filter_map(|name| self.run_of(name));
+            let settling = clock::now().since(self.keys.since) < SETTLE;
+            let count = if settling { 1 } else { candidates.len() };
+            let candidates = candidates.into_iter().take(count);
+            let reachable = candidates.filter_map(|name| self.run_of(name));
             let mut reachable = reachable.filter(|run| self.is_reachable(run));
             if let Some(run) = reachable.next() {
                 invites.push(Action::Send(run, self.keys.ledger.invite(*slot)));
