--- /dev/null
+++ b/crates/sesamehaven-system-tests/src/bin/sesame-matrix.rs
@@ -0,0 +1,472 @@
+//! The policy under load with the real daemons, beside two baselines.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::Duration;
+
+use bpaf::{OptionParser, Parser, construct, long};
+use futures_util::future::join_all;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use sesamehaven::config::Pool;
+use sesamehaven_standins::journal;
+use sesamehaven_standins::record::RunRecord;
+use sesamehaven_standins::told::{Outcome, Told};
+use sesamehaven_system_tests::directory::Directory;
+use sesamehaven_system_tests::measure::{LoadRun, load_average, read_json, run_tool};
+use sesamehaven_system_tests::{Error, Fleet, Result, sample};
+
+const POOL: &str = "model-a";
+const ENTRIES: [&str; 2] = ["entry-1", "entry-2"];
+const ENGINES: [(&str, &str); 4] = [
+    ("engine-1", "agent-1"),
+    ("engine-2", "agent-2"),
+    ("engine-3", "agent-3"),
+    ("engine-4", "agent-4"),
+];
+/// The prefill and decode rates of the two generations of engines, in tokens a second.
+const FAST: [&str; 4] = ["--prefill-rate", "20000", "--decode-rate", "100"];
+const SLOW: [&str; 4] = ["--prefill-rate", "8000", "--decode-rate", "60"];
+const COMMON: [&str; 4] = ["--max-batch", "32", "--cache-tokens", "40000"];
+/// The requests that an engine is ever given at once.
+const CONCURRENCY: u32 = 64;
+/// How many of the fleets' entries and agents learn before anything is counted.
+const WARM_UP: Duration = Duration::from_secs(2);
+const WARM_UP_FACTOR: f64 = 0.3;
+/// When during a run a fault is injected.
+const FAULT_AT: Duration = Duration::from_secs(3);
+/// How much longer than a refusal less urgent work has to wait to count as a reversal.
+const REVERSAL_MARGIN_MS: f64 = 50.0;
+
+/// What is measured: the policy by two weightings, and two baselines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    Roegvagt,
+    Warta,
+    Naive,
+    LeastOutstanding,
+}
+
+const WAYS: [Way; 4] = [Way::Roegvagt, Way::Warta, Way::Naive, Way::LeastOutstanding];
+
+impl Way {
+    /// Returns the baseline's name in `sesame-load`, if it is one.
+    fn baseline(self) -> Option<&'static str> {
+        match self {
+            Way::Roegvagt | Way::Warta => None,
+            Way::Naive => Some("naive"),
+            Way::LeastOutstanding => Some("least-outstanding"),
+        }
+    }
+
+    /// Gives a pool the weighting of `examples/roegvagt.yaml` or `examples/warta.yaml`.
+    fn weigh(self, pool: &mut Pool) {
+        let (queue, reserve, preempt, weight) = match self {
+            Way::Warta => (96, 25, false, 0.5),
+            _ => (128, 20, true, 1.0),
+        };
+        pool.queue_requests = queue;
+        pool.reserve_percent = reserve;
+        pool.preempt = preempt;
+        pool.prefix_weight = weight;
+    }
+}
+
+impl fmt::Display for Way {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Way::Roegvagt => "røgvagt",
+            Way::Warta => "warta",
+            Way::Naive => "naive",
+            Way::LeastOutstanding => "least out.",
+        })
+    }
+}
+
+/// What goes wrong during a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    SlowEngine,
+    StaleReports,
+    EngineKilled,
+    EntryKilled,
+}
+
+/// A row of the matrix.
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    name: &'static str,
+    plan: &'static str,
+    load: f64,
+    fault: Fault,
+}
+
+const fn case(name: &'static str, plan: &'static str, load: f64, fault: Fault) -> Case {
+    Case {
+        name,
+        plan,
+        load,
+        fault,
+    }
+}
+
+const CASES: [Case; 12] = [
+    case("steady-0.6", "mixed.yaml", 0.6, Fault::None),
+    case("steady-1", "mixed.yaml", 1.0, Fault::None),
+    case("steady-1.5", "mixed.yaml", 1.5, Fault::None),
+    case("steady-3", "mixed.yaml", 3.0, Fault::None),
+    case("slow-engine", "mixed.yaml", 1.0, Fault::SlowEngine),
+    case("endpoint-killed", "mixed.yaml", 1.0, Fault::EngineKilled),
+    case("entry-killed", "mixed.yaml", 1.0, Fault::EntryKilled),
+    case("burst", "mixed-burst.yaml", 0.6, Fault::None),
+    case("stale-0.6", "mixed.yaml", 0.6, Fault::StaleReports),
+    case("stale-1.5", "mixed.yaml", 1.5, Fault::StaleReports),
+    case("long-flood", "mixed-long.yaml", 0.6, Fault::None),
+    case("one-floods", "mixed-flood.yaml", 1.0, Fault::None),
+];
+
+impl FromStr for Case {
+    type Err = String;
+
+    fn from_str(s: &str) -> std::result::Result<Self, Self::Err> {
+        let names = CASES.map(|case| case.name).join(", ");
+        let known = CASES.into_iter().find(|case| case.name == s);
+        known.ok_or_else(|| format!("use one of {names}"))
+    }
+}
+
+struct Options {
+    seed: u64,
+    seconds: u64,
+    side_by_side: usize,
+    cases: Vec<Case>,
+    plans: PathBuf,
+    json: Option<PathBuf>,
+}
+
+fn options() -> OptionParser<Options> {
+    let seed = long("seed")
+        .help("Seed of arrival times and contents")
+        .argument::<u64>("NUMBER")
+        .fallback(7)
+        .display_fallback();
+    let seconds = long("seconds")
+        .help("How long requests are sent in each run")
+        .argument::<u64>("NUMBER")
+        .fallback(12)
+        .display_fallback();
+    let side_by_side = long("side-by-side")
+        .help("Ways that are measured at once, each with processes of its own")
+        .argument::<usize>("NUMBER")
+        .fallback(1)
+        .display_fallback();
+    let cases = long("case")
+        .help("Case that is measured; all, if none is given")
+        .argument::<Case>("NAME")
+        .many();
+    let plans = long("plans")
+        .help("Directory of the load plans")
+        .argument::<PathBuf>("DIRECTORY")
+        .fallback("examples/load".into());
+    let json = long("json")
+        .help("File that receives all reports as JSON")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    construct!(Options {
+        seed,
+        seconds,
+        side_by_side,
+        cases,
+        plans,
+        json
+    })
+    .to_options()
+    .descr("Measures the policy under load beside two baselines")
+    .version(env!("CARGO_PKG_VERSION"))
+}
+
+/// One run of one case in one way.
+struct Run<'a> {
+    fleet: Fleet,
+    directory: Directory,
+    options: &'a Options,
+    case: Case,
+    way: Way,
+}
+
+impl<'a> Run<'a> {
+    async fn start(options: &'a Options, case: Case, way: Way) -> Result<Self> {
+        let mut fleet = Fleet::new().await?;
+        let directory = Directory::new()?;
+        for (i, (engine, agent)) in ENGINES.into_iter().enumerate() {
+            let speed = if i < 2 { FAST } else { SLOW };
+            let records = directory.path().join(engine).display().to_string();
+            let mut args = [speed, COMMON].concat();
+            args.extend(["--records", records.as_str()]);
+            fleet.add_engine(engine, POOL, agent, &args).await?;
+        }
+        let run = Run {
+            fleet,
+            directory,
+            options,
+            case,
+            way,
+        };
+        match way.baseline() {
+            Some(_) => Ok(run),
+            None => run.start_daemons().await,
+        }
+    }
+
+    async fn start_daemons(mut self) -> Result<Self> {
+        let fleet = &mut self.fleet;
+        fleet.configure_entries(&ENTRIES);
+        let configuration = &mut fleet.configuration;
+        configuration.classes.push(sample::class(
+            "office",
+            2,
+            sesamehaven::config::Repeat::Idempotent,
+        ));
+        let classes = configuration.classes.iter().map(|c| c.name.clone());
+        let classes = classes.collect::<Vec<_>>();
+        for contract in &mut configuration.contracts {
+            contract.classes = classes.clone();
+        }
+        for (name, key) in [("org-2", "key-of-org-2"), ("org-3", "key-of-org-3")] {
+            configuration
+                .organisations
+                .push(sample::organisation(name, key));
+        }
+        for pool in &mut configuration.pools {
+            self.way.weigh(pool);
+        }
+        for endpoint in &mut configuration.endpoints {
+            endpoint.concurrency = CONCURRENCY;
+        }
+        fleet.apply().await?;
+        for entry in ENTRIES {
+            fleet.start_entry(entry, "").await?;
+        }
+        let extra = match self.case.fault {
+            Fault::StaleReports => "limits:\n  report_interval: 2 s",
+            _ => "",
+        };
+        for (_, agent) in ENGINES {
+            fleet.start_agent(agent, extra).await?;
+        }
+        fleet.ready().await?;
+        for entry in ENTRIES {
+            fleet.serving(entry, ENGINES.len() as u64).await?;
+        }
+        Ok(self)
+    }
+
+    fn load(&self, name: &str, rate_factor: f64, duration: Duration, seed: u64) -> LoadRun {
+        let mut targets = Vec::new();
+        match self.way.baseline() {
+            Some(baseline) => {
+                targets.extend(["--direct".into(), baseline.into()]);
+                for (engine, _) in ENGINES {
+                    let address = self.fleet.standin(engine).address();
+                    targets.extend(["--endpoint".into(), format!("{POOL}={address}")]);
+                }
+            }
+            None => {
+                for entry in ENTRIES {
+                    let address = self.fleet.daemon(entry).address();
+                    targets.extend(["--entry".into(), address.to_string()]);
+                }
+            }
+        }
+        LoadRun {
+            plan: self.options.plans.join(self.case.plan),
+            seed,
+            duration,
+            rate_factor,
+            json: self.directory.path().join(format!("{name}.json")),
+            log: Some(self.directory.path().join(format!("{name}.log"))),
+            targets,
+        }
+    }
+
+    async fn inject(&mut self) -> Result<()> {
+        match self.case.fault {
+            Fault::None | Fault::StaleReports => {}
+            Fault::SlowEngine => {
+                let engine = self.fleet.standin("engine-1").address();
+                let slow = json!({ "slow": 4.0 });
+                self.fleet
+                    .http
+                    .post_json(engine, "/control/faults", &slow)
+                    .await?;
+            }
+            Fault::EngineKilled => self.fleet.standin_mut("engine-1").process.kill()?,
+            Fault::EntryKilled if self.way.baseline().is_some() => {}
+            Fault::EntryKilled => self.fleet.daemon_mut("entry-1").process.kill()?,
+        }
+        Ok(())
+    }
+
+    /// Measures and returns the findings.
+    async fn measure(mut self) -> Result<Value> {
+        let Options { seed, seconds, .. } = *self.options;
+        let warm_up = self.load("warm-up", WARM_UP_FACTOR, WARM_UP, seed + 1);
+        warm_up.run().await?;
+        let duration = Duration::from_secs(seconds);
+        let load = self.load("run", self.case.load, duration, seed);
+        let load = actix_rt::spawn(load.run());
+        sleep(FAULT_AT).await;
+        self.inject().await?;
+        let report = load.await.map_err(|e| Error::Unexpected {
+            what: e.to_string(),
+        })??;
+        let findings = self.check().await?;
+        Ok(json!({
+            "case": self.case.name,
+            "way": self.way.to_string(),
+            "load_average": load_average(),
+            "report": report,
+            "violations": findings["violations"].as_array().map_or(0, Vec::len),
+            "prefill": findings["prefill"],
+            "reversals": self.reversals()?,
+        }))
+    }
+
+    /// Joins the logs of both loads with the engines' records.
+    async fn check(&self) -> Result<Value> {
+        let path = |name: &str| self.directory.path().join(name).display().to_string();
+        let all = self.directory.path().join("all.log");
+        let mut logs = std::fs::read(path("warm-up.log"))?;
+        logs.extend(std::fs::read(path("run.log"))?);
+        std::fs::write(&all, logs)?;
+        let mut args = vec!["--log".into(), path("all.log"), "--json".into()];
+        args.push(path("findings.json"));
+        for (engine, _) in ENGINES {
+            args.extend(["--records".into(), path(engine)]);
+        }
+        run_tool("standin-check", args, &[0, 1]).await?;
+        read_json(&self.directory.path().join("findings.json"))
+    }
+
+    /// Counts refusals for want of room while less urgent work waited that an engine got later.
+    fn reversals(&self) -> Result<usize> {
+        let unreadable = |e: sesamehaven_standins::Error| Error::Unexpected {
+            what: e.to_string(),
+        };
+        let path = |name: &str| self.directory.path().join(name);
+        let told: Vec<Told> = journal::read(&path("run.log")).map_err(unreadable)?;
+        let mut begun: HashMap<_, f64> = HashMap::new();
+        for (engine, _) in ENGINES {
+            let runs: Vec<RunRecord> = journal::read(&path(engine)).map_err(unreadable)?;
+            for run in runs {
+                let first = begun.entry(run.echo).or_insert(run.received_ms);
+                *first = first.min(run.received_ms);
+            }
+        }
+        let waited: Vec<(u8, f64, f64)> = told
+            .iter()
+            .filter_map(|t| Some((t.tier, t.sent_ms, *begun.get(&t.echo)?)))
+            .filter(|(_, sent, begun)| begun - sent > 2.0 * REVERSAL_MARGIN_MS)
+            .collect();
+        let is_for_room = |t: &&Told| {
+            t.outcome == Outcome::NotRun && matches!(t.code.as_str(), "pool_full" | "evicted")
+        };
+        let is_reversed = |t: &Told| {
+            waited.iter().any(|(tier, sent, begun)| {
+                *tier > t.tier
+                    && sent + REVERSAL_MARGIN_MS < t.ended_ms
+                    && t.ended_ms + REVERSAL_MARGIN_MS < *begun
+            })
+        };
+        let refused = told.iter().filter(is_for_room);
+        Ok(refused.filter(|t| is_reversed(t)).count())
+    }
+}
+
+fn number(value: &Value) -> f64 {
+    value.as_f64().unwrap_or_default()
+}
+
+/// Writes a quantity of each tier.
+fn by_tier(report: &Value, quantity: impl Fn(&Value) -> f64, digits: usize) -> String {
+    let tiers = report["tiers"].as_object();
+    let values = tiers.into_iter().flat_map(|tiers| tiers.values());
+    let values: Vec<String> = values
+        .map(|tier| format!("{:.digits$}", quantity(tier)))
+        .collect();
+    values.join(", ")
+}
+
+fn refusals(tier: &Value) -> f64 {
+    let codes = tier["not_run"].as_object();
+    let counts = codes.into_iter().flat_map(|codes| codes.values());
+    100.0 * counts.map(number).sum::<f64>() / number(&tier["sent"]).max(1.0)
+}
+
+fn spread(quantiles: &Value) -> String {
+    let [p50, p95, p99] = ["p50_ms", "p95_ms", "p99_ms"].map(|name| number(&quantiles[name]));
+    format!("{p50:.0}/{p95:.0}/{p99:.0}")
+}
+
+/// Writes a row of the table.
+fn row(found: &Value) -> String {
+    let report = &found["report"];
+    let top = &report["tiers"]["0"];
+    let prefill = &found["prefill"];
+    let text = |name: &str| found[name].as_str().unwrap_or_default().to_owned();
+    let share = |name: &str| 100.0 * number(&prefill[name]) / number(&prefill["computed"]).max(1.0);
+    let cells = [
+        text("case"),
+        text("way"),
+        format!("{:.1}", number(&report["total"]["good_percent"])),
+        by_tier(report, |tier| number(&tier["good_percent"]), 1),
+        spread(&top["first_token"]),
+        spread(&top["between_tokens"]),
+        format!("{:.1} + {:.1}", share("unheard"), share("repeated")),
+        format!("{:.0}k", number(&prefill["computed"]) / 1e3),
+        by_tier(report, refusals, 1),
+        format!("{:.0}", number(&report["total"]["refusal"]["p99_ms"])),
+        found["reversals"].to_string(),
+        found["violations"].to_string(),
+        format!("{:.0}", number(&report["lateness"]["p99_ms"])),
+        text("load_average"),
+    ];
+    format!("| {} |", cells.join(" | "))
+}
+
+const HEADINGS: &str = "| case | way | good % | good % by tier | first token, top tier, p50/p95/p99 ms \
+| between tokens, top tier | wasted prefill %: unheard + repeated | prefill | refused % by tier \
+| refusal p99 ms | reversals | violations | sent late p99 ms | load average |\n\
+| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
+
+#[actix_rt::main]
+async fn main() -> Result<()> {
+    let options = options().run();
+    let cases = match options.cases.is_empty() {
+        true => CASES.to_vec(),
+        false => options.cases.clone(),
+    };
+    println!("seed {}, {} s\n\n{HEADINGS}", options.seed, options.seconds);
+    let mut all = Vec::new();
+    for case in cases {
+        for ways in WAYS.chunks(options.side_by_side.max(1)) {
+            let runs = ways.iter().map(async |way| {
+                let run = Run::start(&options, case, *way).await?;
+                run.measure().await
+            });
+            for found in join_all(runs).await {
+                let found = found?;
+                println!("{}", row(&found));
+                all.push(found);
+            }
+        }
+    }
+    if let Some(path) = &options.json {
+        std::fs::write(path, serde_json::to_vec(&all)?)?;
+    }
+    Ok(())
+}
--- a/crates/sesamehaven-system-tests/src/lib.rs
+++ b/crates/sesamehaven-system-tests/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod error;
 pub mod fleet;
 pub mod http;
+pub mod measure;
 pub mod member;
 pub mod platform;
 pub mod process;
--- a/crates/sesamehaven-system-tests/src/process.rs
+++ b/crates/sesamehaven-system-tests/src/process.rs
@@ -188,15 +188,19 @@
     }
 }
 
-/// Finds a program beside the directory of the test executable.
-fn locate(program: &str) -> Result<PathBuf> {
-    let test = env::current_exe()?;
-    let path = test.ancestors().nth(2).map(|dir| dir.join(program));
-    match path {
-        Some(path) if path.exists() => Ok(path),
-        _ => Err(Error::Process {
+/// Finds a program beside this executable, or beside its directory as for tests.
+///
+/// # Errors
+///
+/// Fails when the program has not been built.
+pub fn locate(program: &str) -> Result<PathBuf> {
+    let own = env::current_exe()?;
+    let dirs = own.ancestors().skip(1).take(2);
+    let mut paths = dirs.map(|dir| dir.join(program));
+    paths
+        .find(|path| path.exists())
+        .ok_or_else(|| Error::Process {
             name: program.into(),
             reason: "not built; run `cargo build --workspace --bins`".into(),
-        }),
-    }
+        })
 }
