Send tokens and request bodies without waiting for acknowledgements

Cause: the entry's server, the agent's client and the stand-ins left Nagle's algorithm on, so that a small write waited for the delayed acknowledgement of the one before it, about 40 ms.

--- a/crates/sesamehaven-daemons/src/front.rs
+++ b/crates/sesamehaven-daemons/src/front.rs
@@ -79,6 +79,8 @@
             .default_service(web::to(not_found))
     })
     .workers(limits.threads)
+    // A token must not wait until the one before it is acknowledged.
+    .tcp_nodelay(true)
     .max_connections(limits.connections)
     .client_request_timeout(limits.header_timeout.duration())
     .keep_alive(limits.idle_timeout.duration())
--- a/crates/sesamehaven-daemons/src/strict.rs
+++ b/crates/sesamehaven-daemons/src/strict.rs
@@ -42,6 +42,8 @@
         let connecting = self.0.call(info);
         Box::pin(async move {
             let (io, connection) = connecting.await?.replace_io(());
+            // The body of a request must not wait until its head is acknowledged.
+            io.set_nodelay(true).map_err(ConnectError::Io)?;
             Ok(connection.replace_io(Strict(io)).1)
         })
     }
--- a/crates/sesamehaven-standins/src/server.rs
+++ b/crates/sesamehaven-standins/src/server.rs
@@ -114,6 +114,7 @@
     };
     HttpServer::new(app)
         .workers(1)
+        .tcp_nodelay(true)
         .backlog(BACKLOG)
         .keep_alive(KEEP_ALIVE)
         .h1_allow_half_closed(false)
