--- a/crates/sesamehaven-system-tests/src/bin/sesame-matrix.rs
+++ b/crates/sesamehaven-system-tests/src/bin/sesame-matrix.rs
@@ -325,6 +325,7 @@
             what: e.to_string(),
         })??;
         let findings = self.check().await?;
+        let joined = self.joined()?;
         Ok(json!({
             "case": self.case.name,
             "way": self.way.to_string(),
@@ -332,7 +333,8 @@
             "report": report,
             "violations": findings["violations"].as_array().map_or(0, Vec::len),
             "prefill": findings["prefill"],
-            "reversals": self.reversals()?,
+            "reversals": Self::reversals(&joined),
+            "before_engine": Self::before_engine(&joined),
         }))
     }
 
@@ -352,8 +354,8 @@
         read_json(&self.directory.path().join("findings.json"))
     }
 
-    /// Counts refusals for want of room while less urgent work waited that an engine got later.
-    fn reversals(&self) -> Result<usize> {
+    /// Reads what callers were told, and when an engine first got each request.
+    fn joined(&self) -> Result<Vec<(Told, Option<f64>)>> {
         let unreadable = |e: sesamehaven_standins::Error| Error::Unexpected {
             what: e.to_string(),
         };
@@ -367,9 +369,18 @@
                 *first = first.min(run.received_ms);
             }
         }
-        let waited: Vec<(u8, f64, f64)> = told
+        let join = |told: Told| {
+            let begun = begun.get(&told.echo).copied();
+            (told, begun)
+        };
+        Ok(told.into_iter().map(join).collect())
+    }
+
+    /// Counts refusals for want of room while less urgent work waited that an engine got later.
+    fn reversals(joined: &[(Told, Option<f64>)]) -> usize {
+        let waited: Vec<(u8, f64, f64)> = joined
             .iter()
-            .filter_map(|t| Some((t.tier, t.sent_ms, *begun.get(&t.echo)?)))
+            .filter_map(|(told, begun)| Some((told.tier, told.sent_ms, (*begun)?)))
             .filter(|(_, sent, begun)| begun - sent > 2.0 * REVERSAL_MARGIN_MS)
             .collect();
         let is_for_room = |t: &&Told| {
@@ -382,8 +393,21 @@
                     && t.ended_ms + REVERSAL_MARGIN_MS < *begun
             })
         };
-        let refused = told.iter().filter(is_for_room);
-        Ok(refused.filter(|t| is_reversed(t)).count())
+        let refused = joined.iter().map(|(told, _)| told).filter(is_for_room);
+        refused.filter(|t| is_reversed(t)).count()
+    }
+
+    /// Returns how long requests of the top tier were on their way to an engine.
+    fn before_engine(joined: &[(Told, Option<f64>)]) -> Value {
+        let top = joined.iter().filter(|(told, _)| told.tier == 0);
+        let waits = top.filter_map(|(told, begun)| Some((*begun)? - told.sent_ms));
+        let mut waits: Vec<f64> = waits.collect();
+        waits.sort_by(f64::total_cmp);
+        let at = |share: f64| {
+            let last = waits.len().saturating_sub(1) as f64;
+            waits.get((last * share) as usize).copied()
+        };
+        json!({ "p50_ms": at(0.5), "p95_ms": at(0.95), "p99_ms": at(0.99) })
     }
 }
 
@@ -404,7 +428,7 @@
 fn refusals(tier: &Value) -> f64 {
     let codes = tier["not_run"].as_object();
     let counts = codes.into_iter().flat_map(|codes| codes.values());
-    100.0 * counts.map(number).sum::<f64>() / number(&tier["sent"]).max(1.0)
+    100.0 * counts.map(number).fold(0.0, |sum, n| sum + n) / number(&tier["sent"]).max(1.0)
 }
 
 fn spread(quantiles: &Value) -> String {
@@ -425,6 +449,7 @@
         format!("{:.1}", number(&report["total"]["good_percent"])),
         by_tier(report, |tier| number(&tier["good_percent"]), 1),
         spread(&top["first_token"]),
+        spread(&found["before_engine"]),
         spread(&top["between_tokens"]),
         format!("{:.1} + {:.1}", share("unheard"), share("repeated")),
         format!("{:.0}k", number(&prefill["computed"]) / 1e3),
@@ -439,9 +464,9 @@
 }
 
 const HEADINGS: &str = "| case | way | good % | good % by tier | first token, top tier, p50/p95/p99 ms \
-| between tokens, top tier | wasted prefill %: unheard + repeated | prefill | refused % by tier \
+| of which before an engine | between tokens, top tier | wasted prefill %: unheard + repeated | prefill | refused % by tier \
 | refusal p99 ms | reversals | violations | sent late p99 ms | load average |\n\
-| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
+| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
 
 #[actix_rt::main]
 async fn main() -> Result<()> {
