Report goodput, wasted prefill and burn rates by `sesamectl report burn`

The command was reserved and said that it is not there: nothing counted how a request came out for its caller, nor the prefill that nobody had.

Entries now judge each request once, when its caller is told the outcome or goes away, and keep the counts in the buckets of `sesamehaven::burn`, served at `/burn`. Sampling `/metrics` for a time was ruled out: a burn rate over six hours would need a command that runs for six hours. Agents count prefill with a guard, so that a request which is dropped on any path counts as wasted unless a reader had its whole answer.

--- a/crates/sesamehaven-daemons/src/admin.rs
+++ b/crates/sesamehaven-daemons/src/admin.rs
@@ -10,6 +10,9 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use serde_json::{Value, json};
 
+use sesamehaven::burn::Burn;
+
+use crate::clock;
 use crate::fields::Value as _;
 use crate::logs;
 use crate::settings::LogLevel;
@@ -31,6 +34,7 @@
     ready: bool,
     why_not: &'static str,
     report: Value,
+    burn: Option<Burn>,
 }
 
 impl Status {
@@ -59,6 +63,11 @@
         self.update(|facts| facts.report = report);
     }
 
+    /// Changes the counts for the service-level objectives, which `/burn` shows.
+    pub fn burn(&self, change: impl FnOnce(&mut Burn)) {
+        self.update(|facts| change(facts.burn.get_or_insert_default()));
+    }
+
     fn update<T>(&self, change: impl FnOnce(&mut Facts) -> T) -> T {
         let mut facts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         change(&mut facts)
@@ -104,6 +113,7 @@
             .route("/healthz", web::get().to(HttpResponse::Ok))
             .route("/readyz", web::get().to(readiness))
             .route("/status", web::get().to(report))
+            .route("/burn", web::get().to(burn))
             .route("/log-level", web::get().to(log_level))
             .route("/log-level", web::put().to(set_log_level))
     })
@@ -132,6 +142,12 @@
     HttpResponse::Ok().json(status.update(|facts| facts.report.clone()))
 }
 
+/// Shows counts over the past, an empty list of tiers where no request came out yet.
+async fn burn(status: web::Data<Status>) -> HttpResponse {
+    let snapshot = status.update(|facts| facts.burn.as_ref().map(|b| b.snapshot(clock::now())));
+    HttpResponse::Ok().json(snapshot.unwrap_or_default())
+}
+
 async fn log_level() -> HttpResponse {
     HttpResponse::Ok().json(logs::level().map(LogLevel::as_str))
 }
--- a/crates/sesamehaven-daemons/src/agent.rs
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -42,6 +42,7 @@
 use crate::peer::{self, LinkEvent, LinkId};
 use crate::platform::{PLATFORM_TIMEOUT, Platform, VmState};
 use crate::run::{Reader, Run};
+use crate::score::Prefill;
 use crate::settings::AgentSettings;
 
 /// How often gates are polled although nothing happened.
@@ -459,6 +460,9 @@
         door.cache.add(&offer.prefixes);
         counter!("agent_dispatches_total").increment(1);
         run.set_dispatched();
+        if door.kind == PoolKind::Model {
+            run.prefill = Some(Prefill::new(offer.tier, offer.prompt.0));
+        }
         run.tell(
             id,
             &ToEntry::Dispatched {
@@ -545,6 +549,9 @@
         }
         match end {
             CallEnd::NotSent => {
+                if let Some(prefill) = run.prefill.take() {
+                    prefill.forget();
+                }
                 self.hand_back(id, absent(Refusal::Unavailable));
                 self.set_unhealthy(&name, cx);
             }
--- a/crates/sesamehaven-daemons/src/ctl.rs
+++ b/crates/sesamehaven-daemons/src/ctl.rs
@@ -77,9 +77,9 @@
             display("it is not known whether change {change} became generation {generation}: \
                      look for it with `sesamectl history` once the platform answers")
         }
-        /// A command that this build does not have yet.
-        Unavailable { what: &'static str } {
-            display("{what} is not available in this build")
+        /// A page could not be drawn or written.
+        Page { path: PathBuf, message: String } {
+            display("cannot write {}: {message}; name a file that you may write", path.display())
         }
     }
 }
@@ -201,7 +201,7 @@
         Command::History { store, last } => ctl_history::run(&store.open(), last).await,
         Command::Show { store, generation } => ctl_history::show(&store.open(), generation).await,
         Command::Status { store, daemons } => ctl_status::run(store, &daemons).await,
-        Command::Report => ctl_report::run(),
+        Command::Report { burn } => ctl_report::run(&burn).await,
     }
 }
 
--- a/crates/sesamehaven-daemons/src/ctl_options.rs
+++ b/crates/sesamehaven-daemons/src/ctl_options.rs
@@ -54,7 +54,20 @@
         store: Option<StoreOptions>,
         daemons: Vec<SocketAddr>,
     },
-    Report,
+    Report {
+        burn: BurnOptions,
+    },
+}
+
+/// What a report on burn is made of.
+#[derive(Debug, Clone)]
+pub(crate) struct BurnOptions {
+    /// The admin addresses of daemons.
+    pub(crate) daemons: Vec<SocketAddr>,
+    /// The share of requests that have to be good, in percent.
+    pub(crate) objective: f64,
+    /// Where to write a page with plots.
+    pub(crate) html: Option<PathBuf>,
 }
 
 /// Where the configuration is kept.
@@ -139,11 +152,10 @@
         "Shows what daemons serve; exits with 1 when one is not ready or behind",
         status(),
     );
-    let report = sub(
-        "report",
-        "Reports service-level burn",
-        pure(Command::Report),
-    );
+    let report = report()
+        .to_options()
+        .descr("Reports on service levels")
+        .command("report");
     construct!([
         check, plan, apply, undo, history, show, status, report, digest_key
     ])
@@ -228,9 +240,36 @@
 
 fn status() -> impl Parser<Command> {
     let store = store().optional();
-    let daemons = long("daemon")
+    let daemons = daemons();
+    construct!(Command::Status { store, daemons })
+}
+
+fn daemons() -> impl Parser<Vec<SocketAddr>> {
+    long("daemon")
         .help("The admin address of a daemon; may be repeated")
         .argument::<SocketAddr>("IP:PORT")
-        .some("name at least one daemon with --daemon IP:PORT");
-    construct!(Command::Status { store, daemons })
+        .some("name at least one daemon with --daemon IP:PORT")
+}
+
+fn report() -> impl Parser<Options> {
+    let daemons = daemons();
+    let objective = long("objective")
+        .help("The share of requests that have to be good, in percent")
+        .argument::<f64>("PERCENT")
+        .guard(|p| (0.0..100.0).contains(p), "write a percentage below 100")
+        .fallback(95.0);
+    let html = long("html")
+        .help("Write a page with plots too")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let burn = construct!(BurnOptions {
+        daemons,
+        objective,
+        html
+    });
+    sub(
+        "burn",
+        "Reports goodput, wasted prefill and burn; exits with 1 when somebody has to act",
+        construct!(Command::Report { burn }),
+    )
 }
--- a/crates/sesamehaven-daemons/src/entry.rs
+++ b/crates/sesamehaven-daemons/src/entry.rs
@@ -17,7 +17,7 @@
 use spdlog::{info, warn};
 use tokio::sync::mpsc;
 
-use sesamehaven::config::{Index, Repeat};
+use sesamehaven::config::{Index, Objective, Repeat};
 use sesamehaven::fair::OrganisationDigest;
 use sesamehaven::flight::{Event, Flight, Step, Terms};
 use sesamehaven::gate::{Ended, LoadView};
@@ -39,6 +39,7 @@
 use crate::gossip;
 use crate::keys::{Keyed, Keys};
 use crate::peer::{self, LinkEvent, LinkId};
+use crate::score::Score;
 use crate::settings::EntrySettings;
 
 /// How often requests whose time may have come are looked at.
@@ -85,6 +86,8 @@
     pub(crate) next_chunk: u64,
     upto: u64,
     first_token: bool,
+    /// What the outcome is counted by, until the caller is told it.
+    pub(crate) score: Option<Score>,
     /// How often the request got a new id, because an agent takes the old one no more.
     pub(crate) attempt: u8,
 }
@@ -93,7 +96,7 @@
 pub struct Entry {
     settings: Arc<EntrySettings>,
     links_cfg: LinkConfig,
-    status: Status,
+    pub(crate) status: Status,
     index: Arc<Index>,
     pub(crate) peers: BTreeMap<DaemonName, Peer>,
     agents_of: HashMap<EndpointName, DaemonName>,
@@ -168,12 +171,17 @@
 
     fn submit(&mut self, id: RequestId, job: Box<Job>, tx: mpsc::Sender<ToCaller>) {
         counter!("entry_requests_total", "tier" => job.tier.to_string()).increment(1);
+        let class = self.index.class(&job.class);
+        let objective = class.map_or_else(Objective::default, |class| class.objective.clone());
+        let mut score = Some(Score::new(&job, objective));
         let guarded = job.key.is_some() && job.repeat != Repeat::Idempotent;
         let admission = self.admit(&job).err();
         if let (Some(refused), false) = (admission, guarded) {
             counter!("entry_not_run_total", "reason" => refused.reason.code()).increment(1);
+            let word = ToCaller::NotRun(refused);
+            Score::tell(&mut score, &word, &self.status, clock::now());
             // A connection that is gone needs no answer.
-            let _ = tx.try_send(ToCaller::NotRun(refused));
+            let _ = tx.try_send(word);
             return;
         }
         let terms = Terms {
@@ -196,6 +204,7 @@
             next_chunk: 0,
             upto: u64::from(self.settings.limits.window_chunks),
             first_token: false,
+            score,
             attempt: 0,
         };
         self.active.insert(id, active);
@@ -369,9 +378,10 @@
     }
 
     pub(crate) fn tell(&mut self, id: RequestId, word: ToCaller) {
-        let Some(active) = self.active.get(&id) else {
+        let Some(active) = self.active.get_mut(&id) else {
             return;
         };
+        Score::tell(&mut active.score, &word, &self.status, clock::now());
         if active.tx.try_send(word).is_err() {
             // The connection is gone; its end of the request says so itself.
             counter!("entry_words_lost_total").increment(1);
@@ -530,6 +540,9 @@
             return self.drive(id, Event::Broken);
         }
         active.next_chunk += 1;
+        if let Some(score) = &mut active.score {
+            score.on_part(&data, now);
+        }
         if !active.first_token {
             active.first_token = true;
             let secs = now.since(active.job.received).duration().as_secs_f64();
@@ -907,8 +920,9 @@
     type Result = ();
 
     fn handle(&mut self, CallerGone(id): CallerGone, _: &mut Context<Self>) {
-        if self.active.contains_key(&id) {
+        if let Some(active) = self.active.get_mut(&id) {
             counter!("entry_callers_gone_total").increment(1);
+            Score::abandon(&mut active.score, &self.status, clock::now());
         }
         self.drive(id, Event::CallerGone);
     }
--- a/crates/sesamehaven-daemons/src/keys.rs
+++ b/crates/sesamehaven-daemons/src/keys.rs
@@ -21,6 +21,7 @@
 use crate::caller::ToCaller;
 use crate::clock;
 use crate::entry::{Entry, Place};
+use crate::score::Score;
 
 /// The longest wait for a home's word on a claim or a move.
 const CLAIM_TIMEOUT: Millis = Millis(1_500);
@@ -51,6 +52,7 @@
 struct Releasing {
     tx: mpsc::Sender<ToCaller>,
     refused: Option<Refused>,
+    score: Option<Score>,
     until: Instant,
 }
 
@@ -141,7 +143,7 @@
 
     /// Gives a request's key up; its caller is told when the home has confirmed.
     pub(crate) fn release_key(&mut self, id: RequestId) {
-        let Some(active) = self.active.get(&id) else {
+        let Some(active) = self.active.get_mut(&id) else {
             return;
         };
         let Some(key) = active.job.key else {
@@ -150,6 +152,7 @@
         let releasing = Releasing {
             tx: active.tx.clone(),
             refused: None,
+            score: active.score.take(),
             until: clock::now().after(RELEASE_TIMEOUT),
         };
         self.keys.releasing.insert(id, releasing);
@@ -429,7 +432,7 @@
     }
 
     fn end_release(&mut self, id: RequestId, is_released: bool) {
-        let Some(releasing) = self.keys.releasing.remove(&id) else {
+        let Some(mut releasing) = self.keys.releasing.remove(&id) else {
             return;
         };
         let word = match (is_released, releasing.refused) {
@@ -443,6 +446,7 @@
                 ToCaller::Unknown(doubt)
             }
         };
+        Score::tell(&mut releasing.score, &word, &self.status, clock::now());
         if releasing.tx.try_send(word).is_err() {
             counter!("entry_words_lost_total").increment(1);
         }
--- a/crates/sesamehaven-daemons/src/run.rs
+++ b/crates/sesamehaven-daemons/src/run.rs
@@ -15,6 +15,7 @@
 
 use crate::call::Pace;
 use crate::peer::LinkId;
+use crate::score::Prefill;
 
 /// A reader of an answer: the entry that offered the request, or another one
 /// whose caller sent the same key.
@@ -75,6 +76,8 @@
     pub give_up_at: Option<Instant>,
     /// When the request was over.
     pub ended: Option<Instant>,
+    /// What the endpoint prefills, once the request is dispatched.
+    pub(crate) prefill: Option<Prefill>,
     dispatched: bool,
     head: Option<Head>,
     answer: Answer<Bytes>,
@@ -100,6 +103,7 @@
             begun: false,
             give_up_at: None,
             ended: None,
+            prefill: None,
             dispatched: false,
             head: None,
             answer: Answer::new(max_bytes),
@@ -181,6 +185,9 @@
         reader.upto = reader.upto.max(upto);
         let has_all = reader.end_sent && reader.acked >= self.answer.next();
         if has_all {
+            if let (Some(End::Whole), Some(prefill)) = (self.end, &mut self.prefill) {
+                prefill.deliver();
+            }
             self.readers.retain(|r| r.link != link);
         }
     }
--- /dev/null
+++ b/crates/sesamehaven-daemons/src/score.rs
@@ -0,0 +1,153 @@
+//! How requests came out, as counted for the service-level objectives.
+//!
+//! See [`docs/SLO.md`](../../../docs/SLO.md).
+
+use metrics::counter;
+
+use sesamehaven::burn::Outcome;
+use sesamehaven::config::Objective;
+use sesamehaven::id::OrganisationName;
+use sesamehaven::outcome::Refusal;
+use sesamehaven::tier::Tier;
+use sesamehaven::unit::{Instant, Millis};
+
+use crate::admin::Status;
+use crate::caller::{Job, ToCaller};
+
+/// What the outcome of one request is judged by; taken when the caller is told it.
+#[derive(Debug)]
+pub(crate) struct Score {
+    tier: Tier,
+    organisation: OrganisationName,
+    objective: Objective,
+    received: Instant,
+    deadline: Instant,
+    first: Option<Instant>,
+    last: Instant,
+    tokens: u64,
+}
+
+impl Score {
+    /// Builds the score of a request that has just been read.
+    pub(crate) fn new(job: &Job, objective: Objective) -> Self {
+        Score {
+            tier: job.tier,
+            organisation: job.organisation.clone(),
+            objective,
+            received: job.received,
+            deadline: job.deadline,
+            first: None,
+            last: job.received,
+            tokens: 0,
+        }
+    }
+
+    /// Takes a part of the answer in; each event of a stream is one token.
+    pub(crate) fn on_part(&mut self, part: &[u8], now: Instant) {
+        self.first.get_or_insert(now);
+        self.last = now;
+        self.tokens += part.windows(2).filter(|pair| *pair == b"\n\n").count() as u64;
+    }
+
+    /// Counts what the caller is told, if that is an outcome.
+    pub(crate) fn tell(slot: &mut Option<Score>, word: &ToCaller, status: &Status, now: Instant) {
+        let Some(score) = slot.as_ref() else {
+            return;
+        };
+        let outcome = match word {
+            ToCaller::Head(_) | ToCaller::Chunk(_) => return,
+            ToCaller::Whole => score.answered(now),
+            ToCaller::NotRun(refused) => Outcome::NotRun(refused.reason),
+            ToCaller::Unknown(_) => Outcome::Unknown,
+        };
+        score.count(outcome, status, now);
+        *slot = None;
+    }
+
+    /// Counts a request whose caller went away before it was told anything final.
+    pub(crate) fn abandon(slot: &mut Option<Score>, status: &Status, now: Instant) {
+        if let Some(score) = slot.take() {
+            score.count(Outcome::NotRun(Refusal::Abandoned), status, now);
+        }
+    }
+
+    /// Judges a whole answer; one without events has no tokens to be late.
+    fn answered(&self, now: Instant) -> Outcome {
+        let first = self.first.unwrap_or(now);
+        let is_stream = self.tokens > 0;
+        let gaps = self.tokens.saturating_sub(1).max(1);
+        Outcome::Answered {
+            in_time: now <= self.deadline,
+            first_token: if is_stream {
+                first.since(self.received)
+            } else {
+                Millis(0)
+            },
+            between_tokens: if is_stream {
+                Millis(self.last.since(first).0 / gaps)
+            } else {
+                Millis(0)
+            },
+        }
+    }
+
+    fn count(&self, outcome: Outcome, status: &Status, now: Instant) {
+        let mut one = sesamehaven::burn::Counts::default();
+        one.add(outcome, &self.objective);
+        let tier = self.tier.to_string();
+        counter!("entry_outcomes_total", "tier" => tier, "outcome" => label(&one)).increment(1);
+        status.burn(|burn| {
+            burn.add(self.tier, &self.organisation, outcome, &self.objective, now);
+        });
+    }
+}
+
+/// Names the outcome that counts of one request hold.
+fn label(one: &sesamehaven::burn::Counts) -> &'static str {
+    let labels = [
+        (one.good, "good"),
+        (one.slow, "slow"),
+        (one.late, "late"),
+        (one.unknown, "unknown"),
+        (one.refused, "refused"),
+    ];
+    let found = labels.iter().find(|(count, _)| *count > 0);
+    found.map_or("rejected", |(_, label)| label)
+}
+
+/// The prompt of a request that an endpoint prefills; wasted unless it is delivered.
+#[derive(Debug)]
+pub(crate) struct Prefill {
+    tier: Tier,
+    tokens: u64,
+}
+
+impl Prefill {
+    /// Builds the prefill of a request that is handed to an endpoint.
+    pub(crate) fn new(tier: Tier, tokens: u64) -> Self {
+        Prefill { tier, tokens }
+    }
+
+    /// Counts the prefill of an answer that a reader has whole.
+    pub(crate) fn deliver(&mut self) {
+        let tokens = std::mem::take(&mut self.tokens);
+        counter!("agent_prefill_tokens_total", "tier" => self.tier.to_string()).increment(tokens);
+    }
+
+    /// Forgets a prefill that did not take place.
+    pub(crate) fn forget(mut self) {
+        self.tokens = 0;
+    }
+}
+
+impl Drop for Prefill {
+    fn drop(&mut self) {
+        if self.tokens == 0 {
+            return;
+        }
+        let tier = self.tier.to_string();
+        let tokens = self.tokens;
+        counter!("agent_wasted_prefill_tokens_total", "tier" => tier).increment(tokens);
+        self.deliver();
+    }
+}
