--- a/crates/sesamehaven-daemons/src/run.rs
+++ b/crates/sesamehaven-daemons/src/run.rs
@@ -78,6 +78,8 @@
     pub ended: Option<Instant>,
     /// What the endpoint prefills, once the request is dispatched.
     pub(crate) prefill: Option<Prefill>,
+    /// Whether the key was claimed in the platform.
+    pub claimed: bool,
     dispatched: bool,
     head: Option<Head>,
     answer: Answer<Bytes>,
@@ -104,6 +106,7 @@
             give_up_at: None,
             ended: None,
             prefill: None,
+            claimed: false,
             dispatched: false,
             head: None,
             answer: Answer::new(max_bytes),
