--- a/crates/sesamehaven-system-tests/examples/capacity/main.rs
+++ b/crates/sesamehaven-system-tests/examples/capacity/main.rs
@@ -6,6 +6,7 @@
 mod fit;
 mod library;
 mod page;
+mod picture;
 mod processes;
 
 use std::error::Error;
--- a/crates/sesamehaven-system-tests/examples/capacity/page.rs
+++ b/crates/sesamehaven-system-tests/examples/capacity/page.rs
@@ -1,12 +1,11 @@
-//! The page's text and picture.
+//! The page's text.
 
 use std::fmt::Write as _;
 
-use plotters::prelude::*;
-
 use crate::Result;
 use crate::fit::Line;
 use crate::library::{Library, Points};
+use crate::picture::picture;
 use crate::processes::{Idle, Usage, Work};
 
 /// Reports a second, as set by `report_interval`.
@@ -16,7 +15,7 @@
 /// The bytes a second on a link that a fleet at rest stays below.
 const HEARTBEATS: f64 = 250.0;
 /// The bound of a daemon's control in bytes a second.
-const BOUND: f64 = 19_000.0;
+pub(crate) const BOUND: f64 = 19_000.0;
 
 pub(crate) struct Page {
     pub(crate) text: String,
@@ -24,16 +23,16 @@
 }
 
 /// The lines that sizes are worked out with.
-struct Lines {
+pub(crate) struct Lines {
     entry_cpu: Line,
     agent_cpu: Line,
-    entry_memory: Line,
-    agent_memory: Line,
+    pub(crate) entry_memory: Line,
+    pub(crate) agent_memory: Line,
     entry_link: Line,
     agent_link: Line,
     calls: Line,
     change_calls: Line,
-    organisation: Line,
+    pub(crate) organisation: Line,
     configuration: Line,
     whole_key: Line,
     old_key: Line,
@@ -44,13 +43,13 @@
 }
 
 /// A fleet to be worked out.
-struct Size {
-    entries: f64,
-    agents: f64,
-    endpoints: f64,
-    organisations: f64,
-    requests: f64,
-    tokens: f64,
+pub(crate) struct Size {
+    pub(crate) entries: f64,
+    pub(crate) agents: f64,
+    pub(crate) endpoints: f64,
+    pub(crate) organisations: f64,
+    pub(crate) requests: f64,
+    pub(crate) tokens: f64,
 }
 
 const TODAY: Size = Size {
@@ -61,7 +60,7 @@
     requests: 50.0,
     tokens: 11_500.0,
 };
-const TARGET: Size = Size {
+pub(crate) const TARGET: Size = Size {
     entries: 40.0,
     agents: 330.0,
     endpoints: 600.0,
@@ -71,16 +70,16 @@
 };
 
 impl Lines {
-    fn of_reports(&self, size: &Size, peers: f64) -> f64 {
+    pub(crate) fn of_reports(&self, size: &Size, peers: f64) -> f64 {
         let endpoints = size.endpoints / size.agents;
         peers * (REPORTS * self.report.at(endpoints) + endpoints * SUMMARY)
     }
 
-    fn entry_bytes(&self, size: &Size) -> f64 {
+    pub(crate) fn entry_bytes(&self, size: &Size) -> f64 {
         self.entry_link.at(size.agents).max(0.0) + self.of_reports(size, size.agents)
     }
 
-    fn agent_bytes(&self, size: &Size) -> f64 {
+    pub(crate) fn agent_bytes(&self, size: &Size) -> f64 {
         self.agent_link.at(size.entries).max(0.0) + self.of_reports(size, size.entries)
     }
 }
@@ -395,62 +394,3 @@
     }
     Ok(())
 }
-
-fn picture(l: &Lines) -> Result<String> {
-    let mut svg = String::new();
-    {
-        let root = SVGBackend::with_string(&mut svg, (760, 640)).into_drawing_area();
-        root.fill(&WHITE)?;
-        let (above, below) = root.split_vertically(320);
-        let size = |n: f64| Size {
-            entries: n * TARGET.entries / 370.0,
-            agents: n * TARGET.agents / 370.0,
-            endpoints: n * TARGET.endpoints / 370.0,
-            ..TARGET
-        };
-        let all = |n: f64| 2.0 * l.of_reports(&TARGET, n - 1.0) / 1e3;
-        let mut chart = ChartBuilder::on(&above)
-            .caption(
-                "Control KB/s: entry, agent (blue, green), all-to-all (red), bound (black)",
-                ("sans-serif", 15),
-            )
-            .margin(10)
-            .x_label_area_size(25)
-            .y_label_area_size(60)
-            .build_cartesian_2d(10.0..370.0, 0.0..all(370.0))?;
-        chart.configure_mesh().x_desc("daemons").draw()?;
-        let x = || (10..=370).step_by(10).map(f64::from);
-        chart.draw_series(LineSeries::new(
-            x().map(|n| (n, l.entry_bytes(&size(n)) / 1e3)),
-            BLUE,
-        ))?;
-        chart.draw_series(LineSeries::new(
-            x().map(|n| (n, l.agent_bytes(&size(n)) / 1e3)),
-            GREEN,
-        ))?;
-        chart.draw_series(LineSeries::new(x().map(|n| (n, all(n))), RED))?;
-        chart.draw_series(LineSeries::new(x().map(|n| (n, BOUND / 1e3)), BLACK))?;
-        let memory =
-            |n: f64| (l.entry_memory.at(size(n).agents) + l.organisation.at(42_000.0)) / 1e6;
-        let small =
-            |n: f64| (l.agent_memory.at(size(n).entries) + l.organisation.at(42_000.0)) / 1e6;
-        let plain = |n: f64| (l.entry_memory.at(n - 1.0) + l.organisation.at(42_000.0)) / 1e6;
-        let most = plain(370.0).max(40.0);
-        let mut chart = ChartBuilder::on(&below)
-            .caption(
-                "Memory MB: entry, agent, all-to-all (reasoned), bound",
-                ("sans-serif", 15),
-            )
-            .margin(10)
-            .x_label_area_size(25)
-            .y_label_area_size(60)
-            .build_cartesian_2d(10.0..370.0, 0.0..most)?;
-        chart.configure_mesh().x_desc("daemons").draw()?;
-        chart.draw_series(LineSeries::new(x().map(|n| (n, memory(n))), BLUE))?;
-        chart.draw_series(LineSeries::new(x().map(|n| (n, small(n))), GREEN))?;
-        chart.draw_series(LineSeries::new(x().map(|n| (n, plain(n))), RED))?;
-        chart.draw_series(LineSeries::new(x().map(|n| (n, 32.0)), BLACK))?;
-        root.present()?;
-    }
-    Ok(svg)
-}
