--- a/crates/sesamehaven-daemons/src/agent.rs
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -47,6 +47,7 @@
 use crate::peer::{self, LinkEvent, LinkId};
 use crate::platform::{PLATFORM_TIMEOUT, Platform, VmState};
 use crate::run::{Reader, Run};
+use crate::score::Prefill;
 use crate::settings::AgentSettings;
 
 /// How often gates are polled although nothing happened.
@@ -542,6 +543,9 @@
         door.cache.add(&offer.prefixes);
         counter!("agent_dispatches_total").increment(1);
         run.set_dispatched();
+        if door.kind == PoolKind::Model {
+            run.prefill = Some(Prefill::new(offer.tier, offer.prompt.0));
+        }
         run.tell(
             id,
             &ToEntry::Dispatched {
@@ -616,6 +620,10 @@
         };
         let name = run.endpoint.clone();
         let fingerprint = run.fingerprint;
+        let unsent = |_: &mut Prefill| end == CallEnd::NotSent;
+        if let Some(prefill) = run.prefill.take_if(unsent) {
+            prefill.forget();
+        }
         if let (true, Some(key)) = (run.claimed, run.key) {
             let decided = match end {
                 CallEnd::Whole => self.claims.record(key, id, Outcome::Answered),
