--- a/crates/sesamehaven-daemons/src/agent.rs
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -101,6 +101,20 @@
     }
 }
 
+/// What joins the agent's actor to the tasks around it.
+pub struct Wiring {
+    /// Calls endpoints.
+    pub client: Client,
+    /// Tells operators about the agent.
+    pub status: Status,
+    /// Takes reports to the entries.
+    pub reports: mpsc::Sender<Report>,
+    /// Takes what links say of configurations to the feed.
+    pub feed: mpsc::Sender<FromPeer>,
+    /// Wakes the process when its VM is listed as leaving.
+    pub listed_leaving: Rc<Notify>,
+}
+
 /// The actor that holds the agent's state.
 pub struct Agent {
     settings: Arc<AgentSettings>,
@@ -193,11 +207,7 @@
         settings: Arc<AgentSettings>,
         links_cfg: LinkConfig,
         link_address: std::net::SocketAddr,
-        client: Client,
-        status: Status,
-        reports: mpsc::Sender<Report>,
-        feed: mpsc::Sender<FromPeer>,
-        listed_leaving: Rc<Notify>,
+        wiring: Wiring,
     ) -> Self {
         let me = guard::Run {
             name: settings.name.clone(),
@@ -208,18 +218,18 @@
             incarnation: links_cfg.me.incarnation,
             settings,
             links_cfg,
-            client,
-            status,
-            reports,
+            client: wiring.client,
+            status: wiring.status,
+            reports: wiring.reports,
             index: Arc::default(),
             doors: BTreeMap::new(),
             runs: HashMap::new(),
             links: HashMap::new(),
             quarantine: Quarantine::default(),
             crashes: 0,
-            feed,
+            feed: wiring.feed,
             listing: Listing::default(),
-            listed_leaving,
+            listed_leaving: wiring.listed_leaving,
             offers: Offers::default(),
             early: Vec::new(),
             claims: Claims::default(),
--- a/crates/sesamehaven-daemons/src/agent_main.rs
+++ b/crates/sesamehaven-daemons/src/agent_main.rs
@@ -21,7 +21,7 @@
 use sesamehaven_wire::report::ReportSender;
 
 use crate::admin::{self, Status};
-use crate::agent::{Agent, EntriesListed, InFlight, Leave, LinkUp, Reconfigure};
+use crate::agent::{Agent, EntriesListed, InFlight, Leave, LinkUp, Reconfigure, Wiring};
 use crate::call;
 use crate::clock;
 use crate::drain;
@@ -76,16 +76,14 @@
     let listed_leaving = Rc::new(Notify::new());
     let (gossip, peers) = gossip::channel();
     let advertised = settings.advertise.unwrap_or(bound);
-    let agent = Agent::new(
-        Arc::clone(&settings),
-        links_cfg.clone(),
-        advertised,
-        call::client(settings.limits.connect_timeout),
+    let wiring = Wiring {
+        client: call::client(settings.limits.connect_timeout),
         status,
         reports,
-        gossip.tx,
-        Rc::clone(&listed_leaving),
-    );
+        feed: gossip.tx,
+        listed_leaving: Rc::clone(&listed_leaving),
+    };
+    let agent = Agent::new(Arc::clone(&settings), links_cfg.clone(), advertised, wiring);
     let agent = Agent::create(|cx| {
         let mut rx = gossip.rx;
         cx.add_stream(stream::poll_fn(move |cx| rx.poll_recv(cx)));
