Blame only known suspects while a crashed endpoint has not come back

Cause: an endpoint that was probed as open while it still closed its connections got work again, and the innocent requests that broke off there were marked, the second time for an hour. Ruled out: the judgement of the first crash, which named the right request.

--- a/crates/sesamehaven-daemons/src/agent.rs
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -66,6 +66,10 @@
 const SUMMARY_INTERVAL: Millis = Millis(1_000);
 /// How long after a broken call its endpoint is looked at.
 const JUDGE_DELAY: Duration = Duration::from_millis(20);
+/// How long a connection has to stay open for an endpoint not to count as crashed.
+const JUDGE_OPEN: Duration = Duration::from_millis(30);
+/// How long a connection has to stay open for a crashed endpoint to get work again.
+const PROBE_OPEN: Duration = Duration::from_millis(200);
 /// How long a resumption waits for the request's offer, which may be on its way.
 const OFFER_GRACE: Millis = Millis(150);
 /// The notices that are sent at once.
@@ -80,6 +84,8 @@
     kind: PoolKind,
     gate: Gate,
     healthy: bool,
+    /// Whether it has answered a call since it last crashed.
+    proven: bool,
     /// The calls that broke off and have not been judged.
     broken: SmallVec<[RequestId; 4]>,
     /// The prompt prefixes that the engine is taken to hold.
@@ -600,6 +606,9 @@
                     return;
                 };
                 run.events = events;
+                if let Some(door) = self.doors.get_mut(&run.endpoint) {
+                    door.proven = true;
+                }
                 run.set_head(head);
                 run.pump(id);
             }
@@ -697,7 +706,7 @@
         let name = name.clone();
         actix_rt::spawn(async move {
             tokio::time::sleep(JUDGE_DELAY).await;
-            let answers = call::is_alive(address).await;
+            let answers = call::is_alive(address, JUDGE_OPEN).await;
             agent.do_send(Judge { name, answers });
         });
     }
@@ -716,6 +725,10 @@
             let mut suspects: Vec<_> = door.gate.fingerprints().collect();
             let runs = broken.iter().filter_map(|id| self.runs.get(id));
             suspects.extend(runs.map(|run| run.fingerprint));
+            // An endpoint that has not come back after a crash breaks off whatever
+            // it is given; that tells against known suspects only.
+            let proven = std::mem::take(&mut door.proven);
+            suspects.retain(|f| proven || self.quarantine.standing(*f, now) != Standing::Clear);
             self.note_crash(name, &suspects, now);
         }
         for id in broken {
@@ -773,7 +786,7 @@
         let agent = cx.address();
         let name = name.clone();
         actix_rt::spawn(async move {
-            while !call::is_alive(address).await {
+            while !call::is_alive(address, PROBE_OPEN).await {
                 tokio::time::sleep(PROBE_INTERVAL).await;
             }
             agent.do_send(Recovered(name));
@@ -949,6 +962,7 @@
                     kind: pool.kind,
                     gate: Gate::new(cfg.clone()),
                     healthy: true,
+                    proven: true,
                     broken: SmallVec::new(),
                     cache: CacheView::new(CACHE_PREFIXES),
                     summarised: now,
--- a/crates/sesamehaven-daemons/src/call.rs
+++ b/crates/sesamehaven-daemons/src/call.rs
@@ -32,8 +32,6 @@
 const KEEP_ALIVE: Duration = Duration::from_millis(1_000);
 /// The longest wait for an endpoint's answer to a cancellation.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// How long a probe's connection has to stay open.
-const PROBE_OPEN: Duration = Duration::from_millis(30);
 /// The longest wait for a probe's connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// What ends a whole stream of server-sent events.
@@ -113,17 +111,17 @@
         .finish()
 }
 
-/// Returns whether an endpoint accepts a connection and leaves it open.
+/// Returns whether an endpoint accepts a connection and leaves it open for a while.
 ///
 /// A connection alone is no sign of life, since a crashed endpoint's address
 /// may still accept and close them; a request would be a call that the endpoint
 /// runs.
-pub async fn is_alive(address: SocketAddr) -> bool {
+pub async fn is_alive(address: SocketAddr, open: Duration) -> bool {
     let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
     let Ok(Ok(mut stream)) = connected else {
         return false;
     };
-    let closed = timeout(PROBE_OPEN, stream.read(&mut [0])).await;
+    let closed = timeout(open, stream.read(&mut [0])).await;
     closed.is_err()
 }
 
