Split the entry and the agent into files of one job each

Moves only: offers, calls, health and reports of the agent; peers, replies and open requests of the entry.

--- /dev/null
+++ b/crates/sesamehaven-daemons/src/agent_report.rs
@@ -0,0 +1,119 @@
+//! What an agent tells: reports to entries, the status to operators.
+
+use metrics::counter;
+use serde_json::json;
+use smallvec::SmallVec;
+
+use sesamehaven::cache_view::CacheView;
+use sesamehaven::config::{Endpoint, PoolKind};
+use sesamehaven::gate::Gate;
+use sesamehaven::id::{PoolName, RequestId};
+use sesamehaven::unit::{Instant, Millis};
+use sesamehaven_wire::message::{Load, Report};
+
+use crate::agent::Agent;
+use crate::clock;
+
+/// The length of the summary of an engine's cache.
+const SUMMARY_BYTES: usize = 512;
+
+/// The time between two summaries of an engine's cache.
+const SUMMARY_INTERVAL: Millis = Millis(1_000);
+
+/// One endpoint with its gate.
+pub(crate) struct Door {
+    pub(crate) endpoint: Endpoint,
+    pub(crate) pool: PoolName,
+    pub(crate) kind: PoolKind,
+    pub(crate) gate: Gate,
+    pub(crate) healthy: bool,
+    /// Whether it has answered a call since it last crashed.
+    pub(crate) proven: bool,
+    /// The calls that broke off and have not been judged.
+    pub(crate) broken: SmallVec<[RequestId; 4]>,
+    /// The prompt prefixes that the engine is taken to hold.
+    pub(crate) cache: CacheView,
+    /// When the cache was last summarised for the entries.
+    pub(crate) summarised: Instant,
+}
+
+impl Agent {
+    pub(crate) fn show_status(&self, now: Instant) {
+        let doors = self.doors.values().map(|door| {
+            let load = door.gate.load(now);
+            json!({
+                "endpoint": door.endpoint.name,
+                "pool": door.pool,
+                "healthy": door.healthy,
+                "running": load.running,
+                "queued": door.gate.queued(),
+                "limit": load.limit,
+                "prefill_rate": load.prefill_rate,
+                "decode_rate": load.decode_rate,
+            })
+        });
+        self.status.set_report(json!({
+            "role": "agent",
+            "name": self.settings.name,
+            "incarnation": self.incarnation,
+            "generation": self.index.generation,
+            "leaving": self.leaving,
+            "vm": self.listing.as_str(),
+            "links": self.links.len(),
+            "requests": self.runs.len(),
+            "endpoints": doors.collect::<Vec<_>>(),
+        }));
+    }
+
+    pub(crate) fn report(&mut self) {
+        let now = clock::now();
+        let load = |door: &mut Door| Load {
+            prefixes: door.summary(now),
+            ..load_of(door, now)
+        };
+        let endpoints = self.doors.values_mut().map(load).collect();
+        self.report_seq += 1;
+        let report = Report {
+            agent: self.settings.name.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            incarnation: self.incarnation,
+            seq: self.report_seq,
+            address: self.link_address,
+            generation: self.index.generation,
+            leaving: self.leaving,
+            endpoints,
+        };
+        if self.reports.try_send(report).is_err() {
+            counter!("agent_reports_skipped_total").increment(1);
+        }
+    }
+}
+
+impl Door {
+    /// Summarises the engine's cache, if that is due again.
+    pub(crate) fn summary(&mut self, now: Instant) -> bytes::Bytes {
+        let is_due = now.since(self.summarised) >= SUMMARY_INTERVAL;
+        if self.kind == PoolKind::Service || !is_due {
+            return bytes::Bytes::new();
+        }
+        self.summarised = now;
+        let summary = self.cache.summary(SUMMARY_BYTES);
+        bytes::Bytes::copy_from_slice(summary.as_bytes())
+    }
+}
+
+fn load_of(door: &Door, now: Instant) -> Load {
+    let load = door.gate.load(now);
+    Load {
+        endpoint: door.endpoint.name.clone(),
+        pool: door.pool.clone(),
+        healthy: door.healthy,
+        running: load.running,
+        queued: load.queued,
+        admits: load.admits,
+        prefill_rate: load.prefill_rate.0 as f32,
+        decode_rate: load.decode_rate.0 as f32,
+        limit: load.limit,
+        prefixes: bytes::Bytes::new(),
+    }
+}
--- a/crates/sesamehaven-daemons/src/entry.rs
+++ b/crates/sesamehaven-daemons/src/entry.rs
@@ -5,40 +5,41 @@
 //! it goes by the [`Route`] of its pool.
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use actix::prelude::*;
-use metrics::{counter, histogram};
+use metrics::counter;
 use serde_json::json;
 use smallvec::SmallVec;
-use spdlog::{info, warn};
+use spdlog::info;
 use tokio::sync::mpsc;
 
 use sesamehaven::config::{Index, Objective, Repeat};
 use sesamehaven::fair::OrganisationDigest;
 use sesamehaven::flight::{Event, Flight, Step, Terms};
-use sesamehaven::gate::{Ended, LoadView};
+use sesamehaven::gate::Ended;
 use sesamehaven::guard::Run;
-use sesamehaven::id::{DaemonName, EndpointName, Generation, Incarnation, PoolName, RequestId};
+use sesamehaven::id::{DaemonName, EndpointName, Generation, PoolName, RequestId};
 use sesamehaven::outcome::{Refusal, Refused};
 use sesamehaven::quarantine::{Notice, Quarantine, Standing};
 use sesamehaven::quota::Quota;
 use sesamehaven::retry::RetryBudget;
-use sesamehaven::route::{self, Choice, Route};
-use sesamehaven::unit::{Instant, Millis, TokenRate};
-use sesamehaven_wire::link::{self, Link, LinkConfig, Sender};
-use sesamehaven_wire::message::{End, Frame, Load, Offer, Report, Role, ToAgent, ToEntry};
+use sesamehaven::route::{Choice, Route};
+use sesamehaven::unit::Millis;
+use sesamehaven_wire::link::LinkConfig;
+use sesamehaven_wire::message::{Frame, ToAgent};
 
+use crate::active::Active;
 use crate::admin::Status;
 use crate::caller::{CallerGone, Consumed, Job, Submit, ToCaller};
 use crate::clock;
+use crate::entry_peers::Peer;
 use crate::feed::{FromPeer, ToPeer};
 use crate::gossip;
 use crate::keys::{Keyed, Keys};
-use crate::peer::{self, LinkEvent, LinkId};
+use crate::peer::{LinkEvent, LinkId};
 use crate::score::Score;
 use crate::settings::EntrySettings;
 
@@ -46,8 +47,6 @@
 const TICK: Duration = Duration::from_millis(10);
 /// How often the status is renewed.
 const SWEEP: Duration = Duration::from_millis(250);
-/// The pause between two tries to open a link.
-const CONNECT_PAUSE: Duration = Duration::from_millis(100);
 /// How long an agent may send no report before its link is not renewed.
 const REPORT_SILENCE: Millis = Millis(10_000);
 /// When to come back to a pool that has no endpoint.
@@ -62,71 +61,31 @@
     pub endpoint: EndpointName,
 }
 
-/// An agent as this entry knows it.
-pub(crate) struct Peer {
-    address: SocketAddr,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) link: Option<(LinkId, Sender)>,
-    connecting: bool,
-    pub(crate) leaving: bool,
-    last_report: Instant,
-}
-
-/// A request that has not had its final word.
-pub(crate) struct Active {
-    pub(crate) flight: Flight<Place>,
-    pub(crate) job: Box<Job>,
-    pub(crate) tx: mpsc::Sender<ToCaller>,
-    /// Whether the dispatch has to be granted by the home of the key.
-    pub(crate) guarded: bool,
-    pub(crate) keyed: Keyed,
-    admitted: bool,
-    excluded: SmallVec<[EndpointName; 4]>,
-    refused: Option<Refused>,
-    pub(crate) next_chunk: u64,
-    upto: u64,
-    first_token: bool,
-    /// What the outcome is counted by, until the caller is told it.
-    pub(crate) score: Option<Score>,
-    /// How often the request got a new id, because an agent takes the old one no more.
-    pub(crate) attempt: u8,
-}
-
 /// The actor that holds the entry's state.
 pub struct Entry {
-    settings: Arc<EntrySettings>,
-    links_cfg: LinkConfig,
+    pub(crate) settings: Arc<EntrySettings>,
+    pub(crate) links_cfg: LinkConfig,
     pub(crate) status: Status,
-    index: Arc<Index>,
+    pub(crate) index: Arc<Index>,
     pub(crate) peers: BTreeMap<DaemonName, Peer>,
-    agents_of: HashMap<EndpointName, DaemonName>,
-    links: HashMap<LinkId, DaemonName>,
-    routes: HashMap<PoolName, Route>,
+    pub(crate) agents_of: HashMap<EndpointName, DaemonName>,
+    pub(crate) links: HashMap<LinkId, DaemonName>,
+    pub(crate) routes: HashMap<PoolName, Route>,
     pub(crate) active: HashMap<RequestId, Active>,
     pub(crate) keys: Keys,
-    retries: HashMap<PoolName, RetryBudget>,
-    quota: Quota,
-    quarantine: Quarantine,
-    feed: mpsc::Sender<FromPeer>,
-    next_link: u64,
-    leaving: bool,
+    pub(crate) retries: HashMap<PoolName, RetryBudget>,
+    pub(crate) quota: Quota,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) feed: mpsc::Sender<FromPeer>,
+    pub(crate) next_link: u64,
+    pub(crate) leaving: bool,
 }
 
-/// An agent's report.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Reported(pub Report);
-
 /// A configuration that is to be in force from now on.
 #[derive(Message)]
 #[rtype(result = "()")]
 pub struct Reconfigure(pub Arc<Index>);
 
-/// The end of a try to open a link.
-#[derive(Message)]
-#[rtype(result = "()")]
-struct Connected(DaemonName, Result<Link, sesamehaven_wire::Error>);
-
 /// Asks the entry to say that it is leaving.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -169,7 +128,7 @@
         }
     }
 
-    fn submit(&mut self, id: RequestId, job: Box<Job>, tx: mpsc::Sender<ToCaller>) {
+    pub(crate) fn submit(&mut self, id: RequestId, job: Box<Job>, tx: mpsc::Sender<ToCaller>) {
         counter!("entry_requests_total", "tier" => job.tier.to_string()).increment(1);
         let class = self.index.class(&job.class);
         let objective = class.map_or_else(Objective::default, |class| class.objective.clone());
@@ -212,7 +171,7 @@
     }
 
     /// Refuses what the organisation's limits and the quarantine do not allow.
-    fn admit(&mut self, job: &Job) -> Result<(), Refused> {
+    pub(crate) fn admit(&mut self, job: &Job) -> Result<(), Refused> {
         let now = clock::now();
         if self.quarantine.standing(job.fingerprint, now) == Standing::Quarantined {
             return Err(Refused {
@@ -248,7 +207,7 @@
         }
     }
 
-    fn take_step(&mut self, id: RequestId, step: Step<Place>, before: Option<&Place>) {
+    pub(crate) fn take_step(&mut self, id: RequestId, step: Step<Place>, before: Option<&Place>) {
         match step {
             Step::Route => {
                 counter!("entry_reroutes_total").increment(1);
@@ -278,7 +237,7 @@
     }
 
     /// Chooses a place for a second run if the pool's retry budget allows it.
-    fn rerun(&mut self, id: RequestId) {
+    pub(crate) fn rerun(&mut self, id: RequestId) {
         let Some(active) = self.active.get(&id) else {
             return;
         };
@@ -293,7 +252,7 @@
         self.route(id);
     }
 
-    fn route(&mut self, id: RequestId) {
+    pub(crate) fn route(&mut self, id: RequestId) {
         let now = clock::now();
         let Some(active) = self.active.get(&id) else {
             return;
@@ -318,7 +277,7 @@
     }
 
     /// Refuses a request, after its key was shown to be fresh if it has one.
-    fn unroutable(&mut self, id: RequestId, refused: Refused) -> Event<Place> {
+    pub(crate) fn unroutable(&mut self, id: RequestId, refused: Refused) -> Event<Place> {
         let needs_proof = |a: &Active| a.guarded && !a.keyed.granted;
         if !self.active.get(&id).is_some_and(needs_proof) {
             return Event::Unroutable(refused);
@@ -332,7 +291,7 @@
         Event::Routed(place)
     }
 
-    fn offer(&mut self, id: RequestId, place: Place) {
+    pub(crate) fn offer(&mut self, id: RequestId, place: Place) {
         let now = clock::now();
         let Some(active) = self.active.get_mut(&id) else {
             return;
@@ -363,7 +322,7 @@
         self.request(id, place, ToAgent::Resume { next, upto });
     }
 
-    fn request(&mut self, id: RequestId, place: &Place, msg: ToAgent) {
+    pub(crate) fn request(&mut self, id: RequestId, place: &Place, msg: ToAgent) {
         let link = self.peers.get(&place.agent).and_then(|p| p.link.as_ref());
         let Some((_, tx)) = link else {
             return;
@@ -388,7 +347,7 @@
         }
     }
 
-    fn tell_not_run(&mut self, id: RequestId, refused: Refused) {
+    pub(crate) fn tell_not_run(&mut self, id: RequestId, refused: Refused) {
         if let Some(active) = self.active.get(&id)
             && let Some(route) = self.routes.get_mut(&active.job.pool)
         {
@@ -401,7 +360,7 @@
         self.tell(id, ToCaller::NotRun(refused));
     }
 
-    fn finish(&mut self, id: RequestId, place: Option<&Place>) {
+    pub(crate) fn finish(&mut self, id: RequestId, place: Option<&Place>) {
         self.settle_route(id, Ended::Whole);
         let Some(active) = self.active.get(&id) else {
             return;
@@ -418,7 +377,7 @@
         self.tell(id, ToCaller::Whole);
     }
 
-    fn settle_route(&mut self, id: RequestId, ended: Ended) {
+    pub(crate) fn settle_route(&mut self, id: RequestId, ended: Ended) {
         let Some(active) = self.active.get(&id) else {
             return;
         };
@@ -427,7 +386,7 @@
         }
     }
 
-    fn on_frame(&mut self, link: LinkId, frame: Frame) {
+    pub(crate) fn on_frame(&mut self, link: LinkId, frame: Frame) {
         let Some(agent) = self.links.get(&link).cloned() else {
             return;
         };
@@ -446,7 +405,7 @@
     }
 
     /// Takes in which requests crash endpoints, and tells the other agents.
-    fn on_notices(&mut self, from: &DaemonName, notices: &[Notice]) {
+    pub(crate) fn on_notices(&mut self, from: &DaemonName, notices: &[Notice]) {
         if !self.quarantine.merge(notices, clock::now()) {
             return;
         }
@@ -459,7 +418,7 @@
         }
     }
 
-    fn tell_feed(&self, msg: Option<FromPeer>) {
+    pub(crate) fn tell_feed(&self, msg: Option<FromPeer>) {
         let Some(msg) = msg else {
             return;
         };
@@ -468,277 +427,7 @@
         }
     }
 
-    fn on_reply(&mut self, agent: &DaemonName, number: RequestId, reply: ToEntry) {
-        let id = match self.active.contains_key(&number.origin()) {
-            true => number.origin(),
-            false => self.keys.reader(number).unwrap_or(number),
-        };
-        let Some(active) = self.active.get_mut(&id) else {
-            return;
-        };
-        // Words of an agent that does not have the request any more are late.
-        let place = active.flight.place();
-        let is_current = number.attempt(active.attempt) == number;
-        if !is_current || place.is_none_or(|place| place.agent != *agent) {
-            counter!("entry_late_replies_total").increment(1);
-            return;
-        }
-        let now = clock::now();
-        let route = self.routes.get_mut(&active.job.pool);
-        let event = match reply {
-            ToEntry::Accepted { first_token } => {
-                if let Some(route) = route {
-                    route.on_accepted(id, first_token, now);
-                }
-                Event::Accepted
-            }
-            ToEntry::Refused(refused) => {
-                active.refused = Some(refused);
-                if refused.reason.is_for_room() {
-                    active.excluded.pop();
-                }
-                if let Some(route) = route {
-                    route.on_refused(id, &refused, now);
-                }
-                Event::Refused(refused)
-            }
-            ToEntry::Withdrawn => Event::Withdrawn,
-            ToEntry::AlreadyDispatched => Event::AlreadyDispatched,
-            ToEntry::Unheard => {
-                active.renumber();
-                if let Some(route) = route {
-                    route.on_withdrawn(id);
-                }
-                self.on_unheard(id);
-                Event::Unheard
-            }
-            ToEntry::Dispatched { .. } => {
-                if let Some(route) = route {
-                    route.on_dispatched(id, now);
-                }
-                Event::Dispatched
-            }
-            ToEntry::Head(head) => {
-                self.tell(id, ToCaller::Head(head));
-                Event::Head
-            }
-            ToEntry::Chunk { seq, data } => return self.on_chunk(id, seq, data, now),
-            ToEntry::End { chunks, end } => self.end_event(id, chunks, end),
-        };
-        self.drive(id, event);
-    }
-
-    fn on_chunk(&mut self, id: RequestId, seq: u64, data: bytes::Bytes, now: Instant) {
-        let Some(active) = self.active.get_mut(&id) else {
-            return;
-        };
-        if seq < active.next_chunk {
-            return;
-        }
-        if seq > active.next_chunk {
-            counter!("entry_chunk_gaps_total").increment(1);
-            return self.drive(id, Event::Broken);
-        }
-        active.next_chunk += 1;
-        if let Some(score) = &mut active.score {
-            score.on_part(&data, now);
-        }
-        if !active.first_token {
-            active.first_token = true;
-            let secs = now.since(active.job.received).duration().as_secs_f64();
-            let tier = active.job.tier.to_string();
-            histogram!("entry_first_token_seconds", "tier" => tier).record(secs);
-        }
-        counter!("entry_chunks_total").increment(1);
-        self.tell(id, ToCaller::Chunk(data));
-    }
-
-    /// Decides whether an answer that has ended is whole.
-    fn end_event(&self, id: RequestId, chunks: u64, end: End) -> Event<Place> {
-        let received = self.active.get(&id).map_or(0, |active| active.next_chunk);
-        match end {
-            End::Whole if received == chunks => Event::Whole,
-            _ => Event::Broken,
-        }
-    }
-
-    fn on_report(&mut self, report: Report, cx: &mut Context<Self>) {
-        let now = clock::now();
-        let known = self.peers.get(&report.agent);
-        let is_older = known.is_some_and(|peer| peer.incarnation > report.incarnation);
-        if is_older {
-            counter!("entry_stale_reports_total").increment(1);
-            return;
-        }
-        let replaced = known.is_some_and(|peer| peer.incarnation < report.incarnation);
-        if replaced {
-            self.on_agent_lost(&report.agent);
-            self.peers.remove(&report.agent);
-        }
-        let peer = self.peers.entry(report.agent.clone()).or_insert_with(|| {
-            info!("agent {} is at {}", report.agent, report.address);
-            Peer {
-                address: report.address,
-                incarnation: report.incarnation,
-                link: None,
-                connecting: false,
-                leaving: false,
-                last_report: now,
-            }
-        });
-        peer.address = report.address;
-        peer.last_report = now;
-        peer.leaving |= report.leaving;
-        let usable = peer.link.is_some() && !peer.leaving;
-        if peer.leaving {
-            self.forget_endpoints(&report.agent);
-        } else if usable {
-            for load in &report.endpoints {
-                self.on_load(&report.agent, load, report.seq, now);
-            }
-        }
-        self.tell_feed(Some(FromPeer::Generation {
-            peer: report.agent.clone(),
-            generation: report.generation,
-        }));
-        self.connect(&report.agent, cx);
-    }
-
-    fn on_load(&mut self, agent: &DaemonName, load: &Load, seq: u64, now: Instant) {
-        let known = self.agents_of.get(&load.endpoint);
-        if known != Some(agent) {
-            self.agents_of.insert(load.endpoint.clone(), agent.clone());
-        }
-        let Some(pool) = self.index.pool(&load.pool) else {
-            return;
-        };
-        let route = self.routes.entry(load.pool.clone());
-        let route = route.or_insert_with(|| Route::for_pool(pool));
-        route.set_pool(pool);
-        route.on_report(&load.endpoint, view_of(load), seq, now);
-        route.on_prefixes(&load.endpoint, &load.prefixes);
-    }
-
-    /// Opens a link to an agent unless there is one.
-    fn connect(&mut self, name: &DaemonName, cx: &mut Context<Self>) {
-        let Some(peer) = self.peers.get_mut(name) else {
-            return;
-        };
-        if peer.link.is_some() || peer.connecting {
-            return;
-        }
-        peer.connecting = true;
-        let address = peer.address;
-        let cfg = self.links_cfg.clone();
-        let entry = cx.address();
-        let name = name.clone();
-        actix_rt::spawn(async move {
-            let link = link::connect(address, &cfg).await;
-            if link.is_err() {
-                tokio::time::sleep(CONNECT_PAUSE).await;
-            }
-            entry.do_send(Connected(name, link));
-        });
-    }
-
-    fn on_connected(&mut self, name: &DaemonName, link: Link, cx: &mut Context<Self>) {
-        let Some(peer) = self.peers.get_mut(name) else {
-            return;
-        };
-        // Another process may listen where the agent was.
-        let is_agent = link.peer.name == *name && link.peer.role == Role::Agent;
-        if !is_agent || link.peer.incarnation < peer.incarnation {
-            counter!("entry_wrong_peers_total").increment(1);
-            return;
-        }
-        let same_run = link.peer.incarnation == peer.incarnation;
-        peer.incarnation = link.peer.incarnation;
-        self.next_link += 1;
-        let id = LinkId(self.next_link);
-        let summary = self.quarantine.summary(clock::now());
-        if !summary.is_empty() {
-            // A new link has room for its first frames.
-            let _ = link.tx.try_send(Frame::Notices(summary));
-        }
-        peer.link = Some((id, link.tx));
-        self.links.insert(id, name.clone());
-        actix_rt::spawn(gossip::follow(
-            name.clone(),
-            link.generation,
-            self.feed.clone(),
-        ));
-        cx.add_stream(peer::events(id, link.rx));
-        counter!("entry_links_total").increment(1);
-        let run = Run {
-            name: name.clone(),
-            incarnation: link.peer.incarnation,
-        };
-        self.resend_to(&run);
-        if !same_run {
-            return self.on_agent_lost(name);
-        }
-        for id in self.requests_at(name) {
-            self.drive(id, Event::LinkUp);
-        }
-    }
-
-    fn on_link_lost(&mut self, link: LinkId, cx: &mut Context<Self>) {
-        let Some(name) = self.links.remove(&link) else {
-            return;
-        };
-        let Some(peer) = self.peers.get_mut(&name) else {
-            return;
-        };
-        if peer.link.as_ref().is_none_or(|(id, _)| *id != link) {
-            return;
-        }
-        peer.link = None;
-        self.tell_feed(Some(FromPeer::Gone { peer: name.clone() }));
-        counter!("entry_link_losses_total").increment(1);
-        warn!("the link to agent {name} is lost");
-        let now = clock::now();
-        let endpoints = self.endpoints_of(&name);
-        for route in self.routes.values_mut() {
-            endpoints.iter().for_each(|e| route.on_link_lost(e, now));
-        }
-        for id in self.requests_at(&name) {
-            self.drive(id, Event::LinkLost);
-        }
-        self.connect(&name, cx);
-    }
-
-    fn on_agent_lost(&mut self, name: &DaemonName) {
-        warn!("agent {name} was restarted");
-        self.forget_endpoints(name);
-        for id in self.requests_at(name) {
-            self.drive(id, Event::AgentLost);
-        }
-    }
-
-    fn forget_endpoints(&mut self, agent: &DaemonName) {
-        for endpoint in self.endpoints_of(agent) {
-            self.agents_of.remove(&endpoint);
-            for route in self.routes.values_mut() {
-                route.forget(&endpoint);
-            }
-        }
-    }
-
-    fn endpoints_of(&self, agent: &DaemonName) -> Vec<EndpointName> {
-        let endpoints = self.agents_of.iter().filter(|(_, a)| *a == agent);
-        endpoints.map(|(endpoint, _)| endpoint.clone()).collect()
-    }
-
-    fn requests_at(&self, agent: &DaemonName) -> Vec<RequestId> {
-        let is_there = |active: &Active| {
-            let place = active.flight.place();
-            place.is_some_and(|place| place.agent == *agent)
-        };
-        let there = self.active.iter().filter(|(_, active)| is_there(active));
-        there.map(|(id, _)| *id).collect()
-    }
-
-    fn tick(&mut self) {
+    pub(crate) fn tick(&mut self) {
         self.tick_keys();
         let now = clock::now();
         let due = self
@@ -751,7 +440,7 @@
         }
     }
 
-    fn sweep(&mut self, cx: &mut Context<Self>) {
+    pub(crate) fn sweep(&mut self, cx: &mut Context<Self>) {
         self.sweep_keys();
         let now = clock::now();
         let unlinked = self.peers.iter().filter(|(_, peer)| {
@@ -783,58 +472,8 @@
     }
 }
 
-impl Active {
-    /// Lets the request be offered again where it was not heard of.
-    ///
-    /// A guarded request keeps its number, by which its home and the readers of
-    /// its answer know it, and goes to another endpoint.
-    fn renumber(&mut self) {
-        if self.guarded {
-            return;
-        }
-        self.attempt = self.attempt.saturating_add(1);
-        self.excluded.pop();
-    }
-
-    fn route_job(&self) -> route::Job {
-        route::Job {
-            tier: self.job.tier,
-            prompt: self.job.prompt,
-            output: self.job.output,
-            prefixes: self.job.prefixes.clone(),
-            deadline: self.job.deadline,
-            suspect: false,
-            excluded: self.excluded.clone(),
-            refused: self.refused,
-        }
-    }
-
-    fn offer(&self, place: &Place, now: Instant) -> Offer {
-        let job = &self.job;
-        Offer {
-            pool: job.pool.clone(),
-            endpoint: place.endpoint.clone(),
-            organisation: job.organisation.clone(),
-            class: job.class.clone(),
-            tier: job.tier,
-            key: job.key,
-            remaining: job.deadline.since(now),
-            prompt: job.prompt,
-            output: job.output,
-            prefixes: job.prefixes.clone(),
-            weight: job.weight,
-            fingerprint: job.fingerprint,
-            upto: self.upto,
-            method: job.method.clone(),
-            path: job.path.clone(),
-            headers: job.headers.clone(),
-            body: job.body.clone(),
-        }
-    }
-}
-
 /// Refuses a request whose pool has no endpoint that this entry knows of.
-fn nowhere() -> Refused {
+pub(crate) fn nowhere() -> Refused {
     Refused {
         reason: Refusal::Unavailable,
         retry_after: NOWHERE_RETRY_AFTER,
@@ -842,18 +481,6 @@
     }
 }
 
-fn view_of(load: &Load) -> LoadView {
-    LoadView {
-        healthy: load.healthy,
-        running: load.running,
-        queued: load.queued,
-        admits: load.admits,
-        prefill_rate: TokenRate(f64::from(load.prefill_rate)),
-        decode_rate: TokenRate(f64::from(load.decode_rate)),
-        limit: load.limit,
-    }
-}
-
 impl Actor for Entry {
     type Context = Context<Self>;
 
@@ -928,28 +555,6 @@
     }
 }
 
-impl Handler<Reported> for Entry {
-    type Result = ();
-
-    fn handle(&mut self, Reported(report): Reported, cx: &mut Context<Self>) {
-        self.on_report(report, cx);
-    }
-}
-
-impl Handler<Connected> for Entry {
-    type Result = ();
-
-    fn handle(&mut self, Connected(name, link): Connected, cx: &mut Context<Self>) {
-        if let Some(peer) = self.peers.get_mut(&name) {
-            peer.connecting = false;
-        }
-        match link {
-            Ok(link) => self.on_connected(&name, link, cx),
-            Err(_) => counter!("entry_connect_failures_total").increment(1),
-        }
-    }
-}
-
 impl Handler<Reconfigure> for Entry {
     type Result = ();
 
--- a/crates/sesamehaven-daemons/src/lib.rs
+++ b/crates/sesamehaven-daemons/src/lib.rs
@@ -4,9 +4,14 @@
 //! decisions of the library `sesamehaven`. [`entry`] takes callers' requests,
 //! [`agent`] stands before endpoints.
 
+mod active;
 pub mod admin;
 pub mod agent;
+mod agent_calls;
+mod agent_health;
 pub mod agent_main;
+mod agent_offers;
+mod agent_report;
 pub mod call;
 pub mod caller;
 pub mod claims;
@@ -24,6 +29,8 @@
 pub mod drain;
 pub mod entry;
 pub mod entry_main;
+pub mod entry_peers;
+mod entry_replies;
 pub mod feed;
 mod feed_peer;
 mod feed_read;
