Let the test of handed back work follow the route's choice of agent

The test waited for queued work at one agent, which the route may give none; it now stops whichever agent has some, and checks the same things.

--- a/crates/sesamehaven-system-tests/tests/drain.rs
+++ b/crates/sesamehaven-system-tests/tests/drain.rs
@@ -117,24 +117,34 @@
     });
     let answers = futures_util::future::join_all(answers);
     let leave = async {
-        let admin = fleet.daemon("agent-1").admin();
-        wait::until("work that is queued", || async {
-            let status = fleet.http.get_json::<Value>(admin, "/status").await.ok()?;
-            let endpoint = &status["endpoints"][0];
-            (endpoint["running"] == 1 && endpoint["queued"].as_u64()? > 0).then_some(())
+        // The route decides where work queues, so the test takes the agent that has some.
+        let leaving = wait::until("work that is queued", || async {
+            for i in 1..=2 {
+                let admin = fleet.daemon(&format!("agent-{i}")).admin();
+                let status = fleet.http.get_json::<Value>(admin, "/status").await.ok()?;
+                let endpoint = &status["endpoints"][0];
+                if endpoint["running"] == 1 && endpoint["queued"].as_u64()? > 0 {
+                    return Some(i);
+                }
+            }
+            None
         })
         .await
         .unwrap();
-        fleet.daemon("agent-1").process.terminate().unwrap();
+        let agent = format!("agent-{leaving}");
+        fleet.daemon(&agent).process.terminate().unwrap();
+        leaving
     };
-    let (answers, ()) = futures_util::future::join(answers, leave).await;
+    let (answers, leaving) = futures_util::future::join(answers, leave).await;
     for answer in answers {
         let rest = answer.unwrap();
         assert!(rest.ends_with(b"data: [DONE]\n\n"), "a stream was cut off");
     }
-    let runs = records(&fleet, "engine-1").await.unwrap().len();
+    let engine = format!("engine-{leaving}");
+    let runs = records(&fleet, &engine).await.unwrap().len();
     assert!(runs < 3, "queued work was dispatched by the leaving agent");
-    let status = fleet.daemon_mut("agent-1").process.wait().await.unwrap();
+    let agent = format!("agent-{leaving}");
+    let status = fleet.daemon_mut(&agent).process.wait().await.unwrap();
     assert!(status.success(), "{status}");
 }
 
