--- a/crates/sesamehaven/src/forecast.rs
+++ b/crates/sesamehaven/src/forecast.rs
@@ -9,7 +9,10 @@
 use crate::unit::{Instant, Millis, TokenRate};
 
 /// The prefill rate that is assumed before any was measured.
-const PREFILL_GUESS: TokenRate = TokenRate(2_000.0);
+///
+/// It is generous, since an endpoint that looks slow before it was tried would
+/// never be tried while a measured one has room.
+const PREFILL_GUESS: TokenRate = TokenRate(20_000.0);
 /// The decode rate of one stream that is assumed before any was measured.
 const DECODE_GUESS: TokenRate = TokenRate(30.0);
 /// The work of a request that is assumed before any was seen, in tokens.
