--- a/crates/sesamehaven-daemons/src/lib.rs
+++ b/crates/sesamehaven-daemons/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod entry_main;
 pub mod entry_peers;
 mod entry_replies;
+mod entry_routing;
 pub mod feed;
 mod feed_peer;
 mod feed_read;
