--- a/crates/sesamehaven-daemons/src/agent.rs
+++ b/crates/sesamehaven-daemons/src/agent.rs
@@ -205,12 +205,7 @@
     }
 
     pub(crate) fn tell_feed(&self, msg: Option<FromPeer>) {
-        let Some(msg) = msg else {
-            return;
-        };
-        if self.feed.try_send(msg).is_err() {
-            counter!("feed_messages_lost_total").increment(1);
-        }
+        gossip::tell(&self.feed, msg);
     }
 
     /// Asks the platform about slots of keys that no entry remembers a home of.
--- a/crates/sesamehaven-daemons/src/agent_calls.rs
+++ b/crates/sesamehaven-daemons/src/agent_calls.rs
@@ -49,7 +49,7 @@
     /// Dispatches a request, after its key was claimed if its class asks for it.
     pub(crate) fn dispatch(&mut self, id: RequestId, now: Instant, cx: &mut Context<Self>) {
         let Some(run) = self.runs.get(&id) else {
-            return self.end_in_gate_of_none(id, now);
+            return self.end_unheld(id, now);
         };
         let class = run.offer.as_ref().and_then(|o| self.index.class(&o.class));
         let is_claimed = class.is_some_and(|class| class.repeat == Repeat::Claimed);
@@ -96,7 +96,7 @@
             return self.dispatch_claimed(id, now, cx);
         }
         counter!("agent_claims_refused_total").increment(1);
-        self.end_in_gate_of_none(id, now);
+        self.end_unheld(id, now);
         match verdict {
             claim::Verdict::PlatformDown => self.hand_back(id, absent(Refusal::PlatformDown)),
             _ => {
@@ -111,7 +111,7 @@
 
     pub(crate) fn dispatch_claimed(&mut self, id: RequestId, now: Instant, cx: &mut Context<Self>) {
         let Some(run) = self.runs.get_mut(&id) else {
-            return self.end_in_gate_of_none(id, now);
+            return self.end_unheld(id, now);
         };
         let Some(door) = self.doors.get_mut(&run.endpoint) else {
             return;
@@ -146,7 +146,7 @@
     }
 
     /// Settles a gate that still counts a request which is not held any more.
-    pub(crate) fn end_in_gate_of_none(&mut self, id: RequestId, now: Instant) {
+    pub(crate) fn end_unheld(&mut self, id: RequestId, now: Instant) {
         for door in self.doors.values_mut() {
             door.gate.on_end(id, Ended::Cancelled, now);
         }
@@ -204,7 +204,7 @@
         cx: &mut Context<Self>,
     ) {
         let Some(run) = self.runs.get_mut(&id) else {
-            return self.end_in_gate_of_none(id, now);
+            return self.end_unheld(id, now);
         };
         let name = run.endpoint.clone();
         let fingerprint = run.fingerprint;
--- a/crates/sesamehaven-daemons/src/entry.rs
+++ b/crates/sesamehaven-daemons/src/entry.rs
@@ -322,12 +322,7 @@
     }
 
     pub(crate) fn tell_feed(&self, msg: Option<FromPeer>) {
-        let Some(msg) = msg else {
-            return;
-        };
-        if self.feed.try_send(msg).is_err() {
-            counter!("feed_messages_lost_total").increment(1);
-        }
+        gossip::tell(&self.feed, msg);
     }
 
     pub(crate) fn tick(&mut self) {
--- a/crates/sesamehaven-daemons/src/gossip.rs
+++ b/crates/sesamehaven-daemons/src/gossip.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use metrics::counter;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
@@ -61,6 +62,16 @@
     }
 }
 
+/// Tells the feed something, if there is something to tell.
+pub fn tell(feed: &mpsc::Sender<FromPeer>, msg: Option<FromPeer>) {
+    let Some(msg) = msg else {
+        return;
+    };
+    if feed.try_send(msg).is_err() {
+        counter!("feed_messages_lost_total").increment(1);
+    }
+}
+
 /// Builds the frame that brings a peer along at once after a change.
 ///
 /// It is a ping whose answer nobody counts.
