--- /dev/null
+++ b/crates/sesamehaven-front/src/journal.rs
@@ -0,0 +1,74 @@
+//! Log lines as JSON on standard output, bounded and never in the way of requests.
+//!
+//! Lines go through a queue of fixed length to a thread that writes them; when
+//! the reader of the output falls behind, lines are dropped and counted. See
+//! [`docs/OPERATIONS.md`](../../../docs/OPERATIONS.md#from-a-request-to-its-cause).
+
+use std::cell::Cell;
+use std::num::NonZeroUsize;
+use std::sync::Arc;
+
+use metrics::counter;
+use spdlog::formatter::JsonFormatter;
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink};
+use spdlog::{LevelFilter, Logger, ThreadPool};
+
+use sesamehaven::unit::Instant;
+
+/// The lines that wait for the writing thread.
+const QUEUE_LINES: NonZeroUsize = NonZeroUsize::new(2_048).unwrap();
+/// The lines about requests that are written in a second; more are dropped and counted.
+const LINES_PER_SECOND: u32 = 400;
+
+/// Makes the process log to standard output.
+///
+/// # Errors
+///
+/// Fails when the sink cannot be built.
+pub fn init() -> spdlog::Result<()> {
+    let stream = StdStreamSink::builder()
+        .std_stream(StdStream::Stdout)
+        .formatter(JsonFormatter::new())
+        .build()?;
+    let stream: Arc<dyn Sink> = Arc::new(stream);
+    let thread = ThreadPool::builder().capacity(QUEUE_LINES).build()?;
+    let sink = AsyncPoolSink::builder()
+        .sink(stream)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .thread_pool(Arc::new(thread))
+        .build()?;
+    let logger = Logger::builder().sink(Arc::new(sink)).build()?;
+    logger.set_level_filter(LevelFilter::MoreSevereEqual(spdlog::Level::Info));
+    logger.set_flush_level_filter(LevelFilter::All);
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
+
+/// Bounds the lines about requests.
+#[derive(Debug, Default)]
+pub struct LineBudget {
+    second: Cell<u64>,
+    lines: Cell<u32>,
+    dropped: Cell<u32>,
+}
+
+impl LineBudget {
+    /// Returns whether one more line may be written now.
+    pub fn take(&self, now: Instant) -> bool {
+        let second = now.0 / 1_000;
+        if self.second.replace(second) != second {
+            self.lines.set(0);
+            let dropped = self.dropped.replace(0);
+            if dropped > 0 {
+                spdlog::warn!("log lines about requests were dropped", kv: { dropped });
+            }
+        }
+        if self.lines.get() >= LINES_PER_SECOND {
+            self.dropped.set(self.dropped.get() + 1);
+            counter!("log_lines_dropped_total").increment(1);
+            return false;
+        }
+        self.lines.set(self.lines.get() + 1);
+        true
+    }
+}
--- /dev/null
+++ b/crates/sesamehaven-front/src/peers.rs
@@ -0,0 +1,266 @@
+//! What the fronts of a deployment tell each other.
+//!
+//! A digest goes to every other front by UDP several times a second: requests
+//! in flight at each endpoint, what was drawn on each limit, the version of the
+//! configuration and its age. It carries totals, so that a lost one is made
+//! good by the next. A front that falls behind asks another one over TCP; the
+//! age of the answer counts from the sending of the question. See
+//! [`docs/FRONT.md`](../../../docs/FRONT.md#what-fronts-tell-each-other).
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use sesamehaven::placement::hash_of;
+use sesamehaven::quarantine::Notice;
+use sesamehaven::shared_limit::{Hearing, PeerId};
+use sesamehaven::unit::{Instant, Millis};
+
+/// The version of the messages; others are dropped.
+const VERSION: u8 = 1;
+/// The longest digest, which common networks carry whole, in bytes.
+pub(crate) const DIGEST_MAX_BYTES: usize = 8 << 10;
+/// How long a front counts as known after its last digest.
+const PEER_KEPT: Millis = Millis(15_000);
+/// How long what another front runs is believed after its last digest.
+const RUNNING_KEPT: Millis = Millis(1_500);
+/// How long a question to another front may take.
+const ASK_TIMEOUT: Duration = Duration::from_millis(800);
+/// The longest answer to a question, in bytes.
+const ANSWER_MAX_BYTES: u32 = 8 << 20;
+/// The most fronts that a digest names.
+const NAMED_MAX: usize = 24;
+
+/// What one front tells the others, several times a second.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Digest {
+    version: u8,
+    /// The incarnation of the front.
+    pub from: PeerId,
+    /// Grows with each digest.
+    pub seq: u64,
+    /// Whether the front is about to leave.
+    pub leaving: bool,
+    /// The version of its configuration.
+    pub config: u64,
+    /// How long ago its configuration was the newest.
+    pub config_age: u64,
+    /// The requests in flight, by the hash of the endpoint.
+    pub running: Vec<(u32, u32)>,
+    /// The totals drawn, by the hash of the organisation.
+    pub drawn: Vec<(u32, u64)>,
+    /// What is held against requests that crash endpoints.
+    pub notices: Vec<Notice>,
+    /// Addresses of other fronts.
+    pub peers: Vec<SocketAddr>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    id: PeerId,
+    seq: u64,
+    heard: Instant,
+    running: Vec<(u32, u32)>,
+    config: u64,
+    config_age: Millis,
+}
+
+/// The other fronts, as of their last digests.
+#[derive(Debug)]
+pub struct Peers {
+    own: SocketAddr,
+    id: PeerId,
+    seq: u64,
+    seeds: Vec<IpAddr>,
+    peers: HashMap<SocketAddr, Peer>,
+    /// Which of them were heard of lately.
+    pub hearing: Hearing,
+}
+
+impl Peers {
+    /// Builds the view of a front that knows only its seeds.
+    pub fn new(own: SocketAddr, incarnation: u64, seeds: Vec<IpAddr>) -> Self {
+        Peers {
+            own,
+            id: hash_of(&format!("{own}/{incarnation}")),
+            seq: 0,
+            seeds,
+            peers: HashMap::new(),
+            hearing: Hearing::default(),
+        }
+    }
+
+    /// Takes over changed seeds.
+    pub fn set_seeds(&mut self, seeds: Vec<IpAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// Starts the next digest, with the parts that this view holds.
+    pub fn digest(&mut self, now: Instant) -> Digest {
+        self.peers.retain(|_, p| now.since(p.heard) <= PEER_KEPT);
+        self.seq += 1;
+        Digest {
+            version: VERSION,
+            from: self.id,
+            seq: self.seq,
+            leaving: false,
+            config: 0,
+            config_age: 0,
+            running: Vec::new(),
+            drawn: Vec::new(),
+            notices: Vec::new(),
+            peers: self.peers.keys().take(NAMED_MAX).copied().collect(),
+        }
+    }
+
+    /// Lists where digests go: to the fronts that are known, and to seeds that are not yet.
+    pub fn targets(&self) -> Vec<SocketAddr> {
+        let seeds = self
+            .seeds
+            .iter()
+            .map(|ip| SocketAddr::new(*ip, self.own.port()));
+        let unknown = seeds.filter(|a| *a != self.own && !self.peers.contains_key(a));
+        self.peers.keys().copied().chain(unknown).collect()
+    }
+
+    /// Takes in a digest; returns whether it is news, and the fronts that it names and nobody else did.
+    pub fn on_digest(&mut self, from: SocketAddr, digest: &Digest, now: Instant) -> bool {
+        if digest.version != VERSION || digest.from == self.id || from == self.own {
+            return false;
+        }
+        if digest.leaving {
+            self.peers.remove(&from);
+            self.hearing.on_leave(digest.from);
+            return true;
+        }
+        if let Some(known) = self.peers.get(&from) {
+            let is_old = known.id == digest.from && known.seq >= digest.seq;
+            if is_old {
+                return false;
+            }
+            if known.id != digest.from {
+                self.hearing.on_leave(known.id);
+            }
+        }
+        self.hearing.on_message(digest.from, now);
+        let peer = Peer {
+            id: digest.from,
+            seq: digest.seq,
+            heard: now,
+            running: digest.running.clone(),
+            config: digest.config,
+            config_age: Millis(digest.config_age),
+        };
+        self.peers.insert(from, peer);
+        true
+    }
+
+    /// Lists the fronts that a digest names and that are not known yet.
+    pub fn strangers(&self, digest: &Digest) -> Vec<SocketAddr> {
+        let named = digest.peers.iter().copied();
+        named
+            .filter(|a| *a != self.own && !self.peers.contains_key(a))
+            .collect()
+    }
+
+    /// Sums up what the other fronts run, by the hash of the endpoint.
+    pub fn running(&self, now: Instant) -> HashMap<u32, u32> {
+        let mut sum = HashMap::new();
+        let live = self
+            .peers
+            .values()
+            .filter(|p| now.since(p.heard) <= RUNNING_KEPT);
+        for (endpoint, n) in live.flat_map(|p| &p.running) {
+            *sum.entry(*endpoint).or_insert(0) += n;
+        }
+        sum
+    }
+
+    /// Finds the front that knows of a newer configuration, or of a fresher confirmation.
+    pub fn better_informed(&self, version: u64, age: Millis, now: Instant) -> Option<SocketAddr> {
+        let age_of = |p: &Peer| p.config_age.0 + now.since(p.heard).0;
+        let live = self
+            .peers
+            .iter()
+            .filter(|(_, p)| now.since(p.heard) <= RUNNING_KEPT);
+        let best = live.max_by_key(|(_, p)| (p.config, std::cmp::Reverse(age_of(p))));
+        let (address, peer) = best?;
+        let is_newer = peer.config > version;
+        let is_fresher = peer.config == version && age_of(peer) + ASK_GAIN.0 < age.0;
+        (is_newer || is_fresher).then_some(*address)
+    }
+}
+
+/// How much fresher another front's word must be to be worth a question.
+const ASK_GAIN: Millis = Millis(700);
+
+/// The answer to a question about the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// The version in force at the front that answers.
+    pub version: u64,
+    /// How long ago that was the newest.
+    pub age: u64,
+    /// The configuration, when the one who asks has another version.
+    pub config: Option<Bytes>,
+}
+
+/// Asks another front for its configuration, naming the version that is known.
+///
+/// # Errors
+///
+/// Fails when the front does not answer in time, or not in the protocol.
+pub async fn ask(peer: SocketAddr, version: u64) -> io::Result<Told> {
+    let exchange = async {
+        let mut io = TcpStream::connect(peer).await?;
+        io.write_u64(version).await?;
+        let len = io.read_u32().await?;
+        if len > ANSWER_MAX_BYTES {
+            return Err(io::Error::from(io::ErrorKind::InvalidData));
+        }
+        let mut buf = vec![0; len as usize];
+        io.read_exact(&mut buf).await?;
+        postcard::from_bytes(&buf).map_err(io::Error::other)
+    };
+    let answered = tokio::time::timeout(ASK_TIMEOUT, exchange).await;
+    answered.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+}
+
+/// Answers the question of another front.
+///
+/// # Errors
+///
+/// Fails when the other end does not ask in time or leaves.
+pub async fn answer(mut io: TcpStream, told: impl Fn(u64) -> Told) -> io::Result<()> {
+    let exchange = async {
+        let version = io.read_u64().await?;
+        let buf = postcard::to_stdvec(&told(version)).map_err(io::Error::other)?;
+        let len = u32::try_from(buf.len()).map_err(io::Error::other)?;
+        io.write_u32(len).await?;
+        io.write_all(&buf).await?;
+        io.shutdown().await
+    };
+    let answered = tokio::time::timeout(ASK_TIMEOUT, exchange).await;
+    answered.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+}
+
+/// Encodes a digest; parts that would make it too long are left out.
+pub fn encode(digest: &mut Digest) -> postcard::Result<Vec<u8>> {
+    let whole = postcard::to_stdvec(digest)?;
+    if whole.len() <= DIGEST_MAX_BYTES {
+        return Ok(whole);
+    }
+    digest.notices.clear();
+    digest.peers.clear();
+    postcard::to_stdvec(digest)
+}
+
+/// Shares a view of the other fronts within the process.
+pub type SharedPeers = RefCell<Peers>;
--- /dev/null
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -0,0 +1,353 @@
+//! The tasks that keep a front's knowledge fresh: directory, other fronts, settings.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use metrics::{counter, gauge};
+use tokio::net::{TcpListener, UdpSocket};
+
+use sesamehaven::unit::{Instant, Millis};
+
+use crate::clock;
+use crate::dialect::{Dialect, Directory, Listing};
+use crate::error::Error;
+use crate::front::Front;
+use crate::peers::{self, DIGEST_MAX_BYTES, Digest, Told};
+
+/// How often a digest goes to the other fronts, at the least.
+const DIGEST_EVERY: Millis = Millis(100);
+/// The pause between digests for each other front, which bounds their cost in large fleets.
+const DIGEST_EVERY_PER_PEER: Millis = Millis(8);
+/// How often a front looks whether another one knows more.
+const COMPARE_EVERY: Duration = Duration::from_millis(300);
+/// The notices of crashes that a digest carries.
+const NOTICES_MAX: usize = 16;
+
+/// Whether a dependency answers, for one log line at each change.
+#[derive(Debug, Default)]
+struct Dependency {
+    name: &'static str,
+    is_lost: bool,
+}
+
+impl Dependency {
+    fn note(&mut self, outcome: Result<(), &Error>) {
+        let label = if outcome.is_ok() { "ok" } else { "failed" };
+        counter!("directory_reads_total", "what" => self.name, "outcome" => label).increment(1);
+        match outcome {
+            Ok(()) if self.is_lost => {
+                spdlog::info!("dependency regained", kv: { name = self.name });
+            }
+            Err(err) if !self.is_lost => {
+                spdlog::warn!("dependency lost", kv: { name = self.name, reason = err.to_string() });
+            }
+            _ => {}
+        }
+        self.is_lost = outcome.is_err();
+    }
+}
+
+/// Reads the configuration again and again.
+pub async fn configuration<D: Dialect>(front: Rc<Front<D>>, directory: Rc<impl Directory>) {
+    let mut dependency = Dependency {
+        name: "configuration",
+        is_lost: false,
+    };
+    loop {
+        let sent = clock::now();
+        match directory.config().await {
+            Ok(Some(raw)) => {
+                dependency.note(Ok(()));
+                take_config(&front, raw, sent, "directory");
+            }
+            Ok(None) => dependency.note(Ok(())),
+            Err(err) => dependency.note(Err(&err)),
+        }
+        pause(&front, sent).await;
+    }
+}
+
+/// Reads the list of endpoints again and again.
+pub async fn endpoints<D: Dialect>(front: Rc<Front<D>>, directory: Rc<impl Directory>) {
+    let mut dependency = Dependency {
+        name: "endpoints",
+        is_lost: false,
+    };
+    let mut known = Listing::default();
+    let mut lapse = Lapse::default();
+    loop {
+        let sent = clock::now();
+        match directory.endpoints().await {
+            Ok(listing) => {
+                dependency.note(Ok(()));
+                let listing = lapse.bridge(&known, listing, sent);
+                if listing != known || !front.has_endpoints.get() {
+                    set_endpoints(&front, &known, &listing);
+                    known = listing;
+                }
+            }
+            Err(err) => {
+                lapse.on_failure(sent);
+                dependency.note(Err(&err));
+            }
+        }
+        pause(&front, sent).await;
+    }
+}
+
+/// How long entries that lapsed during an outage are missed before their endpoints are taken as gone.
+const LAPSE_GRACE: Millis = Millis(2_000);
+/// The outage from which entries may have lapsed.
+const LAPSE_OUTAGE: Millis = Millis(1_000);
+
+/// Bridges the time in which endpoints write their entries again after an outage of the directory.
+#[derive(Debug, Default)]
+struct Lapse {
+    failing_since: Option<Instant>,
+    grace_until: Instant,
+}
+
+impl Lapse {
+    fn on_failure(&mut self, now: Instant) {
+        self.failing_since.get_or_insert(now);
+    }
+
+    fn bridge(&mut self, known: &Listing, mut listing: Listing, now: Instant) -> Listing {
+        if let Some(since) = self.failing_since.take()
+            && now.since(since) >= LAPSE_OUTAGE
+        {
+            self.grace_until = now.after(LAPSE_GRACE);
+        }
+        if now >= self.grace_until {
+            return listing;
+        }
+        for entry in &known.entries {
+            let is_back = listing.entries.iter().any(|e| e.id == entry.id);
+            let is_reused = listing.entries.iter().any(|e| e.address == entry.address);
+            if !is_back && !is_reused {
+                listing.entries.push(entry.clone());
+            }
+        }
+        listing
+    }
+}
+
+async fn pause<D: Dialect>(front: &Front<D>, sent: Instant) {
+    let every = front.settings.borrow().refresh;
+    let spent = clock::now().since(sent);
+    tokio::time::sleep(Millis(every.0.saturating_sub(spent.0)).duration()).await;
+}
+
+fn set_endpoints<D: Dialect>(front: &Front<D>, known: &Listing, listing: &Listing) {
+    for entry in &listing.entries {
+        if !known.entries.contains(entry) {
+            spdlog::info!("endpoint listed", kv: {
+                endpoint = entry.id.as_str(),
+                pool = entry.pool.as_str(),
+                address = entry.address.to_string(),
+                ready = entry.is_ready,
+                places = entry.places
+            });
+        }
+    }
+    for entry in &known.entries {
+        if !listing.entries.iter().any(|e| e.id == entry.id) {
+            spdlog::info!("endpoint gone", kv: { endpoint = entry.id.as_str() });
+        }
+    }
+    for (name, reason) in &listing.unreadable {
+        if !known.unreadable.iter().any(|(n, _)| n == name) {
+            spdlog::warn!("entry passed over", kv: { name = name.as_str(), reason = reason.as_str() });
+        }
+    }
+    let data_centre = front.settings.borrow().data_centre.clone();
+    front.hosts.set_entries(&listing.entries);
+    front.pools.set_entries(&listing.entries, &data_centre);
+    front.has_endpoints.set(true);
+    gauge!("endpoints_listed").set(listing.entries.len() as f64);
+}
+
+fn take_config<D: Dialect>(front: &Front<D>, raw: Bytes, as_of: Instant, source: &str) {
+    match front.knowledge.take::<D>(raw.clone(), as_of) {
+        Ok(false) => {}
+        Ok(true) => {
+            let Some(table) = front.knowledge.table() else {
+                return;
+            };
+            front.spending.borrow_mut().set_table(&table, clock::now());
+            counter!("configurations_total").increment(1);
+            spdlog::info!("configuration in force", kv: {
+                version = table.version,
+                routes = table.routes(),
+                source,
+                age_ms = clock::now().since(as_of).0
+            });
+        }
+        Err(err) => {
+            counter!("configurations_rejected_total").increment(1);
+            if front.knowledge.is_news(&raw) {
+                spdlog::error!("configuration rejected, the one in force stays", kv: {
+                    reason = err.to_string(),
+                    version = front.knowledge.version(),
+                    source
+                });
+            }
+        }
+    }
+}
+
+/// Tells the other fronts several times a second what this one does.
+pub async fn tell<D: Dialect>(front: Rc<Front<D>>, socket: Rc<UdpSocket>) {
+    loop {
+        let targets = front.peers.borrow().targets();
+        send_digest(&front, &socket, &targets, false);
+        let running = front.peers.borrow().running(clock::now());
+        front.pools.set_peers(&running);
+        let pause = DIGEST_EVERY
+            .0
+            .max(DIGEST_EVERY_PER_PEER.0 * targets.len() as u64);
+        tokio::time::sleep(Millis(pause).duration()).await;
+    }
+}
+
+/// Tells the other fronts that this one leaves.
+pub fn say_leaving<D: Dialect>(front: &Front<D>, socket: &UdpSocket) {
+    let targets = front.peers.borrow().targets();
+    send_digest(front, socket, &targets, true);
+}
+
+fn send_digest<D: Dialect>(front: &Front<D>, socket: &UdpSocket, to: &[SocketAddr], leaving: bool) {
+    let now = clock::now();
+    let mut digest = front.peers.borrow_mut().digest(now);
+    digest.leaving = leaving;
+    digest.config = front.knowledge.version();
+    digest.config_age = front.knowledge.age(now).0;
+    digest.running = front.pools.running();
+    digest.drawn = front.spending.borrow().drawn();
+    let mut notices = front.quarantine.borrow().summary(now);
+    notices.truncate(NOTICES_MAX);
+    digest.notices = notices;
+    let buf = match peers::encode(&mut digest) {
+        Ok(buf) => buf,
+        Err(err) => {
+            spdlog::error!("digest not sent", kv: { reason = err.to_string() });
+            return;
+        }
+    };
+    for peer in to {
+        // A digest that cannot be sent is made good by the next one.
+        if socket.try_send_to(&buf, *peer).is_err() {
+            counter!("digests_unsent_total").increment(1);
+        }
+    }
+}
+
+/// Takes in what the other fronts tell.
+pub async fn listen<D: Dialect>(front: Rc<Front<D>>, socket: Rc<UdpSocket>) {
+    let mut buf = vec![0; DIGEST_MAX_BYTES];
+    loop {
+        let (len, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(err) => {
+                // An unreachable peer shows up as an error of the socket.
+                counter!("digests_unread_total").increment(1);
+                spdlog::debug!("digest not read", kv: { reason = err.to_string() });
+                tokio::task::yield_now().await;
+                continue;
+            }
+        };
+        let Ok(digest) = postcard::from_bytes::<Digest>(&buf[..len]) else {
+            counter!("digests_unread_total").increment(1);
+            continue;
+        };
+        on_digest(&front, &socket, from, &digest);
+    }
+}
+
+fn on_digest<D: Dialect>(front: &Front<D>, socket: &UdpSocket, from: SocketAddr, digest: &Digest) {
+    let now = clock::now();
+    let (is_news, strangers) = {
+        let mut peers = front.peers.borrow_mut();
+        (peers.on_digest(from, digest, now), peers.strangers(digest))
+    };
+    if !is_news {
+        return;
+    }
+    front
+        .spending
+        .borrow_mut()
+        .on_peer(digest.from, &digest.drawn);
+    front.quarantine.borrow_mut().merge(&digest.notices, now);
+    if !strangers.is_empty() {
+        send_digest(front, socket, &strangers, false);
+    }
+}
+
+/// Asks another front when that one knows of a newer or fresher configuration.
+pub async fn catch_up<D: Dialect>(front: Rc<Front<D>>) {
+    loop {
+        tokio::time::sleep(COMPARE_EVERY).await;
+        let sent = clock::now();
+        let (version, age) = (front.knowledge.version(), front.knowledge.age(sent));
+        let informed = front.peers.borrow().better_informed(version, age, sent);
+        let Some(peer) = informed else { continue };
+        match peers::ask(peer, version).await {
+            Ok(told) => take_told(&front, told, sent),
+            Err(err) => {
+                counter!("questions_failed_total").increment(1);
+                spdlog::info!("other front did not answer", kv: {
+                    peer = peer.to_string(),
+                    reason = err.to_string()
+                });
+            }
+        }
+    }
+}
+
+fn take_told<D: Dialect>(front: &Front<D>, told: Told, sent: Instant) {
+    let as_of = Instant(sent.0.saturating_sub(told.age));
+    match told.config {
+        Some(raw) => take_config(front, raw, as_of, "front"),
+        None if told.version == front.knowledge.version() => front.knowledge.confirm(as_of),
+        None => {}
+    }
+}
+
+/// Answers the questions of other fronts.
+pub async fn answer<D: Dialect>(front: Rc<Front<D>>, listener: TcpListener) {
+    loop {
+        let Ok((io, _)) = listener.accept().await else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let front = Rc::clone(&front);
+        actix_rt::spawn(async move {
+            let told = |known: u64| {
+                let version = front.knowledge.version();
+                Told {
+                    version,
+                    age: front.knowledge.age(clock::now()).0,
+                    config: (version > known).then(|| front.knowledge.raw()),
+                }
+            };
+            if peers::answer(io, told).await.is_err() {
+                counter!("questions_unanswered_total").increment(1);
+            }
+        });
+    }
+}
+
+/// Opens the socket on which fronts talk to each other.
+///
+/// # Errors
+///
+/// Fails when the address is taken or not of this VM.
+pub async fn socket(address: SocketAddr) -> io::Result<(UdpSocket, TcpListener)> {
+    Ok((
+        UdpSocket::bind(address).await?,
+        TcpListener::bind(address).await?,
+    ))
+}
--- /dev/null
+++ b/crates/sesamehaven-front/src/reply.rs
@@ -0,0 +1,106 @@
+//! The answers that a front gives by itself.
+
+use actix_http::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use actix_http::{ConnectionType, Response, StatusCode};
+use bytes::Bytes;
+use serde::Serialize;
+
+use sesamehaven::unit::Millis;
+
+use crate::body::Body;
+
+/// The field that tells a caller whether its request has run.
+const OUTCOME: HeaderName = HeaderName::from_static("request-outcome");
+
+/// What a front says of a request that it has no answer for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Failure {
+    /// The status.
+    pub status: StatusCode,
+    /// The name of the reason.
+    pub code: &'static str,
+    /// What happened, in a sentence.
+    pub message: &'static str,
+    /// Whether the request may have run.
+    pub may_have_run: bool,
+    /// When the caller may come back.
+    pub retry_after: Option<Millis>,
+}
+
+#[derive(Serialize)]
+struct Told<'a> {
+    error: ToldError<'a>,
+}
+
+#[derive(Serialize)]
+struct ToldError<'a> {
+    code: &'a str,
+    message: &'a str,
+    outcome: &'a str,
+}
+
+impl Failure {
+    /// Builds a refusal: the request has not run, and the caller may come back.
+    pub fn refused(code: &'static str, message: &'static str, retry_after: Millis) -> Self {
+        Failure {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            code,
+            message,
+            may_have_run: false,
+            retry_after: Some(retry_after),
+        }
+    }
+
+    /// Builds the answer to a request that is wrong.
+    pub fn wrong(status: StatusCode, code: &'static str, message: &'static str) -> Self {
+        Failure {
+            status,
+            code,
+            message,
+            may_have_run: false,
+            retry_after: None,
+        }
+    }
+
+    /// Builds the answer to a request of which nobody knows whether it has run.
+    pub fn unknown(status: StatusCode, code: &'static str, message: &'static str) -> Self {
+        Failure {
+            status,
+            code,
+            message,
+            may_have_run: true,
+            retry_after: None,
+        }
+    }
+
+    /// Builds the response.
+    pub fn response(&self) -> Response<Body> {
+        let outcome = if self.may_have_run {
+            "unknown"
+        } else {
+            "not-run"
+        };
+        let error = ToldError {
+            code: self.code,
+            message: self.message,
+            outcome,
+        };
+        let text = serde_json::to_vec(&Told { error }).unwrap_or_default();
+        let mut res = Response::with_body(self.status, Body::Whole(Bytes::from(text)));
+        let headers = res.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(OUTCOME, HeaderValue::from_static(outcome));
+        if let Some(wait) = self.retry_after {
+            let secs = format!("{}.{:03}", wait.0 / 1_000, wait.0 % 1_000);
+            if let Ok(value) = HeaderValue::from_str(&secs) {
+                headers.insert(RETRY_AFTER, value);
+            }
+        }
+        res
+    }
+}
+
+/// Makes a response the last one of its connection.
+pub fn close(res: &mut Response<Body>) {
+    res.head_mut().set_connection_type(ConnectionType::Close);
+}
--- /dev/null
+++ b/crates/sesamehaven-front/src/run.rs
@@ -0,0 +1,229 @@
+//! The life of a front process: its listeners, its signals, its end.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode};
+use actix_rt::signal::unix::{SignalKind, signal};
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::Bytes;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tokio::net::{TcpListener, TcpSocket};
+
+use sesamehaven::unit::{Instant, Millis};
+
+use crate::body::Body;
+use crate::clock;
+use crate::dialect::{Dialect, Directory};
+use crate::front::Front;
+use crate::refresh;
+use crate::serve::serve;
+use crate::settings::Settings;
+
+/// How long a connection of a caller may be idle; callers are told to stay below by the configuration.
+const IDLE: Duration = Duration::from_secs(20);
+/// How long a connection that is being closed waits for the caller's end.
+const DISCONNECT: Duration = Duration::from_millis(500);
+/// The connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// How long the balancer takes to notice that a front is not ready.
+const BALANCER_LAG: Millis = Millis(3_500);
+/// How long before the end of the grace period the process ends by itself.
+const GRACE_MARGIN: Millis = Millis(400);
+/// How often a draining front looks whether it is idle.
+const DRAIN_TICK: Duration = Duration::from_millis(50);
+/// How often the settings are looked at when no signal says that they changed.
+const SETTINGS_EVERY: Duration = Duration::from_secs(5);
+
+/// Runs a front until SIGTERM, and lets it finish what is in flight.
+///
+/// `reload` reads the settings again; it is called at SIGHUP and now and then.
+///
+/// # Errors
+///
+/// Fails when an address cannot be listened on.
+pub fn run<D: Dialect>(
+    settings: Settings,
+    directory: impl Directory,
+    reload: impl Fn() -> crate::Result<Settings> + 'static,
+) -> io::Result<()> {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    metrics::set_global_recorder(recorder).map_err(io::Error::other)?;
+    actix_rt::System::new().block_on(main::<D>(settings, Rc::new(directory), reload, handle))
+}
+
+async fn main<D: Dialect>(
+    settings: Settings,
+    directory: Rc<impl Directory>,
+    reload: impl Fn() -> crate::Result<Settings> + 'static,
+    metrics: PrometheusHandle,
+) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let front = Rc::new(Front::<D>::new(
+        settings.clone(),
+        u64::from(rand::random::<u32>()),
+    ));
+    let (udp, tcp) = refresh::socket(settings.peers).await?;
+    let udp = Rc::new(udp);
+    spdlog::info!("front started", kv: {
+        name = settings.name.as_str(),
+        listen = settings.listen.to_string(),
+        peers = settings.peers.to_string(),
+        seeds = settings.seeds.len()
+    });
+    actix_rt::spawn(refresh::configuration(
+        Rc::clone(&front),
+        Rc::clone(&directory),
+    ));
+    actix_rt::spawn(refresh::endpoints(Rc::clone(&front), directory));
+    actix_rt::spawn(refresh::tell(Rc::clone(&front), Rc::clone(&udp)));
+    actix_rt::spawn(refresh::listen(Rc::clone(&front), Rc::clone(&udp)));
+    actix_rt::spawn(refresh::catch_up(Rc::clone(&front)));
+    actix_rt::spawn(refresh::answer(Rc::clone(&front), tcp));
+    actix_rt::spawn(reread(Rc::clone(&front), reload));
+    let pools = Rc::clone(&front.pools);
+    actix_rt::spawn(async move { pools.run().await });
+    listen_for_callers(&front, &settings)?;
+    listen_for_admin(&front, &settings, metrics)?;
+    terminate.recv().await;
+    drain(&front).await;
+    refresh::say_leaving(&front, &udp);
+    spdlog::info!("front stopped", kv: { in_flight = front.active.get() });
+    spdlog::default_logger().flush();
+    Ok(())
+}
+
+/// Refuses new callers, finishes what is in flight, and returns when the process may end.
+async fn drain<D: Dialect>(front: &Front<D>) {
+    let since = clock::now();
+    front.is_draining.set(true);
+    spdlog::info!("front draining", kv: { in_flight = front.active.get() });
+    let grace = front.settings.borrow().bounds.grace;
+    let last = since.after(Millis(grace.0.saturating_sub(GRACE_MARGIN.0)));
+    let mut idle_since: Option<Instant> = None;
+    loop {
+        let now = clock::now();
+        match front.active.get() {
+            0 => {
+                idle_since.get_or_insert(now);
+            }
+            _ => idle_since = None,
+        }
+        let settled = idle_since.is_some_and(|at| now.since(at) >= Millis(100));
+        if now >= last || (settled && now.since(since) >= BALANCER_LAG) {
+            return;
+        }
+        tokio::time::sleep(DRAIN_TICK).await;
+    }
+}
+
+/// Takes over changed settings, at SIGHUP and when they changed without one.
+async fn reread<D: Dialect>(front: Rc<Front<D>>, reload: impl Fn() -> crate::Result<Settings>) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        spdlog::error!("SIGHUP cannot be received; settings are read again every few seconds only");
+        return;
+    };
+    loop {
+        // Either way the settings are read again.
+        let _ = tokio::time::timeout(SETTINGS_EVERY, hangup.recv()).await;
+        match reload() {
+            Ok(settings) if settings != *front.settings.borrow() => {
+                spdlog::info!("settings reloaded", kv: { seeds = settings.seeds.len() });
+                front.peers.borrow_mut().set_seeds(settings.seeds.clone());
+                *front.settings.borrow_mut() = settings;
+            }
+            Ok(_) => {}
+            Err(err) => {
+                spdlog::error!("settings not reloaded, those in force stay", kv: { reason = err.to_string() });
+            }
+        }
+    }
+}
+
+fn listen_for_callers<D: Dialect>(front: &Rc<Front<D>>, settings: &Settings) -> io::Result<()> {
+    let listener = bind(settings.listen)?;
+    let front = Rc::clone(front);
+    let handler = move |req: Request| {
+        let front = Rc::clone(&front);
+        async move { Ok::<_, Infallible>(serve(front, req).await) }
+    };
+    actix_rt::spawn(accept(listener, handler));
+    Ok(())
+}
+
+fn listen_for_admin<D: Dialect>(
+    front: &Rc<Front<D>>,
+    settings: &Settings,
+    metrics: PrometheusHandle,
+) -> io::Result<()> {
+    let path = settings.ready_path.clone();
+    let state = Rc::clone(front);
+    let ready = move |req: Request| {
+        let status = match req.path() == path && state.is_ready() {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        async move { Ok::<_, Infallible>(Response::with_body(status, Body::Whole(Bytes::new()))) }
+    };
+    actix_rt::spawn(accept(bind(settings.ready)?, ready));
+    let Some(admin) = settings.admin else {
+        return Ok(());
+    };
+    let pools = Rc::clone(&front.pools);
+    let page = move |_: Request| {
+        pools.publish();
+        let text = Bytes::from(metrics.render());
+        async move { Ok::<_, Infallible>(Response::with_body(StatusCode::OK, Body::Whole(text))) }
+    };
+    actix_rt::spawn(accept(bind(admin)?, page));
+    Ok(())
+}
+
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts connections and serves the requests on them.
+///
+/// Half-closed connections count as left: a caller that closes has no use for an answer.
+async fn accept<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Result<Response<Body>, Infallible>> + 'static,
+{
+    let factory = HttpService::build()
+        .keep_alive(KeepAlive::Timeout(IDLE))
+        .client_request_timeout(IDLE)
+        .client_disconnect_timeout(DISCONNECT)
+        .h1_allow_half_closed(false)
+        .tcp_nodelay(true)
+        .h1(fn_service(handler))
+        .tcp();
+    let Ok(service) = factory.new_service(()).await else {
+        spdlog::error!("connections cannot be served");
+        return;
+    };
+    loop {
+        match listener.accept().await {
+            Ok((io, _)) => {
+                actix_rt::spawn(service.call(io));
+            }
+            Err(err) => {
+                metrics::counter!("accept_errors_total").increment(1);
+                spdlog::warn!("connection not accepted", kv: { reason = err.to_string() });
+                tokio::time::sleep(DRAIN_TICK).await;
+            }
+        }
+    }
+}
--- a/crates/sesamehaven-wire/src/lib.rs
+++ b/crates/sesamehaven-wire/src/lib.rs
@@ -6,11 +6,13 @@
 //! [`docs/LINK.md`](../../../docs/LINK.md).
 
 pub mod auth;
+mod chunked;
 pub mod codec;
 pub mod counter;
 pub mod error;
 pub mod guard;
 mod handshake;
+pub mod http1;
 pub mod link;
 pub mod message;
 mod pump;
--- /dev/null
+++ b/crates/sesamehaven/src/backlog.rs
@@ -0,0 +1,210 @@
+//! Requests that wait for a place in a pool, by class.
+//!
+//! The load pattern: endpoints admit in order of arrival and know no rank, and
+//! more is asked than they can run. Classes go by rank; a class that was served
+//! less than its floor goes first, so that none starves. Inside a class, work
+//! that can still meet its objective goes before work that is late anyway. See
+//! [`docs/FRONT.md`](../../../docs/FRONT.md#waiting).
+
+use std::collections::VecDeque;
+
+use smol_str::SmolStr;
+
+use crate::tier::Tier;
+use crate::unit::{Instant, Millis};
+
+/// The share of its requests that each class is served before rank counts.
+const FLOOR: f64 = 0.4;
+/// The span over which shares are counted, in milliseconds.
+const SHARE_SPAN_MS: f64 = 6_000.0;
+/// The requests that a class must have sent before its share counts.
+const SHARE_MIN: f64 = 4.0;
+
+/// The number of a request that waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// A request as the backlog sees it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Waiting {
+    /// Its number.
+    pub ticket: Ticket,
+    /// The kind of request, which shares are counted by.
+    pub class: SmolStr,
+    /// Its rank.
+    pub tier: Tier,
+    /// When its first byte came.
+    pub arrived: Instant,
+    /// The latest start that meets its objective.
+    pub on_time_until: Instant,
+    /// When it is refused if it has not started.
+    pub give_up: Instant,
+    /// How long it is expected to hold its place.
+    pub slot_ms: f64,
+}
+
+#[derive(Debug)]
+struct Class {
+    name: SmolStr,
+    tier: Tier,
+    queue: VecDeque<Waiting>,
+    asked: f64,
+    started: f64,
+    counted: Instant,
+}
+
+impl Class {
+    fn decay(&mut self, now: Instant) {
+        let span = now.since(self.counted).0 as f64;
+        let keep = (-span / SHARE_SPAN_MS).exp();
+        self.asked *= keep;
+        self.started *= keep;
+        self.counted = now;
+    }
+
+    fn is_starved(&self) -> bool {
+        self.asked >= SHARE_MIN && self.started < FLOOR * self.asked
+    }
+
+    /// Returns the place in the queue of the request that goes next.
+    fn next(&self, now: Instant) -> Option<usize> {
+        let on_time = self.queue.iter().position(|w| w.on_time_until >= now);
+        on_time.or(if self.queue.is_empty() { None } else { Some(0) })
+    }
+}
+
+/// The requests that wait for one pool.
+#[derive(Debug, Default)]
+pub struct Backlog {
+    classes: Vec<Class>,
+}
+
+impl Backlog {
+    /// Adds a request.
+    pub fn push(&mut self, waiting: Waiting, now: Instant) {
+        let class = self.class(&waiting.class, waiting.tier, now);
+        class.asked += 1.0;
+        class.queue.push_back(waiting);
+    }
+
+    /// Counts a request that was refused without waiting.
+    pub fn count_refused(&mut self, name: &SmolStr, tier: Tier, now: Instant) {
+        self.class(name, tier, now).asked += 1.0;
+    }
+
+    /// Takes a request out that its caller has left.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
+        for class in &mut self.classes {
+            if let Some(at) = class.queue.iter().position(|w| w.ticket == ticket) {
+                return class.queue.remove(at);
+            }
+        }
+        None
+    }
+
+    /// Returns the requests that may go next, one a class, in the order of their turn.
+    pub fn turns(&mut self, now: Instant) -> Vec<(Ticket, bool)> {
+        for class in &mut self.classes {
+            class.decay(now);
+        }
+        let mut heads: Vec<(bool, Tier, Instant, Ticket)> = Vec::new();
+        for class in &self.classes {
+            let Some(at) = class.next(now) else { continue };
+            let head = &class.queue[at];
+            heads.push((!class.is_starved(), class.tier, head.arrived, head.ticket));
+        }
+        heads.sort();
+        heads.into_iter().map(|(fed, _, _, t)| (t, !fed)).collect()
+    }
+
+    /// Takes the request out that starts.
+    pub fn start(&mut self, ticket: Ticket, now: Instant) -> Option<Waiting> {
+        let waiting = self.remove(ticket)?;
+        self.class(&waiting.class, waiting.tier, now).started += 1.0;
+        Some(waiting)
+    }
+
+    /// Returns a request that waits.
+    pub fn get(&self, ticket: Ticket) -> Option<&Waiting> {
+        let all = self.classes.iter().flat_map(|c| &c.queue);
+        all.into_iter().find(|w| w.ticket == ticket)
+    }
+
+    /// Takes out the requests that have waited too long.
+    pub fn take_overdue(&mut self, now: Instant) -> Vec<Waiting> {
+        let mut overdue = Vec::new();
+        for class in &mut self.classes {
+            let all = class.queue.drain(..);
+            let (gone, kept) = split(all, now);
+            class.queue = kept;
+            overdue.extend(gone);
+        }
+        overdue
+    }
+
+    /// Returns the time of places that waits at or above a tier.
+    pub fn slot_ms_ahead(&self, tier: Tier) -> f64 {
+        let ahead = self.classes.iter().filter(|c| c.tier <= tier);
+        ahead.flat_map(|c| &c.queue).map(|w| w.slot_ms).sum()
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn len(&self) -> usize {
+        self.classes.iter().map(|c| c.queue.len()).sum()
+    }
+
+    /// Returns whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.classes.iter().all(|c| c.queue.is_empty())
+    }
+
+    /// Returns when the next request has waited too long.
+    pub fn next_give_up(&self) -> Option<Instant> {
+        let all = self.classes.iter().flat_map(|c| &c.queue);
+        all.map(|w| w.give_up).min()
+    }
+
+    /// Returns the share of a class's requests that were started lately.
+    pub fn share(&self, class: &str) -> Option<f64> {
+        let class = self.classes.iter().find(|c| c.name == class)?;
+        (class.asked > 0.0).then(|| class.started / class.asked)
+    }
+
+    fn class(&mut self, name: &SmolStr, tier: Tier, now: Instant) -> &mut Class {
+        let at = self
+            .classes
+            .iter()
+            .position(|c| c.name == *name && c.tier == tier);
+        let at = at.unwrap_or_else(|| {
+            self.classes.push(Class {
+                name: name.clone(),
+                tier,
+                queue: VecDeque::new(),
+                asked: 0.0,
+                started: 0.0,
+                counted: now,
+            });
+            self.classes.len() - 1
+        });
+        let class = &mut self.classes[at];
+        class.decay(now);
+        class
+    }
+}
+
+/// Returns the time that `slot_ms` of work takes on `places`.
+pub fn drain_time(slot_ms: f64, places: f64) -> Millis {
+    Millis((slot_ms / places.max(1.0)).min(1e9) as u64)
+}
+
+/// Splits requests into those that have waited too long and the others.
+fn split(all: impl Iterator<Item = Waiting>, now: Instant) -> (Vec<Waiting>, VecDeque<Waiting>) {
+    let (mut gone, mut kept) = (Vec::new(), VecDeque::new());
+    for waiting in all {
+        match waiting.give_up <= now {
+            true => gone.push(waiting),
+            false => kept.push_back(waiting),
+        }
+    }
+    (gone, kept)
+}
--- /dev/null
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -0,0 +1,362 @@
+//! The queue and the choice of endpoints of one pool, for a process that dispatches directly.
+//!
+//! A pure state machine of (state, event, now): the caller carries out the
+//! [`Step`]s. The load patterns that it answers are set out in
+//! [`docs/FRONT.md`](../../../docs/FRONT.md#decisions-at-the-worst-load).
+//!
+//! # Example
+//!
+//! ```
+//! use sesamehaven::Tier;
+//! use sesamehaven::backlog::Ticket;
+//! use sesamehaven::dispatcher::{Dispatcher, Step, Work};
+//! use sesamehaven::placement::Listed;
+//! use sesamehaven::unit::{Instant, Millis};
+//!
+//! let mut pool = Dispatcher::default();
+//! let id = "engine-1".into();
+//! pool.set_listed([Listed { id, places: 4, is_near: true, is_ready: true }]);
+//! let work = Work::new("brief", Tier::MOST_URGENT, Millis(500), Instant(0));
+//! let steps = pool.on_arrival(Ticket(1), work, Instant(0));
+//! assert!(matches!(&steps[..], [Step::Start { .. }]));
+//! ```
+
+use std::collections::HashMap;
+
+use smallvec::SmallVec;
+use smol_str::SmolStr;
+
+use crate::backlog::{Backlog, Ticket, Waiting, drain_time};
+use crate::placement::{Demand, Ended, Listed, Placement};
+use crate::tier::Tier;
+use crate::unit::{Instant, Millis};
+
+/// The share of the places that each less urgent tier leaves free for those above it.
+const RESERVE_SHARE: f64 = 0.07;
+/// The time in a place from which work counts as long, in milliseconds.
+const LONG_MS: f64 = 700.0;
+/// The part of the objective that a request may be expected to wait for a place.
+const WAIT_SHARE: f64 = 0.6;
+/// The part of the objective after which a request that has no place is given up.
+const GIVE_UP_SHARE: f64 = 1.2;
+/// The same for the most urgent tier, which is worth serving late.
+const URGENT_GIVE_UP_SHARE: f64 = 3.0;
+/// The part of the objective that a started request needs up to its first token.
+const FIRST_TOKEN_SHARE: f64 = 0.3;
+/// The bounds of when a refused caller is asked to come back.
+const RETRY_AFTER_RANGE: (Millis, Millis) = (Millis(150), Millis(2_000));
+/// The weight of a new sample in the pool's time factor.
+const SAMPLE_WEIGHT: f64 = 0.05;
+/// The time factor of the pool is kept within these bounds.
+const FACTOR_RANGE: (f64, f64) = (0.2, 10.0);
+
+/// What the dispatcher needs to know of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Work {
+    /// The kind of request.
+    pub class: SmolStr,
+    /// Its rank.
+    pub tier: Tier,
+    /// When its first byte came.
+    pub arrived: Instant,
+    /// The time within which its answer, or the first event, earns its full credit.
+    pub objective: Millis,
+    /// When its caller stops waiting.
+    pub deadline: Instant,
+    /// How long it would hold a place at an endpoint of ordinary speed.
+    pub slot_ms: f64,
+    /// The session or prefix whose cached prompt it would reuse.
+    pub session: Option<u64>,
+    /// The endpoints that it has tried.
+    pub tried: SmallVec<[SmolStr; 2]>,
+}
+
+impl Work {
+    /// Builds work of ordinary length without a session.
+    pub fn new(class: &str, tier: Tier, objective: Millis, arrived: Instant) -> Self {
+        Work {
+            class: class.into(),
+            tier,
+            arrived,
+            objective,
+            deadline: arrived.after(Millis(objective.0 * 8)),
+            slot_ms: 100.0,
+            session: None,
+            tried: SmallVec::new(),
+        }
+    }
+
+    fn demand(&self, ticket: Ticket) -> Demand {
+        Demand {
+            session: self.session,
+            is_long: self.is_long(),
+            draw: ticket.0,
+        }
+    }
+
+    fn is_long(&self) -> bool {
+        self.slot_ms > LONG_MS
+    }
+
+    fn share_of_objective(&self, share: f64) -> Millis {
+        Millis((self.objective.0 as f64 * share) as u64)
+    }
+}
+
+/// Why a request is refused; it has not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// More is waiting than can be served in time.
+    Overload,
+    /// It has waited for as long as made sense.
+    Overdue,
+    /// No endpoint takes work.
+    NoEndpoint,
+}
+
+impl Refusal {
+    /// Returns the reason's name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Refusal::Overload => "overload",
+            Refusal::Overdue => "overdue",
+            Refusal::NoEndpoint => "no_endpoint",
+        }
+    }
+}
+
+/// What the caller of the dispatcher has to carry out.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    /// Dispatch the request to the endpoint.
+    Start {
+        /// The request.
+        ticket: Ticket,
+        /// The endpoint's incarnation.
+        endpoint: SmolStr,
+    },
+    /// Tell the caller that its request has not run.
+    Refuse {
+        /// The request.
+        ticket: Ticket,
+        /// Why.
+        why: Refusal,
+        /// When a place is likely to be free.
+        retry_after: Millis,
+    },
+}
+
+/// The steps that follow from one event.
+pub type Steps = SmallVec<[Step; 2]>;
+
+#[derive(Debug, Clone)]
+struct Running {
+    endpoint: SmolStr,
+    tier: Tier,
+    slot_ms: f64,
+    started: Instant,
+}
+
+/// The queue and the endpoints of one pool.
+#[derive(Debug)]
+pub struct Dispatcher {
+    placement: Placement,
+    backlog: Backlog,
+    works: HashMap<Ticket, Work>,
+    running: HashMap<Ticket, Running>,
+    factor: f64,
+}
+
+impl Default for Dispatcher {
+    fn default() -> Self {
+        Dispatcher {
+            placement: Placement::default(),
+            backlog: Backlog::default(),
+            works: HashMap::new(),
+            running: HashMap::new(),
+            factor: 1.0,
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Takes over the endpoints that the directory lists.
+    pub fn set_listed(&mut self, listed: impl IntoIterator<Item = Listed>) {
+        self.placement.set_listed(listed);
+    }
+
+    /// Notes how many requests the other processes run at each endpoint.
+    pub fn set_peers(&mut self, running: impl Fn(u64) -> u32) {
+        self.placement.set_peers(running);
+    }
+
+    /// Lists the hash of each endpoint with the requests that this process runs there.
+    pub fn running(&self) -> impl Iterator<Item = (u64, u32)> + '_ {
+        self.placement.running()
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.backlog.len()
+    }
+
+    /// Returns the places that are free, and all.
+    pub fn places(&self) -> (u32, u32) {
+        (self.placement.free(), self.placement.places())
+    }
+
+    /// Returns when [`Dispatcher::on_tick`] has something to do at the latest.
+    pub fn next_wake(&self) -> Option<Instant> {
+        self.backlog.next_give_up()
+    }
+
+    /// Queues a request, or refuses it when it would wait for too long.
+    pub fn on_arrival(&mut self, ticket: Ticket, work: Work, now: Instant) -> Steps {
+        if !self.placement.has_ready() {
+            return self.refuse(ticket, Refusal::NoEndpoint, work.arrived, now);
+        }
+        let wait = self.expected_wait(&work);
+        let waited = now.since(work.arrived);
+        let most = work.share_of_objective(WAIT_SHARE);
+        if wait.0 + waited.0 > most.0 && work.tried.is_empty() && wait.0 > 0 {
+            self.backlog.count_refused(&work.class, work.tier, now);
+            return self.refuse(ticket, Refusal::Overload, now.after(wait), now);
+        }
+        let share = match work.tier == Tier::MOST_URGENT {
+            true => URGENT_GIVE_UP_SHARE,
+            false => GIVE_UP_SHARE,
+        };
+        let give_up = work.arrived.after(work.share_of_objective(share));
+        let on_time = work.share_of_objective(1.0 - FIRST_TOKEN_SHARE);
+        let waiting = Waiting {
+            ticket,
+            class: work.class.clone(),
+            tier: work.tier,
+            arrived: work.arrived,
+            on_time_until: work.arrived.after(on_time),
+            give_up: give_up.min(work.deadline),
+            slot_ms: work.slot_ms * self.factor,
+        };
+        self.backlog.push(waiting, now);
+        self.works.insert(ticket, work);
+        self.fill(now)
+    }
+
+    /// Forgets a request whose caller has left before it started.
+    pub fn on_leave(&mut self, ticket: Ticket) {
+        self.backlog.remove(ticket);
+        self.works.remove(&ticket);
+    }
+
+    /// Notes that a request has ended at its endpoint, which frees a place.
+    pub fn on_end(&mut self, ticket: Ticket, ended: Ended, now: Instant) -> Steps {
+        let Some(run) = self.running.remove(&ticket) else {
+            return Steps::new();
+        };
+        let took = now.since(run.started).0 as f64;
+        let ratio = (took / run.slot_ms.max(1.0)).clamp(FACTOR_RANGE.0, FACTOR_RANGE.1);
+        let factor = (ended == Ended::Well).then(|| ratio / self.factor);
+        if ended == Ended::Well {
+            self.factor += SAMPLE_WEIGHT * (ratio - self.factor);
+        }
+        let is_long = run.slot_ms > LONG_MS;
+        self.placement
+            .on_end(&run.endpoint, is_long, ended, factor, now);
+        self.fill(now)
+    }
+
+    /// Notes that an endpoint cannot be reached; the request has not run there.
+    pub fn on_unreachable(&mut self, ticket: Ticket, now: Instant) -> Steps {
+        if let Some(run) = self.running.get(&ticket) {
+            self.placement.on_unreachable(&run.endpoint, now);
+        }
+        self.on_end(ticket, Ended::Unjudged, now)
+    }
+
+    /// Refuses what has waited too long, and starts what has a place by now.
+    pub fn on_tick(&mut self, now: Instant) -> Steps {
+        let mut steps = Steps::new();
+        for waiting in self.backlog.take_overdue(now) {
+            let work = self.works.remove(&waiting.ticket);
+            let wait = work.map_or(Millis(0), |w| self.expected_wait(&w));
+            steps.extend(self.refuse(waiting.ticket, Refusal::Overdue, now.after(wait), now));
+        }
+        steps.extend(self.fill(now));
+        steps
+    }
+
+    /// Starts waiting requests while there are places for them.
+    fn fill(&mut self, now: Instant) -> Steps {
+        let mut steps = Steps::new();
+        while self.start_one(now, &mut steps) {}
+        steps
+    }
+
+    fn start_one(&mut self, now: Instant, steps: &mut Steps) -> bool {
+        if self.backlog.is_empty() {
+            return false;
+        }
+        let free = self.placement.free();
+        let places = self.placement.places();
+        for (ticket, starved) in self.backlog.turns(now) {
+            let Some(work) = self.works.get(&ticket) else {
+                continue;
+            };
+            if !starved && free <= reserve(work.tier, places) {
+                continue;
+            }
+            let demand = work.demand(ticket);
+            let Some(endpoint) = self.placement.choose(&demand, &work.tried, now) else {
+                continue;
+            };
+            let Some(work) = self.works.remove(&ticket) else {
+                continue;
+            };
+            self.backlog.start(ticket, now);
+            self.placement.on_start(&endpoint, work.is_long());
+            let run = Running {
+                endpoint: endpoint.clone(),
+                tier: work.tier,
+                slot_ms: work.slot_ms,
+                started: now,
+            };
+            self.running.insert(ticket, run);
+            steps.push(Step::Start { ticket, endpoint });
+            return true;
+        }
+        false
+    }
+
+    /// Estimates how long a request would wait behind those that go before it.
+    fn expected_wait(&self, work: &Work) -> Millis {
+        let places = self.placement.places();
+        if self.placement.free() > reserve(work.tier, places) {
+            return Millis(0);
+        }
+        let above = self.running.values().filter(|r| r.tier < work.tier);
+        let own = self.running.len().max(1) as f64;
+        let left = 1.0 - above.count() as f64 / own;
+        let ahead = self.backlog.slot_ms_ahead(work.tier) + work.slot_ms * self.factor;
+        let share = own.min(f64::from(places.max(1)));
+        drain_time(ahead, share * left.max(0.25))
+    }
+
+    fn refuse(&self, ticket: Ticket, why: Refusal, free_at: Instant, now: Instant) -> Steps {
+        let (least, most) = RETRY_AFTER_RANGE;
+        // The spread keeps callers that are refused together from returning together.
+        let wait = free_at.since(now).0.clamp(least.0, most.0);
+        let spread = wait / 2 * (ticket.0.wrapping_mul(0x9e37_79b9) >> 8 & 0xff) / 0xff;
+        let retry_after = Millis((wait + spread).min(most.0));
+        SmallVec::from_iter([Step::Refuse {
+            ticket,
+            why,
+            retry_after,
+        }])
+    }
+}
+
+/// Returns the places that a tier leaves free for more urgent ones.
+fn reserve(tier: Tier, places: u32) -> u32 {
+    let rank = tier.index() as f64;
+    (f64::from(places) * RESERVE_SHARE * rank).round() as u32
+}
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -9,6 +9,7 @@
 //! [`docs/ARCHITECTURE.md`](../../../docs/ARCHITECTURE.md).
 
 pub mod answer;
+pub mod backlog;
 pub mod backoff;
 pub mod bloom;
 pub mod burn;
@@ -19,6 +20,7 @@
 pub mod claim;
 pub mod config;
 pub mod delivery;
+pub mod dispatcher;
 pub mod election;
 pub mod error;
 pub mod estimate;
@@ -42,6 +44,7 @@
 pub mod order;
 pub mod outcome;
 pub mod parts;
+pub mod placement;
 pub mod plan;
 pub mod prefix;
 pub mod quarantine;
@@ -53,6 +56,7 @@
 pub mod route;
 pub mod running;
 mod seat;
+pub mod shared_limit;
 mod tenure;
 pub mod tier;
 pub mod unit;
--- /dev/null
+++ b/crates/sesamehaven/src/placement.rs
@@ -0,0 +1,324 @@
+//! The choice of an endpoint among those of a pool, by a process that dispatches directly.
+//!
+//! Several processes dispatch to the same endpoints, and each knows the work of
+//! the others only as of their last message. Placement therefore spreads by
+//! session first, on which all agree without a message, and by load second. See
+//! [`docs/FRONT.md`](../../../docs/FRONT.md#placing).
+
+use smallvec::SmallVec;
+use smol_str::SmolStr;
+
+use crate::unit::{Instant, Millis};
+
+/// The weight of a new sample in the averages of an endpoint.
+const SAMPLE_WEIGHT: f64 = 0.2;
+/// The samples before an endpoint's failures are judged.
+const SAMPLES_MIN: u32 = 4;
+/// The share of failures, beyond that of its pool, that ejects an endpoint.
+const FAILURE_EXCESS: f64 = 0.25;
+/// How long an endpoint is first ejected; it doubles with each ejection in a row.
+const EJECTION: Millis = Millis(1_000);
+/// The longest ejection.
+const EJECTION_MAX: Millis = Millis(8_000);
+/// The time factor, against its pool, from which an endpoint only runs one trial at a time.
+const SLOW_FACTOR: f64 = 3.0;
+/// The bounds of the time factor of an endpoint.
+const FACTOR_RANGE: (f64, f64) = (0.1, 20.0);
+/// What the session's first and second home are worth, as a share of a full endpoint's load.
+const HOME_BONUS: [f64; 2] = [0.45, 0.2];
+/// What an endpoint in the same data centre is worth, as a share of a full endpoint's load.
+const NEAR_BONUS: f64 = 0.05;
+/// The share of an endpoint's places that long work may hold.
+const LONG_SHARE: f64 = 0.67;
+
+/// An endpoint as the directory lists it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Listed {
+    /// The name of this incarnation of the endpoint.
+    pub id: SmolStr,
+    /// The requests that it runs at once.
+    pub places: u32,
+    /// Whether it stands in the data centre of this process.
+    pub is_near: bool,
+    /// Whether it takes new work.
+    pub is_ready: bool,
+}
+
+/// What placement needs to know of a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Demand {
+    /// The session or prefix whose cached prompt the request would reuse.
+    pub session: Option<u64>,
+    /// Whether it holds its place for much longer than the others.
+    pub is_long: bool,
+    /// A number that breaks ties, different for each request.
+    pub draw: u64,
+}
+
+/// What became of a request at an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// It gave a whole answer.
+    Well,
+    /// It failed, or its answer was spoilt.
+    Badly,
+    /// It says nothing about the endpoint, as when the caller left.
+    Unjudged,
+}
+
+#[derive(Debug, Clone)]
+struct Member {
+    listed: Listed,
+    hash: u64,
+    own: u32,
+    own_long: u32,
+    peers: u32,
+    factor: f64,
+    failures: f64,
+    samples: u32,
+    ejected_until: Instant,
+    ejections: u32,
+}
+
+impl Member {
+    fn new(listed: Listed) -> Self {
+        Member {
+            hash: hash_of(&listed.id),
+            listed,
+            own: 0,
+            own_long: 0,
+            peers: 0,
+            factor: 1.0,
+            failures: 0.0,
+            samples: 0,
+            ejected_until: Instant(0),
+            ejections: 0,
+        }
+    }
+
+    fn load(&self) -> u32 {
+        self.own + self.peers
+    }
+
+    fn free(&self) -> u32 {
+        self.listed.places.saturating_sub(self.load())
+    }
+}
+
+/// The endpoints of one pool, with what this process runs there and has learned of them.
+#[derive(Debug, Default)]
+pub struct Placement {
+    members: Vec<Member>,
+}
+
+impl Placement {
+    /// Takes over what the directory lists, keeping what was learned of endpoints that stay.
+    pub fn set_listed(&mut self, listed: impl IntoIterator<Item = Listed>) {
+        let mut old = std::mem::take(&mut self.members);
+        for entry in listed {
+            let member = match old.iter().position(|m| m.listed.id == entry.id) {
+                Some(at) => Member {
+                    listed: entry,
+                    ..old.swap_remove(at)
+                },
+                None => Member::new(entry),
+            };
+            self.members.push(member);
+        }
+        // Work that still runs at an endpoint that is no longer listed ends there.
+        let retired = old.into_iter().filter(|m| m.own > 0).map(|mut m| {
+            m.listed.is_ready = false;
+            m
+        });
+        self.members.extend(retired);
+    }
+
+    /// Notes how many requests the other processes run at an endpoint.
+    pub fn set_peers(&mut self, running: impl Fn(u64) -> u32) {
+        for member in &mut self.members {
+            member.peers = running(member.hash);
+        }
+    }
+
+    /// Lists the hash of each endpoint with the requests that this process runs there.
+    pub fn running(&self) -> impl Iterator<Item = (u64, u32)> + '_ {
+        let busy = self.members.iter().filter(|m| m.own > 0);
+        busy.map(|m| (m.hash, m.own))
+    }
+
+    /// Returns the places of all endpoints that take work.
+    pub fn places(&self) -> u32 {
+        self.ready().map(|m| m.listed.places).sum()
+    }
+
+    /// Returns the places that are free.
+    pub fn free(&self) -> u32 {
+        self.ready().map(Member::free).sum()
+    }
+
+    /// Returns whether any endpoint takes work.
+    pub fn has_ready(&self) -> bool {
+        self.ready().next().is_some()
+    }
+
+    /// Chooses the endpoint of a request, outside of those that it has tried.
+    pub fn choose(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> Option<SmolStr> {
+        let homes = self.homes(demand);
+        let median = self.median_factor();
+        let mut best: Option<(f64, &Member)> = None;
+        for member in self.ready() {
+            if tried.contains(&member.listed.id) || !self.may_take(member, demand, median, now) {
+                continue;
+            }
+            let score = score(member, demand, &homes);
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, member));
+            }
+        }
+        best.map(|(_, member)| member.listed.id.clone())
+    }
+
+    /// Notes that a request was dispatched.
+    pub fn on_start(&mut self, id: &str, is_long: bool) {
+        if let Some(member) = self.member(id) {
+            member.own += 1;
+            member.own_long += u32::from(is_long);
+        }
+    }
+
+    /// Notes that a request has ended; `factor` compares its time with what was expected.
+    pub fn on_end(
+        &mut self,
+        id: &str,
+        is_long: bool,
+        ended: Ended,
+        factor: Option<f64>,
+        now: Instant,
+    ) {
+        let mean = self.mean_failures();
+        let most = self.members.len() / 2;
+        let ejected = self
+            .members
+            .iter()
+            .filter(|m| m.ejected_until > now)
+            .count();
+        let Some(member) = self.member(id) else {
+            return;
+        };
+        member.own = member.own.saturating_sub(1);
+        member.own_long = member.own_long.saturating_sub(u32::from(is_long));
+        if let Some(factor) = factor {
+            let factor = factor.clamp(FACTOR_RANGE.0, FACTOR_RANGE.1);
+            member.factor += SAMPLE_WEIGHT * (factor - member.factor);
+        }
+        let failed = match ended {
+            Ended::Well => 0.0,
+            Ended::Badly => 1.0,
+            Ended::Unjudged => return,
+        };
+        member.samples = member.samples.saturating_add(1);
+        member.failures += SAMPLE_WEIGHT * (failed - member.failures);
+        if failed == 0.0 {
+            if member.failures < FAILURE_EXCESS / 2.0 {
+                member.ejections = 0;
+            }
+            return;
+        }
+        let excess = member.failures - mean.min(member.failures / 2.0);
+        if member.samples >= SAMPLES_MIN && excess > FAILURE_EXCESS && ejected < most {
+            let span = EJECTION.0 << member.ejections.min(8);
+            member.ejected_until = now.after(Millis(span.min(EJECTION_MAX.0)));
+            member.ejections += 1;
+        }
+    }
+
+    /// Sets an endpoint aside that cannot be reached.
+    pub fn on_unreachable(&mut self, id: &str, now: Instant) {
+        if let Some(member) = self.member(id) {
+            let span = EJECTION.0 << member.ejections.min(8);
+            member.ejected_until = now.after(Millis(span.min(EJECTION_MAX.0)));
+            member.ejections += 1;
+        }
+    }
+
+    fn ready(&self) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(|m| m.listed.is_ready)
+    }
+
+    fn member(&mut self, id: &str) -> Option<&mut Member> {
+        self.members.iter_mut().find(|m| m.listed.id == id)
+    }
+
+    fn may_take(&self, member: &Member, demand: &Demand, median: f64, now: Instant) -> bool {
+        if member.free() == 0 {
+            return false;
+        }
+        if member.ejected_until > now {
+            return false;
+        }
+        if member.ejections > 0 && member.own > 0 {
+            return false;
+        }
+        if member.factor > SLOW_FACTOR * median && member.own > 0 {
+            return false;
+        }
+        let long_max = (f64::from(member.listed.places) * LONG_SHARE).ceil();
+        !demand.is_long || f64::from(member.own_long) < long_max
+    }
+
+    fn homes(&self, demand: &Demand) -> SmallVec<[u64; 2]> {
+        let Some(session) = demand.session else {
+            return SmallVec::new();
+        };
+        let mut first: (u64, u64) = (0, 0);
+        let mut second = first;
+        for member in self.ready() {
+            let weight = mix(member.hash ^ session);
+            if weight > first.0 {
+                second = first;
+                first = (weight, member.hash);
+            } else if weight > second.0 {
+                second = (weight, member.hash);
+            }
+        }
+        SmallVec::from_buf([first.1, second.1])
+    }
+
+    fn median_factor(&self) -> f64 {
+        let mut factors: SmallVec<[f64; 16]> = self.ready().map(|m| m.factor).collect();
+        factors.sort_by(f64::total_cmp);
+        factors.get(factors.len() / 2).copied().unwrap_or(1.0)
+    }
+
+    fn mean_failures(&self) -> f64 {
+        let count = self.ready().count().max(1);
+        self.ready().map(|m| m.failures).sum::<f64>() / count as f64
+    }
+}
+
+fn score(member: &Member, demand: &Demand, homes: &[u64]) -> f64 {
+    let load = f64::from(member.load() + 1) / f64::from(member.listed.places.max(1));
+    let home = homes.iter().position(|h| *h == member.hash);
+    let bonus = home.map_or(0.0, |rank| HOME_BONUS[rank]);
+    let near = if member.listed.is_near {
+        NEAR_BONUS
+    } else {
+        0.0
+    };
+    let tie = (mix(member.hash ^ demand.draw) >> 40) as f64 / (1u64 << 24) as f64 * NEAR_BONUS;
+    load * member.factor - bonus - near + tie
+}
+
+/// Digests a name into the number by which processes speak of it.
+pub fn hash_of(name: &str) -> u64 {
+    let digest = blake3::hash(name.as_bytes());
+    let head = digest.as_bytes().first_chunk().copied();
+    u64::from_le_bytes(head.unwrap_or_default())
+}
+
+/// Spreads the bits of a number, so that its neighbours fall far apart.
+fn mix(n: u64) -> u64 {
+    let n = (n ^ (n >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let n = (n ^ (n >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    n ^ (n >> 31)
+}
