--- a/crates/sesamehaven-front/src/peers.rs
+++ b/crates/sesamehaven-front/src/peers.rs
@@ -23,6 +23,8 @@
 use sesamehaven::shared_limit::{Hearing, PeerId};
 use sesamehaven::unit::{Instant, Millis};
 
+use crate::spending::Drawn;
+
 /// The version of the messages; others are dropped.
 const VERSION: u8 = 1;
 /// The longest digest, which common networks carry whole, in bytes.
@@ -54,8 +56,8 @@
     pub config_age: u64,
     /// The requests in flight, by the hash of the endpoint.
     pub running: Vec<(u32, u32)>,
-    /// The totals drawn, by the hash of the organisation.
-    pub drawn: Vec<(u32, u64)>,
+    /// What was drawn on the limits of organisations.
+    pub drawn: Vec<Drawn>,
     /// What is held against requests that crash endpoints.
     pub notices: Vec<Notice>,
     /// Addresses of other fronts.
--- a/crates/sesamehaven-front/src/refresh.rs
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -177,7 +177,10 @@
             let Some(table) = front.knowledge.table() else {
                 return;
             };
-            front.spending.borrow_mut().set_table(&table, clock::now());
+            let bounds = front.settings.borrow().bounds.clone();
+            let mut spending = front.spending.borrow_mut();
+            spending.set_table(&table, &bounds, clock::now());
+            drop(spending);
             counter!("configurations_total").increment(1);
             spdlog::info!("configuration in force", kv: {
                 version = table.version,
@@ -226,7 +229,7 @@
     digest.config = front.knowledge.version();
     digest.config_age = front.knowledge.age(now).0;
     digest.running = front.pools.running();
-    digest.drawn = front.spending.borrow().drawn();
+    digest.drawn = front.spending.borrow().drawn(now);
     let mut notices = front.quarantine.borrow().summary(now);
     notices.truncate(NOTICES_MAX);
     digest.notices = notices;
@@ -276,10 +279,9 @@
     if !is_news {
         return;
     }
-    front
-        .spending
-        .borrow_mut()
-        .on_peer(digest.from, &digest.drawn);
+    let mut spending = front.spending.borrow_mut();
+    spending.on_peer(digest.from, &digest.drawn, now);
+    drop(spending);
     front.quarantine.borrow_mut().merge(&digest.notices, now);
     if !strangers.is_empty() {
         send_digest(front, socket, &strangers, false);
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -248,7 +248,8 @@
     let drawn = match draw(&job) {
         Ok(drawn) => drawn,
         Err(failure) => {
-            job.log("refused", "", failure.code);
+            let name = job.organisation.as_ref().map_or("", |o| o.name.as_str());
+            job.log("over_limit", "", name);
             return failure.response();
         }
     };
@@ -268,7 +269,7 @@
             front
                 .spending
                 .borrow_mut()
-                .give_back(&organisation.name, drawn);
+                .give_back(&organisation.name, drawn, clock::now());
         }
     }
     job.log("failed", "", failure.code);
--- a/crates/sesamehaven-front/src/settings.rs
+++ b/crates/sesamehaven-front/src/settings.rs
@@ -19,6 +19,12 @@
     pub retry_slack: f64,
     /// The window over which second sends are counted.
     pub retry_window: Millis,
+    /// The window over which the limits of organisations are counted.
+    pub limit_window: Millis,
+    /// The part of a limit by which all fronts together may pass it.
+    pub limit_overage: f64,
+    /// The amount beyond that.
+    pub limit_slack: f64,
 }
 
 impl Default for Bounds {
@@ -29,6 +35,9 @@
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window: Millis(10_000),
+            limit_window: Millis(8_000),
+            limit_overage: 0.1,
+            limit_slack: 0.0,
         }
     }
 }
--- a/crates/sesamehaven-front/src/spending.rs
+++ b/crates/sesamehaven-front/src/spending.rs
@@ -2,40 +2,53 @@
 
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use sesamehaven::placement::hash_of;
-use sesamehaven::shared_limit::{Hearing, PeerId, RetryShare, SharedBucket};
+use sesamehaven::shared_limit::{Allowance, Hearing, PeerId, RetryShare, SharedWindow};
 use sesamehaven::unit::{Instant, Millis};
 
 use crate::settings::Bounds;
-use crate::table::Table;
+use crate::table::{Limit, Table};
+
+/// What one front has drawn on the limit of an organisation.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Drawn {
+    /// The hash of the organisation's name.
+    pub organisation: u32,
+    /// The total that this front has drawn since it started.
+    pub total: u64,
+    /// What all fronts have drawn within the window, if this one knows.
+    pub sum: Option<u64>,
+}
 
 /// What this front has drawn on each limit, and what it knows of the others.
 #[derive(Debug, Default)]
 pub struct Spending {
-    buckets: HashMap<SmolStr, SharedBucket>,
+    windows: HashMap<SmolStr, SharedWindow>,
     retries: HashMap<SmolStr, RetryShare>,
 }
 
 impl Spending {
     /// Takes over the limits of a configuration, keeping what was drawn.
-    pub fn set_table(&mut self, table: &Table, now: Instant) {
+    pub fn set_table(&mut self, table: &Table, bounds: &Bounds, now: Instant) {
         let limited = |name: &SmolStr| {
             let organisations = table.organisations().iter();
             organisations
                 .into_iter()
                 .any(|o| o.name == *name && o.limit.is_some())
         };
-        self.buckets.retain(|name, _| limited(name));
+        self.windows.retain(|name, _| limited(name));
         for organisation in table.organisations() {
             let Some(limit) = organisation.limit else {
                 continue;
             };
-            let bucket = self.buckets.entry(organisation.name.clone());
-            bucket
-                .or_insert_with(|| SharedBucket::new(limit.rate_per_s, limit.burst, now))
-                .set_limit(limit.rate_per_s, limit.burst);
+            let allowance = allowance(&limit, bounds);
+            let window = self.windows.entry(organisation.name.clone());
+            window
+                .or_insert_with(|| SharedWindow::new(allowance, now))
+                .set_allowance(allowance);
         }
     }
 
@@ -51,31 +64,36 @@
         hearing: &Hearing,
         now: Instant,
     ) -> Result<(), Millis> {
-        match self.buckets.get_mut(organisation) {
-            Some(bucket) => bucket.draw(amount, hearing.share(now), now),
+        match self.windows.get_mut(organisation) {
+            Some(window) => window.draw(amount, hearing.share(now), now),
             None => Ok(()),
         }
     }
 
     /// Gives back what was drawn for a request that has not run.
-    pub fn give_back(&mut self, organisation: &str, amount: u64) {
-        if let Some(bucket) = self.buckets.get_mut(organisation) {
-            bucket.give_back(amount);
+    pub fn give_back(&mut self, organisation: &str, amount: u64, now: Instant) {
+        if let Some(window) = self.windows.get_mut(organisation) {
+            window.give_back(amount, now);
         }
     }
 
-    /// Lists the totals drawn, by the hash of the organisation.
-    pub fn drawn(&self) -> Vec<(u32, u64)> {
-        let all = self.buckets.iter();
-        all.map(|(name, b)| (short(name), b.drawn())).collect()
+    /// Lists what was drawn, by organisation.
+    pub fn drawn(&self, now: Instant) -> Vec<Drawn> {
+        let all = self.windows.iter();
+        all.map(|(name, window)| Drawn {
+            organisation: short(name),
+            total: window.drawn(),
+            sum: window.known_sum(now),
+        })
+        .collect()
     }
 
-    /// Takes in the totals that another front has drawn.
-    pub fn on_peer(&mut self, peer: PeerId, drawn: &[(u32, u64)]) {
-        for (name, bucket) in &mut self.buckets {
+    /// Takes in what another front has drawn.
+    pub fn on_peer(&mut self, peer: PeerId, drawn: &[Drawn], now: Instant) {
+        for (name, window) in &mut self.windows {
             let hash = short(name);
-            if let Some((_, total)) = drawn.iter().find(|(h, _)| *h == hash) {
-                bucket.on_peer(peer, *total);
+            if let Some(drawn) = drawn.iter().find(|d| d.organisation == hash) {
+                window.on_peer(peer, drawn.total, drawn.sum, now);
             }
         }
     }
@@ -107,3 +125,21 @@
 fn short(name: &str) -> u32 {
     (hash_of(name) >> 32) as u32
 }
+
+/// The part of the tolerance of a limit that is used, as totals of other fronts are a message old.
+const TOLERANCE_USED: f64 = 0.6;
+
+fn allowance(limit: &Limit, bounds: &Bounds) -> Allowance {
+    let window = bounds.limit_window;
+    let promised = limit.rate_per_s as f64 * window.0 as f64 / 1_000.0 + limit.burst as f64;
+    let slack = if limit.in_tokens {
+        bounds.limit_slack
+    } else {
+        0.0
+    };
+    let tolerated = promised * bounds.limit_overage + slack;
+    Allowance {
+        window,
+        amount: (promised + tolerated * TOLERANCE_USED) as u64,
+    }
+}
--- a/crates/sesamehaven/src/shared_limit.rs
+++ b/crates/sesamehaven/src/shared_limit.rs
@@ -10,10 +10,8 @@
 const SILENT_KEPT: Millis = Millis(15_000);
 /// How long after its last message a process counts as heard.
 const HEARD: Millis = Millis(1_000);
-/// The part of its burst that a bucket starts with, as others may have spent the rest.
-const START_SHARE: f64 = 0.25;
 /// The steps that a sliding window moves in.
-const STEPS: u64 = 20;
+const STEPS: u64 = 40;
 /// The part of a limit that is used, since counts are a message old.
 const USED_SHARE: f64 = 0.85;
 
@@ -61,61 +59,76 @@
     }
 }
 
-/// A token bucket that several processes draw on.
+/// What may be drawn within a window by all processes together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Allowance {
+    /// The length of the window.
+    pub window: Millis,
+    /// The amount that may be drawn within any such window.
+    pub amount: u64,
+}
+
+/// What several processes have drawn on one limit within a sliding window.
 ///
-/// Each tells the others the total that it has drawn, so that a lost message
-/// is made good by the next one.
+/// Each tells the others the total that it has drawn, so that a lost message is
+/// made good by the next one. A process that has just started does not know what
+/// was drawn before, and assumes that it was all that is allowed until another
+/// process tells it better.
 #[derive(Debug)]
-pub struct SharedBucket {
-    rate_per_ms: f64,
-    burst: f64,
-    level: f64,
-    at: Instant,
+pub struct SharedWindow {
+    allowance: Allowance,
+    steps: VecDeque<(u64, f64)>,
+    sum: f64,
     drawn: u64,
     peers: HashMap<PeerId, u64>,
+    started: Instant,
+    is_assumed: bool,
 }
 
-impl SharedBucket {
-    /// Builds a bucket that fills by `rate_per_s` and holds at most `burst`.
-    pub fn new(rate_per_s: u64, burst: u64, now: Instant) -> Self {
-        SharedBucket {
-            rate_per_ms: rate_per_s as f64 / 1_000.0,
-            burst: burst as f64,
-            level: burst as f64 * START_SHARE,
-            at: now,
+impl SharedWindow {
+    /// Builds the window of a process that starts at `now`.
+    pub fn new(allowance: Allowance, now: Instant) -> Self {
+        let mut window = SharedWindow {
+            allowance,
+            steps: VecDeque::new(),
+            sum: 0.0,
             drawn: 0,
             peers: HashMap::new(),
-        }
+            started: now,
+            is_assumed: true,
+        };
+        window.assume(allowance.amount as f64, now);
+        window
     }
 
-    /// Takes over a changed limit, without giving back what was drawn.
-    pub fn set_limit(&mut self, rate_per_s: u64, burst: u64) {
-        self.rate_per_ms = rate_per_s as f64 / 1_000.0;
-        self.burst = burst as f64;
-        self.level = self.level.min(self.burst);
+    /// Takes over a changed limit, without forgetting what was drawn.
+    pub fn set_allowance(&mut self, allowance: Allowance) {
+        self.allowance.amount = allowance.amount;
     }
 
-    /// Draws `amount`, or says how long it takes until that much is there.
+    /// Draws `amount`, or says how long it takes until that much is allowed.
+    ///
+    /// `share` is the part of the limit that falls to the processes in touch.
     ///
     /// # Errors
     ///
-    /// Returns the time to wait when the bucket holds less.
+    /// Returns the time to wait when the window holds too much already.
     pub fn draw(&mut self, amount: u64, share: f64, now: Instant) -> Result<(), Millis> {
-        self.refill(share, now);
-        // A request larger than the burst passes when the bucket is full.
-        let needed = (amount as f64).min(self.burst);
-        if self.level < needed {
-            let rate = (self.rate_per_ms * share).max(1e-6);
-            return Err(Millis(((needed - self.level) / rate).ceil().min(1e9) as u64));
+        self.expire(now);
+        let most = self.allowance.amount as f64 * share;
+        let excess = self.sum + amount as f64 - most;
+        // A request that is larger than the whole limit passes an empty window.
+        if excess > 0.0 && self.sum > 0.0 {
+            return Err(self.wait_for(excess, now));
         }
-        self.level -= amount as f64;
+        self.add(amount as f64, now);
         self.drawn += amount;
         Ok(())
     }
 
     /// Gives back what was drawn for a request that has not run.
-    pub fn give_back(&mut self, amount: u64) {
-        self.level = (self.level + amount as f64).min(self.burst);
+    pub fn give_back(&mut self, amount: u64, now: Instant) {
+        self.add(-(amount as f64), now);
         self.drawn = self.drawn.saturating_sub(amount);
     }
 
@@ -124,17 +137,75 @@
         self.drawn
     }
 
-    /// Takes in the total that another process has drawn.
-    pub fn on_peer(&mut self, peer: PeerId, drawn: u64) {
+    /// Returns what all processes have drawn within the window, once that is known.
+    pub fn known_sum(&self, now: Instant) -> Option<u64> {
+        let is_known = !self.is_assumed || now.since(self.started) >= self.allowance.window;
+        is_known.then_some(self.sum.max(0.0) as u64)
+    }
+
+    /// Takes in the total that another process has drawn, and its sum of the window if it knows it.
+    pub fn on_peer(&mut self, peer: PeerId, drawn: u64, sum: Option<u64>, now: Instant) {
         let known = self.peers.insert(peer, drawn).unwrap_or(drawn);
-        // A total that shrank comes from refunds.
-        self.level = (self.level - (drawn as f64 - known as f64)).min(self.burst);
+        self.expire(now);
+        match sum {
+            Some(sum) if self.known_sum(now).is_none() => {
+                self.is_assumed = false;
+                self.steps.clear();
+                self.sum = 0.0;
+                self.assume((sum as f64).max(self.drawn as f64), now);
+            }
+            // A total that shrank comes from amounts that were given back.
+            _ => self.add(drawn as f64 - known as f64, now),
+        }
+    }
+
+    fn step_ms(&self) -> u64 {
+        (self.allowance.window.0 / STEPS).max(1)
+    }
+
+    /// Spreads an amount over the window, as if it had been drawn evenly.
+    fn assume(&mut self, amount: f64, now: Instant) {
+        let newest = now.0 / self.step_ms();
+        let each = amount / STEPS as f64;
+        let oldest = (newest + 1).saturating_sub(STEPS);
+        self.steps
+            .extend((oldest..=newest).map(|step| (step, each)));
+        self.sum = self.steps.iter().map(|(_, n)| n).sum();
+    }
+
+    fn add(&mut self, amount: f64, now: Instant) {
+        let step = now.0 / self.step_ms();
+        match self.steps.back_mut() {
+            Some((last, n)) if *last >= step => *n += amount,
+            _ => self.steps.push_back((step, amount)),
+        }
+        self.sum += amount;
     }
 
-    fn refill(&mut self, share: f64, now: Instant) {
-        let span = now.since(self.at).0 as f64;
-        self.at = now;
-        self.level = (self.level + span * self.rate_per_ms * share).min(self.burst);
+    fn expire(&mut self, now: Instant) {
+        let oldest = (now.0 / self.step_ms()).saturating_sub(STEPS);
+        while let Some((step, n)) = self.steps.front().copied()
+            && step < oldest
+        {
+            self.steps.pop_front();
+            self.sum -= n;
+        }
+        if self.steps.is_empty() {
+            self.sum = 0.0;
+        }
+    }
+
+    /// Returns how long it takes until `excess` has left the window.
+    fn wait_for(&self, excess: f64, now: Instant) -> Millis {
+        let mut left = excess;
+        for (step, n) in &self.steps {
+            left -= n;
+            if left <= 0.0 {
+                let gone = Instant((step + STEPS + 1) * self.step_ms());
+                return gone.since(now);
+            }
+        }
+        self.allowance.window
     }
 }
 
