--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::watch;
 
 use sesamehaven::unit::{Instant, Millis};
 
@@ -31,9 +32,11 @@
 /// The connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 /// How long the balancer takes to notice that a front is not ready.
-const BALANCER_LAG: Millis = Millis(3_500);
+const BALANCER_LAG: Millis = Millis(2_800);
 /// How long before the end of the grace period the process ends by itself.
 const GRACE_MARGIN: Millis = Millis(400);
+/// How long a draining front must be idle before it ends.
+const SETTLED: Millis = Millis(150);
 /// How often a draining front looks whether it is idle.
 const DRAIN_TICK: Duration = Duration::from_millis(50);
 /// How often the settings are looked at when no signal says that they changed.
@@ -88,18 +91,22 @@
     actix_rt::spawn(reread(Rc::clone(&front), reload));
     let pools = Rc::clone(&front.pools);
     actix_rt::spawn(async move { pools.run().await });
-    listen_for_callers(&front, &settings)?;
+    let (close, closing) = watch::channel(false);
+    listen_for_callers(&front, &settings, closing)?;
     listen_for_admin(&front, &settings, metrics)?;
     terminate.recv().await;
-    drain(&front).await;
+    drain(&front, close).await;
     refresh::say_leaving(&front, &udp);
     spdlog::info!("front stopped", kv: { in_flight = front.active.get() });
     spdlog::default_logger().flush();
     Ok(())
 }
 
-/// Refuses new callers, finishes what is in flight, and returns when the process may end.
-async fn drain<D: Dialect>(front: &Front<D>) {
+/// Finishes what is in flight, and returns when the process may end.
+///
+/// Callers that the balancer still sends are served until it has noticed. Then
+/// idle connections are closed, so that no request comes too late to be finished.
+async fn drain<D: Dialect>(front: &Front<D>, close: watch::Sender<bool>) {
     let since = clock::now();
     front.is_draining.set(true);
     spdlog::info!("front draining", kv: { in_flight = front.active.get() });
@@ -108,14 +115,17 @@
     let mut idle_since: Option<Instant> = None;
     loop {
         let now = clock::now();
+        if now.since(since) >= BALANCER_LAG {
+            close.send_replace(true);
+        }
         match front.active.get() {
             0 => {
                 idle_since.get_or_insert(now);
             }
             _ => idle_since = None,
         }
-        let settled = idle_since.is_some_and(|at| now.since(at) >= Millis(100));
-        if now >= last || (settled && now.since(since) >= BALANCER_LAG) {
+        let settled = idle_since.is_some_and(|at| now.since(at) >= SETTLED);
+        if now >= last || (settled && *close.borrow()) {
             return;
         }
         tokio::time::sleep(DRAIN_TICK).await;
@@ -145,14 +155,18 @@
     }
 }
 
-fn listen_for_callers<D: Dialect>(front: &Rc<Front<D>>, settings: &Settings) -> io::Result<()> {
+fn listen_for_callers<D: Dialect>(
+    front: &Rc<Front<D>>,
+    settings: &Settings,
+    closing: watch::Receiver<bool>,
+) -> io::Result<()> {
     let listener = bind(settings.listen)?;
     let front = Rc::clone(front);
     let handler = move |req: Request| {
         let front = Rc::clone(&front);
         async move { Ok::<_, Infallible>(serve(front, req).await) }
     };
-    actix_rt::spawn(accept(listener, handler));
+    actix_rt::spawn(accept(listener, handler, closing));
     Ok(())
 }
 
@@ -170,7 +184,9 @@
         };
         async move { Ok::<_, Infallible>(Response::with_body(status, Body::Whole(Bytes::new()))) }
     };
-    actix_rt::spawn(accept(bind(settings.ready)?, ready));
+    // The balancer's questions and those for metrics are answered to the end.
+    let (_, never) = watch::channel(false);
+    actix_rt::spawn(accept(bind(settings.ready)?, ready, never.clone()));
     let Some(admin) = settings.admin else {
         return Ok(());
     };
@@ -180,10 +196,17 @@
         let text = Bytes::from(metrics.render());
         async move { Ok::<_, Infallible>(Response::with_body(StatusCode::OK, Body::Whole(text))) }
     };
-    actix_rt::spawn(accept(bind(admin)?, page));
+    actix_rt::spawn(accept(bind(admin)?, page, never));
     Ok(())
 }
 
+/// Waits until connections are to be closed after their current request.
+async fn closed(mut closing: watch::Receiver<bool>) {
+    if closing.wait_for(|is_closing| *is_closing).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
@@ -197,17 +220,19 @@
 /// Accepts connections and serves the requests on them.
 ///
 /// Half-closed connections count as left: a caller that closes has no use for an answer.
-async fn accept<H, F>(listener: TcpListener, handler: H)
+async fn accept<H, F>(listener: TcpListener, handler: H, closing: watch::Receiver<bool>)
 where
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Result<Response<Body>, Infallible>> + 'static,
 {
+    let signal = closing.clone();
     let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(IDLE))
         .client_request_timeout(IDLE)
         .client_disconnect_timeout(DISCONNECT)
         .h1_allow_half_closed(false)
         .tcp_nodelay(true)
+        .graceful_shutdown_signal(move || closed(signal.clone()))
         .h1(fn_service(handler))
         .tcp();
     let Ok(service) = factory.new_service(()).await else {
@@ -215,7 +240,11 @@
         return;
     };
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closed(closing.clone()) => return,
+        };
+        match accepted {
             Ok((io, _)) => {
                 actix_rt::spawn(service.call(io));
             }
