Keep batches full, and keep heavy spending beyond a restart

Now the first two fronts keep the sums of limits that are at least half used in the platform's store, and a start recalls them.

--- a/crates/sesamehaven-front/src/dialect.rs
+++ b/crates/sesamehaven-front/src/dialect.rs
@@ -122,4 +122,10 @@
 
     /// Reads the list of endpoints.
     fn endpoints(&self) -> impl Future<Output = Result<Listing>>;
+
+    /// Reads what all fronts have kept.
+    fn kept(&self) -> impl Future<Output = Result<Vec<Bytes>>>;
+
+    /// Keeps a short text under the name of a front, in place of the one before.
+    fn keep(&self, name: &str, text: Bytes) -> impl Future<Output = Result<()>>;
 }
--- a/crates/sesamehaven-front/src/peers.rs
+++ b/crates/sesamehaven-front/src/peers.rs
@@ -33,6 +33,8 @@
 const PEER_KEPT: Millis = Millis(15_000);
 /// How long what another front runs is believed after its last digest.
 const RUNNING_KEPT: Millis = Millis(1_500);
+/// How long after its last digest a front counts as in touch.
+const IN_TOUCH: Millis = Millis(1_000);
 /// How long a question to another front may take.
 const ASK_TIMEOUT: Duration = Duration::from_millis(800);
 /// The longest answer to a question, in bytes.
@@ -180,6 +182,17 @@
             .collect()
     }
 
+    /// Returns how many fronts in touch come before this one.
+    ///
+    /// What only a few fronts need to do is done by the first ones.
+    pub fn rank(&self, now: Instant) -> usize {
+        let heard = self
+            .peers
+            .iter()
+            .filter(|(_, p)| now.since(p.heard) <= IN_TOUCH);
+        heard.filter(|(address, _)| **address < self.own).count()
+    }
+
     /// Sums up what the other fronts run, by the hash of the endpoint.
     pub fn running(&self, now: Instant) -> HashMap<u32, u32> {
         let mut sum = HashMap::new();
--- a/crates/sesamehaven-front/src/refresh.rs
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -16,6 +16,7 @@
 use crate::error::Error;
 use crate::front::Front;
 use crate::peers::{self, DIGEST_MAX_BYTES, Digest, Told};
+use crate::spending::Kept;
 
 /// How often a digest goes to the other fronts, at the least.
 const DIGEST_EVERY: Millis = Millis(100);
@@ -202,6 +203,73 @@
     }
 }
 
+/// Keeps what was drawn on limits that are nearly used up, since a restart of all fronts forgets it.
+pub async fn keep_spending<D: Dialect>(front: Rc<Front<D>>, directory: Rc<impl Directory>) {
+    read_kept(&front, &*directory).await;
+    let name = front.settings.borrow().name.clone();
+    let mut last = Kept::default();
+    let mut dependency = Dependency {
+        name: "kept_spending",
+        is_lost: false,
+    };
+    loop {
+        tokio::time::sleep(KEEP_EVERY).await;
+        let now = clock::now();
+        let is_first = front.peers.borrow().rank(now) < KEEPERS;
+        let kept = match is_first {
+            true => front.spending.borrow().to_keep(now),
+            false => Kept::default(),
+        };
+        if kept == last {
+            continue;
+        }
+        let text = match serde_json::to_vec(&kept) {
+            Ok(text) => Bytes::from(text),
+            Err(err) => {
+                spdlog::error!("spending not kept", kv: { reason = err.to_string() });
+                continue;
+            }
+        };
+        let outcome = directory.keep(&name, text).await;
+        dependency.note(outcome.as_ref().map(|()| ()));
+        if outcome.is_ok() {
+            last = kept;
+        }
+    }
+}
+
+/// How often spending is kept while a limit is nearly used up.
+const KEEP_EVERY: Duration = Duration::from_millis(500);
+/// The fronts that keep what all have drawn.
+const KEEPERS: usize = 2;
+/// How often what was kept is asked for after a start, until the directory answers.
+const KEPT_ATTEMPTS: u32 = 8;
+
+async fn read_kept<D: Dialect>(front: &Front<D>, directory: &impl Directory) {
+    for _ in 0..KEPT_ATTEMPTS {
+        // Limits are known only with the configuration.
+        if front.knowledge.table().is_none() {
+            tokio::time::sleep(COMPARE_EVERY).await;
+            continue;
+        }
+        match directory.kept().await {
+            Ok(texts) => {
+                let kept = texts
+                    .iter()
+                    .filter_map(|text| serde_json::from_slice(text).ok());
+                let kept: Vec<Kept> = kept.collect();
+                front.spending.borrow_mut().on_kept(&kept, clock::now());
+                spdlog::info!("spending recalled", kv: { fronts = kept.len() });
+                return;
+            }
+            Err(err) => {
+                spdlog::warn!("spending not recalled", kv: { reason = err.to_string() });
+                tokio::time::sleep(COMPARE_EVERY).await;
+            }
+        }
+    }
+}
+
 /// Tells the other fronts several times a second what this one does.
 pub async fn tell<D: Dialect>(front: Rc<Front<D>>, socket: Rc<UdpSocket>) {
     loop {
--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -83,7 +83,8 @@
         Rc::clone(&front),
         Rc::clone(&directory),
     ));
-    actix_rt::spawn(refresh::endpoints(Rc::clone(&front), directory));
+    actix_rt::spawn(refresh::endpoints(Rc::clone(&front), Rc::clone(&directory)));
+    actix_rt::spawn(refresh::keep_spending(Rc::clone(&front), directory));
     actix_rt::spawn(refresh::tell(Rc::clone(&front), Rc::clone(&udp)));
     actix_rt::spawn(refresh::listen(Rc::clone(&front), Rc::clone(&udp)));
     actix_rt::spawn(refresh::catch_up(Rc::clone(&front)));
--- a/crates/sesamehaven-front/src/spending.rs
+++ b/crates/sesamehaven-front/src/spending.rs
@@ -1,6 +1,6 @@
 //! The limits that all fronts keep together, by organisation and by pool.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -12,6 +12,13 @@
 use crate::settings::Bounds;
 use crate::table::{Limit, Table};
 
+/// What was drawn on limits that are nearly used up, as it outlives a restart of all fronts.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
+    /// What all fronts have drawn within the window, by organisation.
+    pub sums: BTreeMap<SmolStr, u64>,
+}
+
 /// What one front has drawn on the limit of an organisation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Drawn {
@@ -98,6 +105,23 @@
         }
     }
 
+    /// Returns what must not be forgotten at a restart.
+    pub fn to_keep(&self, now: Instant) -> Kept {
+        let all = self.windows.iter();
+        let hot = all.filter_map(|(name, w)| Some((name.clone(), w.hot_sum(now)?)));
+        Kept {
+            sums: hot.collect(),
+        }
+    }
+
+    /// Takes in what was kept of the time before the start.
+    pub fn on_kept(&mut self, kept: &[Kept], now: Instant) {
+        for (name, window) in &mut self.windows {
+            let sums = kept.iter().filter_map(|k| k.sums.get(name));
+            window.on_kept(sums.max().copied(), now);
+        }
+    }
+
     /// Notes a request to a pool.
     pub fn on_request(&mut self, pool: &SmolStr, bounds: &Bounds, now: Instant) {
         self.retries(pool, bounds).on_request(now);
@@ -127,7 +151,7 @@
 }
 
 /// The part of the tolerance of a limit that is used, as totals of other fronts are a message old.
-const TOLERANCE_USED: f64 = 0.45;
+const TOLERANCE_USED: f64 = 0.4;
 
 fn allowance(limit: &Limit, bounds: &Bounds) -> Allowance {
     let window = bounds.limit_window;
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -28,6 +28,8 @@
 const HOME_BONUS: [f64; 2] = [0.45, 0.2];
 /// What an endpoint in the same data centre is worth, as a share of a full endpoint's load.
 const NEAR_BONUS: f64 = 0.05;
+/// The requests that an endpoint holds beyond those that it runs, so that its batch stays full.
+const AHEAD: u32 = 2;
 /// The share of an endpoint's places that long work may hold.
 const LONG_SHARE: f64 = 0.67;
 
@@ -101,7 +103,7 @@
     }
 
     fn free(&self) -> u32 {
-        self.listed.places.saturating_sub(self.load())
+        (self.listed.places + AHEAD).saturating_sub(self.load())
     }
 }
 
@@ -148,7 +150,7 @@
 
     /// Returns the places of all endpoints that take work.
     pub fn places(&self) -> u32 {
-        self.ready().map(|m| m.listed.places).sum()
+        self.ready().map(|m| m.listed.places + AHEAD).sum()
     }
 
     /// Returns the places that are free.
--- a/crates/sesamehaven/src/shared_limit.rs
+++ b/crates/sesamehaven/src/shared_limit.rs
@@ -10,6 +10,8 @@
 const SILENT_KEPT: Millis = Millis(15_000);
 /// How long after its last message a process counts as heard.
 const HEARD: Millis = Millis(500);
+/// The part of a limit from which on what was drawn is worth keeping beyond a restart.
+const HOT_SHARE: f64 = 0.5;
 /// The steps that a sliding window moves in.
 const STEPS: u64 = 40;
 /// The part of a limit that is used, since counts are a message old.
@@ -158,23 +160,53 @@
         is_known.then_some(self.sum.max(0.0) as u64)
     }
 
+    /// Returns what was drawn within the window, when it is so much that a restart must not forget it.
+    pub fn hot_sum(&self, now: Instant) -> Option<u64> {
+        let least = self.allowance.amount as f64 * HOT_SHARE;
+        self.known_sum(now).filter(|sum| *sum as f64 >= least)
+    }
+
+    /// Takes in what was kept of the time before the start; [`None`] says that it was not much.
+    pub fn on_kept(&mut self, sum: Option<u64>, now: Instant) {
+        if self.known_sum(now).is_some() {
+            return;
+        }
+        match sum {
+            Some(sum) => self.learn(sum as f64, now),
+            None => {
+                let own = self.drawn as f64;
+                self.forget();
+                self.assume(self.allowance.amount as f64 * HOT_SHARE, now);
+                self.add(own, now);
+            }
+        }
+        self.is_assumed = false;
+    }
+
     /// Takes in the total that another process has drawn, and its sum of the window if it knows it.
     pub fn on_peer(&mut self, peer: PeerId, drawn: u64, sum: Option<u64>, now: Instant) {
         let known = self.peers.insert(peer, drawn).unwrap_or(drawn);
         self.expire(now);
         match sum {
-            Some(sum) if self.known_sum(now).is_none() => {
-                self.is_assumed = false;
-                self.steps.clear();
-                self.sum = 0.0;
-                // When it was drawn is not known, so it counts for a whole window from now.
-                self.add((sum as f64).max(self.drawn as f64), now);
-            }
+            Some(sum) if self.known_sum(now).is_none() => self.learn(sum as f64, now),
             // A total that shrank comes from amounts that were given back.
             _ => self.add(drawn as f64 - known as f64, now),
         }
     }
 
+    /// Replaces what was assumed of the time before the start.
+    fn learn(&mut self, sum: f64, now: Instant) {
+        self.forget();
+        self.is_assumed = false;
+        // When it was drawn is not known, so it counts for a whole window from now.
+        self.add(sum.max(self.drawn as f64), now);
+    }
+
+    fn forget(&mut self) {
+        self.steps.clear();
+        self.sum = 0.0;
+    }
+
     fn step_ms(&self) -> u64 {
         (self.allowance.window.0 / STEPS).max(1)
     }
