Let two fronts read the directory for all

Now the first two in touch read, the others ask them over TCP, with ages that count from the sending of the question; a front whose knowledge is older than two rounds reads for itself.

--- a/crates/sesamehaven-front/src/dialect.rs
+++ b/crates/sesamehaven-front/src/dialect.rs
@@ -8,6 +8,7 @@
 
 use actix_http::RequestHead;
 use bytes::{Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use sesamehaven::unit::Millis;
@@ -64,7 +65,7 @@
 }
 
 /// An endpoint in the directory.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// The name of this incarnation of the endpoint.
     pub id: SmolStr,
@@ -81,7 +82,7 @@
 }
 
 /// What the directory says of the endpoints, with the entries that name none.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
     /// The endpoints.
     pub entries: Vec<Entry>,
@@ -89,6 +90,16 @@
     pub unreadable: Vec<(SmolStr, SmolStr)>,
 }
 
+impl Listing {
+    /// Returns a number that changes with the listing.
+    pub fn digest(&self) -> u64 {
+        // A listing that cannot be encoded is taken as changed each time.
+        let text = serde_json::to_vec(self).unwrap_or_default();
+        let digest = blake3::hash(&text);
+        u64::from_le_bytes(digest.as_bytes().first_chunk().copied().unwrap_or_default())
+    }
+}
+
 /// How callers and endpoints of a deployment speak.
 pub trait Dialect: 'static {
     /// Reads what the front needs of a request.
--- a/crates/sesamehaven-front/src/front.rs
+++ b/crates/sesamehaven-front/src/front.rs
@@ -16,7 +16,7 @@
 use crate::dialect::Dialect;
 use crate::hosts::Hosts;
 use crate::journal::LineBudget;
-use crate::knowledge::Knowledge;
+use crate::knowledge::{Knowledge, Listed};
 use crate::peers::Peers;
 use crate::pools::Pools;
 use crate::settings::Settings;
@@ -32,6 +32,8 @@
     pub settings: RefCell<Settings>,
     /// The configuration in force.
     pub knowledge: Knowledge,
+    /// The endpoints that the directory lists.
+    pub listed: Listed,
     /// The queues and endpoints.
     pub pools: Rc<Pools>,
     /// The connections to endpoints.
@@ -44,8 +46,6 @@
     pub quarantine: RefCell<Quarantine>,
     /// The requests in flight, by endpoint, as fingerprints.
     flights: RefCell<HashMap<SmolStr, SmallVec<[u64; 8]>>>,
-    /// Whether the endpoints were listed at least once.
-    pub has_endpoints: Cell<bool>,
     /// Whether the front is about to leave.
     pub is_draining: Cell<bool>,
     /// The requests that are being served.
@@ -64,13 +64,13 @@
         Front {
             settings: RefCell::new(settings),
             knowledge: Knowledge::default(),
+            listed: Listed::default(),
             pools: Rc::new(Pools::default()),
             hosts: Hosts::default(),
             spending: RefCell::new(Spending::default()),
             peers: RefCell::new(peers),
             quarantine: RefCell::new(Quarantine::default()),
             flights: RefCell::new(HashMap::new()),
-            has_endpoints: Cell::new(false),
             is_draining: Cell::new(false),
             active: Cell::new(0),
             body_bytes: Cell::new(0),
@@ -88,7 +88,7 @@
     /// Returns whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         !self.is_draining.get()
-            && self.has_endpoints.get()
+            && self.listed.digest() != 0
             && self.knowledge.table().is_some()
             && self.vouches_for_keys(clock::now())
     }
--- a/crates/sesamehaven-front/src/peers.rs
+++ b/crates/sesamehaven-front/src/peers.rs
@@ -23,6 +23,7 @@
 use sesamehaven::shared_limit::{Hearing, PeerId};
 use sesamehaven::unit::{Instant, Millis};
 
+use crate::dialect::Listing;
 use crate::spending::Drawn;
 
 /// The version of the messages; others are dropped.
@@ -58,6 +59,10 @@
     pub config: u64,
     /// How long ago its configuration was the newest.
     pub config_age: u64,
+    /// A number that changes with the endpoints that it knows.
+    pub listing: u64,
+    /// How long ago these were listed.
+    pub listing_age: u64,
     /// The requests in flight, by the hash of the endpoint.
     pub running: Vec<(u32, u32)>,
     /// What was drawn on the limits of organisations.
@@ -76,6 +81,8 @@
     running: Vec<(u32, u32)>,
     config: u64,
     config_age: Millis,
+    listing: u64,
+    listing_age: Millis,
 }
 
 /// The other fronts, as of their last digests.
@@ -124,6 +131,8 @@
             leaving: false,
             config: 0,
             config_age: 0,
+            listing: 0,
+            listing_age: 0,
             running: Vec::new(),
             drawn: Vec::new(),
             notices: Vec::new(),
@@ -169,6 +178,8 @@
             running: digest.running.clone(),
             config: digest.config,
             config_age: Millis(digest.config_age),
+            listing: digest.listing,
+            listing_age: Millis(digest.listing_age),
         };
         self.peers.insert(from, peer);
         true
@@ -206,25 +217,47 @@
         sum
     }
 
-    /// Finds the front that knows of a newer configuration, or of a fresher confirmation.
-    pub fn better_informed(&self, version: u64, age: Millis, now: Instant) -> Option<SocketAddr> {
-        let age_of = |p: &Peer| p.config_age.0 + now.since(p.heard).0;
+    /// Finds the front that knows of a newer configuration or of other endpoints, or both more freshly.
+    pub fn better_informed(&self, known: &Known, now: Instant) -> Option<SocketAddr> {
         let live = self
             .peers
             .iter()
             .filter(|(_, p)| now.since(p.heard) <= RUNNING_KEPT);
-        let best = live.max_by_key(|(_, p)| (p.config, std::cmp::Reverse(age_of(p))));
-        let (address, peer) = best?;
-        let is_newer = peer.config > version;
-        let is_fresher = peer.config == version && age_of(peer) + ASK_GAIN.0 < age.0;
-        (is_newer || is_fresher).then_some(*address)
+        let gain = |p: &Peer| {
+            let since = now.since(p.heard).0;
+            let config = known.config_age.0.saturating_sub(p.config_age.0 + since);
+            let listing = known.listing_age.0.saturating_sub(p.listing_age.0 + since);
+            let is_news = p.config > known.config || (p.listing != known.listing && listing > 0);
+            match is_news {
+                true => u64::MAX,
+                false if p.config < known.config => 0,
+                false => config.max(listing),
+            }
+        };
+        let (gain, address) = live
+            .map(|(a, p)| (gain(p), *a))
+            .max_by_key(|(gain, _)| *gain)?;
+        (gain > ASK_GAIN.0).then_some(address)
     }
 }
 
 /// How much fresher another front's word must be to be worth a question.
-const ASK_GAIN: Millis = Millis(700);
+const ASK_GAIN: Millis = Millis(300);
+
+/// What a front knows of the directory, and how old that is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Known {
+    /// The version of the configuration.
+    pub config: u64,
+    /// How long ago it was the newest.
+    pub config_age: Millis,
+    /// The number of the listing of endpoints.
+    pub listing: u64,
+    /// How long ago it was listed.
+    pub listing_age: Millis,
+}
 
-/// The answer to a question about the configuration.
+/// The answer to a question about the directory.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Told {
     /// The version in force at the front that answers.
@@ -233,17 +266,24 @@
     pub age: u64,
     /// The configuration, when the one who asks has another version.
     pub config: Option<Bytes>,
+    /// How long ago the endpoints were listed.
+    pub listing_age: u64,
+    /// The number of the listing.
+    pub listing: u64,
+    /// The endpoints, when the one who asks knows others.
+    pub endpoints: Option<Listing>,
 }
 
-/// Asks another front for its configuration, naming the version that is known.
+/// Asks another front for what it knows better, naming what is known.
 ///
 /// # Errors
 ///
 /// Fails when the front does not answer in time, or not in the protocol.
-pub async fn ask(peer: SocketAddr, version: u64) -> io::Result<Told> {
+pub async fn ask(peer: SocketAddr, known: &Known) -> io::Result<Told> {
     let exchange = async {
         let mut io = TcpStream::connect(peer).await?;
-        io.write_u64(version).await?;
+        io.write_u64(known.config).await?;
+        io.write_u64(known.listing).await?;
         let len = io.read_u32().await?;
         if len > ANSWER_MAX_BYTES {
             return Err(io::Error::from(io::ErrorKind::InvalidData));
@@ -261,10 +301,11 @@
 /// # Errors
 ///
 /// Fails when the other end does not ask in time or leaves.
-pub async fn answer(mut io: TcpStream, told: impl Fn(u64) -> Told) -> io::Result<()> {
+pub async fn answer(mut io: TcpStream, told: impl Fn(u64, u64) -> Told) -> io::Result<()> {
     let exchange = async {
         let version = io.read_u64().await?;
-        let buf = postcard::to_stdvec(&told(version)).map_err(io::Error::other)?;
+        let listing = io.read_u64().await?;
+        let buf = postcard::to_stdvec(&told(version, listing)).map_err(io::Error::other)?;
         let len = u32::try_from(buf.len()).map_err(io::Error::other)?;
         io.write_u32(len).await?;
         io.write_all(&buf).await?;
--- a/crates/sesamehaven-front/src/refresh.rs
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -15,7 +15,8 @@
 use crate::dialect::{Dialect, Directory, Listing};
 use crate::error::Error;
 use crate::front::Front;
-use crate::peers::{self, DIGEST_MAX_BYTES, Digest, Told};
+use crate::knowledge::reads_directory;
+use crate::peers::{self, DIGEST_MAX_BYTES, Digest, Known, Told};
 use crate::spending::Kept;
 
 /// How often a digest goes to the other fronts, at the least.
@@ -59,6 +60,10 @@
     };
     loop {
         let sent = clock::now();
+        if !reads(&front, front.knowledge.age(sent), sent) {
+            pause(&front, sent).await;
+            continue;
+        }
         match directory.config().await {
             Ok(Some(raw)) => {
                 dependency.note(Ok(()));
@@ -77,18 +82,18 @@
         name: "endpoints",
         is_lost: false,
     };
-    let mut known = Listing::default();
     let mut lapse = Lapse::default();
     loop {
         let sent = clock::now();
+        if !reads(&front, front.listed.age(sent), sent) {
+            pause(&front, sent).await;
+            continue;
+        }
         match directory.endpoints().await {
             Ok(listing) => {
                 dependency.note(Ok(()));
-                let listing = lapse.bridge(&known, listing, sent);
-                if listing != known || !front.has_endpoints.get() {
-                    set_endpoints(&front, &known, &listing);
-                    known = listing;
-                }
+                let listing = lapse.bridge(&front.listed.listing(), listing, sent);
+                take_endpoints(&front, listing, sent);
             }
             Err(err) => {
                 lapse.on_failure(sent);
@@ -136,13 +141,23 @@
     }
 }
 
+/// Returns whether this front reads the directory itself now.
+fn reads<D: Dialect>(front: &Front<D>, age: Millis, now: Instant) -> bool {
+    let rank = front.peers.borrow().rank(now);
+    reads_directory(rank, age, front.settings.borrow().refresh)
+}
+
 async fn pause<D: Dialect>(front: &Front<D>, sent: Instant) {
     let every = front.settings.borrow().refresh;
     let spent = clock::now().since(sent);
     tokio::time::sleep(Millis(every.0.saturating_sub(spent.0)).duration()).await;
 }
 
-fn set_endpoints<D: Dialect>(front: &Front<D>, known: &Listing, listing: &Listing) {
+fn take_endpoints<D: Dialect>(front: &Front<D>, listing: Listing, as_of: Instant) {
+    let Some(known) = front.listed.take(listing, as_of) else {
+        return;
+    };
+    let listing = front.listed.listing();
     for entry in &listing.entries {
         if !known.entries.contains(entry) {
             spdlog::info!("endpoint listed", kv: {
@@ -167,7 +182,6 @@
     let data_centre = front.settings.borrow().data_centre.clone();
     front.hosts.set_entries(&listing.entries);
     front.pools.set_entries(&listing.entries, &data_centre);
-    front.has_endpoints.set(true);
     gauge!("endpoints_listed").set(listing.entries.len() as f64);
 }
 
@@ -296,6 +310,8 @@
     digest.leaving = leaving;
     digest.config = front.knowledge.version();
     digest.config_age = front.knowledge.age(now).0;
+    digest.listing = front.listed.digest();
+    digest.listing_age = front.listed.age(now).0;
     digest.running = front.pools.running();
     digest.drawn = front.spending.borrow().drawn(now);
     let mut notices = front.quarantine.borrow().summary(now);
@@ -361,10 +377,15 @@
     loop {
         tokio::time::sleep(COMPARE_EVERY).await;
         let sent = clock::now();
-        let (version, age) = (front.knowledge.version(), front.knowledge.age(sent));
-        let informed = front.peers.borrow().better_informed(version, age, sent);
+        let known = Known {
+            config: front.knowledge.version(),
+            config_age: front.knowledge.age(sent),
+            listing: front.listed.digest(),
+            listing_age: front.listed.age(sent),
+        };
+        let informed = front.peers.borrow().better_informed(&known, sent);
         let Some(peer) = informed else { continue };
-        match peers::ask(peer, version).await {
+        match peers::ask(peer, &known).await {
             Ok(told) => take_told(&front, told, sent),
             Err(err) => {
                 counter!("questions_failed_total").increment(1);
@@ -384,6 +405,12 @@
         None if told.version == front.knowledge.version() => front.knowledge.confirm(as_of),
         None => {}
     }
+    let as_of = Instant(sent.0.saturating_sub(told.listing_age));
+    match told.endpoints {
+        Some(listing) => take_endpoints(front, listing, as_of),
+        None if told.listing == front.listed.digest() => front.listed.confirm(as_of),
+        None => {}
+    }
 }
 
 /// Answers the questions of other fronts.
@@ -395,12 +422,17 @@
         };
         let front = Rc::clone(&front);
         actix_rt::spawn(async move {
-            let told = |known: u64| {
+            let told = |known: u64, known_listing: u64| {
+                let now = clock::now();
                 let version = front.knowledge.version();
+                let listing = front.listed.digest();
                 Told {
                     version,
-                    age: front.knowledge.age(clock::now()).0,
+                    age: front.knowledge.age(now).0,
                     config: (version > known).then(|| front.knowledge.raw()),
+                    listing_age: front.listed.age(now).0,
+                    listing,
+                    endpoints: (listing != known_listing).then(|| front.listed.listing()),
                 }
             };
             if peers::answer(io, told).await.is_err() {
