--- a/crates/sesamehaven-front/src/body.rs
+++ b/crates/sesamehaven-front/src/body.rs
@@ -16,8 +16,42 @@
 pub enum Body {
     /// A body that is whole.
     Whole(Bytes),
-    /// A stream, which is whole only when its last part is [`None`].
-    Stream(mpsc::Receiver<Option<Part>>),
+    /// A body that comes in parts.
+    Stream(Stream),
+}
+
+/// A stream, which is whole only when its last part is [`None`].
+#[derive(Debug)]
+pub struct Stream {
+    parts: mpsc::Receiver<Option<Part>>,
+    broken: Option<io::Error>,
+}
+
+impl Stream {
+    /// Builds a stream of the parts that a relay sends.
+    pub fn new(parts: mpsc::Receiver<Option<Part>>) -> Self {
+        Stream {
+            parts,
+            broken: None,
+        }
+    }
+
+    fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Part>> {
+        if let Some(err) = self.broken.take() {
+            return Poll::Ready(Some(Err(err)));
+        }
+        let err = match self.parts.poll_recv(cx) {
+            Poll::Ready(Some(Some(Err(err)))) => err,
+            Poll::Ready(Some(part)) => return Poll::Ready(part),
+            // The relay ended without saying that the stream is whole.
+            Poll::Ready(None) => io::ErrorKind::ConnectionAborted.into(),
+            Poll::Pending => return Poll::Pending,
+        };
+        // An error drops what was not written yet, so the parts before it go out first.
+        self.broken = Some(err);
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
 }
 
 impl MessageBody for Body {
@@ -34,11 +68,7 @@
         match &mut *self {
             Body::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
             Body::Whole(bytes) => Poll::Ready(Some(Ok(std::mem::take(bytes)))),
-            Body::Stream(parts) => parts.poll_recv(cx).map(|part| match part {
-                Some(part) => part,
-                // The relay ended without saying that the stream is whole.
-                None => Some(Err(io::ErrorKind::ConnectionAborted.into())),
-            }),
+            Body::Stream(stream) => stream.poll_part(cx),
         }
     }
 }
--- a/crates/sesamehaven-front/src/relay.rs
+++ b/crates/sesamehaven-front/src/relay.rs
@@ -6,7 +6,7 @@
 
 use sesamehaven::placement::Ended;
 
-use crate::body::{Body, Part};
+use crate::body::{Body, Part, Stream};
 use crate::clock;
 use crate::dialect::Dialect;
 use crate::events::Splitter;
@@ -61,7 +61,7 @@
 /// Answers the caller with a stream, and goes on relaying it.
 pub fn start<D: Dialect>(job: Job<D>, answer: Answer<D>, first: First) -> Response<Body> {
     let (tx, rx) = mpsc::channel(PARTS_WAITING);
-    let mut res = Response::with_body(StatusCode::OK, Body::Stream(rx));
+    let mut res = Response::with_body(StatusCode::OK, Body::Stream(Stream::new(rx)));
     *res.status_mut() = answer.head.status;
     copy_headers(&answer.head.headers, res.headers_mut());
     actix_rt::spawn(relay(job, answer, first, tx));
--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -197,7 +197,15 @@
         let text = Bytes::from(metrics.render());
         async move { Ok::<_, Infallible>(Response::with_body(StatusCode::OK, Body::Whole(text))) }
     };
-    actix_rt::spawn(accept(bind(admin)?, page, never));
+    match bind(admin) {
+        Ok(listener) => {
+            actix_rt::spawn(accept(listener, page, never));
+        }
+        // Callers are served without metrics, too.
+        Err(err) => {
+            spdlog::error!("metrics are not served", kv: { address = admin.to_string(), reason = err.to_string() });
+        }
+    }
     Ok(())
 }
 
--- /dev/null
+++ b/crates/sesamehaven-wire/tests/http1.rs
@@ -0,0 +1,198 @@
+//! Exchanges with endpoints that answer early, late, twice, not at all or not in the protocol.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use sesamehaven_wire::http1::{Connection, Error};
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+const GET: http::Method = http::Method::GET;
+
+/// Listens on loopback and hands the first connection to `peer`.
+async fn endpoint<F, Fut>(peer: F) -> SocketAddr
+where
+    F: FnOnce(TcpStream) -> Fut + 'static,
+    Fut: Future<Output = ()> + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        let (io, _) = listener.accept().await.unwrap();
+        peer(io).await;
+    });
+    address
+}
+
+/// Answers with fixed bytes once the head of a request is there, and closes.
+async fn answering(answer: &'static [u8]) -> SocketAddr {
+    endpoint(move |mut io| async move {
+        read_head(&mut io).await;
+        io.write_all(answer).await.unwrap();
+    })
+    .await
+}
+
+async fn read_head(io: &mut TcpStream) -> Vec<u8> {
+    let mut read = Vec::new();
+    while !read.windows(4).any(|w| w == b"\r\n\r\n") {
+        let mut buf = [0; 1024];
+        let n = io.read(&mut buf).await.unwrap();
+        if n == 0 {
+            break;
+        }
+        read.extend_from_slice(&buf[..n]);
+    }
+    read
+}
+
+async fn send(address: SocketAddr) -> Connection {
+    let mut conn = Connection::open(address, TIMEOUT).await.unwrap();
+    let head = Bytes::from_static(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+    assert!(conn.send(head, Bytes::new()));
+    conn
+}
+
+#[actix_rt::test]
+async fn a_clean_exchange_leaves_the_connection_for_the_next() {
+    let address = endpoint(|mut io| async move {
+        for body in ["first", "other"] {
+            read_head(&mut io).await;
+            let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n{body}");
+            io.write_all(answer.as_bytes()).await.unwrap();
+        }
+        std::future::pending::<()>().await;
+    })
+    .await;
+    let mut conn = send(address).await;
+    for body in ["first", "other"] {
+        let head = conn.head(&GET).await.unwrap();
+        assert_eq!(conn.body(100).await.unwrap(), body);
+        conn.finish(&head);
+        assert!(conn.is_reusable() && conn.is_clean());
+        let next = Bytes::from_static(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+        conn.send(next, Bytes::new());
+    }
+}
+
+#[rstest]
+#[case::length(b"HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nwhole!")]
+#[case::chunks(
+    b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nwh\r\n4;x=y\r\nole!\r\n0\r\n\r\n"
+)]
+#[case::until_close(b"HTTP/1.1 200 OK\r\n\r\nwhole!")]
+#[case::after_continue(
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nwhole!"
+)]
+#[actix_rt::test]
+async fn bodies_are_read_whole(#[case] answer: &'static [u8]) {
+    let mut conn = send(answering(answer).await).await;
+    conn.head(&GET).await.unwrap();
+    assert_eq!(conn.body(100).await.unwrap(), "whole!");
+}
+
+#[rstest]
+#[case::short_length(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort")]
+#[case::no_last_chunk(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nshort\r\n")]
+#[case::no_answer(b"")]
+#[case::half_a_head(b"HTTP/1.1 200 OK\r\ncontent-")]
+#[actix_rt::test]
+async fn an_answer_that_breaks_off_is_an_error(#[case] answer: &'static [u8]) {
+    let mut conn = send(answering(answer).await).await;
+    let read = async {
+        conn.head(&GET).await?;
+        conn.body(100).await
+    };
+    assert!(matches!(read.await, Err(Error::Truncated | Error::Io(_))));
+}
+
+#[rstest]
+#[case::both_lengths(b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n")]
+#[case::two_lengths(b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab")]
+#[case::signed_length(b"HTTP/1.1 200 OK\r\ncontent-length: +1\r\n\r\na")]
+#[case::no_http(b"garbage garbage\r\n\r\n")]
+#[case::bad_chunk(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n")]
+#[case::bare_line_end(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\na\r\n")]
+#[actix_rt::test]
+async fn what_is_no_answer_is_malformed(#[case] answer: &'static [u8]) {
+    let mut conn = send(answering(answer).await).await;
+    let read = async {
+        conn.head(&GET).await?;
+        conn.body(100).await
+    };
+    let err = read.await.unwrap_err();
+    assert!(err.is_malformed(), "{err}");
+}
+
+#[actix_rt::test]
+async fn bytes_after_a_whole_answer_end_the_connection() {
+    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\naHTTP/1.1 200 OK\r\n\r\n";
+    let mut conn = send(answering(answer).await).await;
+    let head = conn.head(&GET).await.unwrap();
+    conn.body(100).await.unwrap();
+    conn.finish(&head);
+    assert!(!conn.is_reusable());
+}
+
+#[actix_rt::test]
+async fn an_idle_connection_on_which_something_came_is_not_clean() {
+    let address = endpoint(|mut io| async move {
+        read_head(&mut io).await;
+        io.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+            .await
+            .unwrap();
+        tokio::task::yield_now().await;
+        io.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+            .await
+            .unwrap();
+        std::future::pending::<()>().await;
+    })
+    .await;
+    let mut conn = send(address).await;
+    let head = conn.head(&GET).await.unwrap();
+    conn.body(100).await.unwrap();
+    conn.finish(&head);
+    let seen = async {
+        while conn.is_clean() {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(TIMEOUT, seen).await.unwrap();
+}
+
+/// The endpoint answers before it has read a long body, and reads the rest later.
+#[actix_rt::test]
+async fn an_answer_is_read_while_the_body_is_sent() {
+    const LONG: usize = 16 << 20;
+    let address = endpoint(|mut io| async move {
+        read_head(&mut io).await;
+        io.write_all(b"HTTP/1.1 429 Too Many Requests\r\ncontent-length: 0\r\n\r\n")
+            .await
+            .unwrap();
+        std::future::pending::<()>().await;
+    })
+    .await;
+    let mut conn = Connection::open(address, TIMEOUT).await.unwrap();
+    let head = format!("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: {LONG}\r\n\r\n");
+    conn.send(Bytes::from(head), Bytes::from(vec![7; LONG]));
+    let head = tokio::time::timeout(TIMEOUT, conn.head(&http::Method::POST))
+        .await
+        .unwrap()
+        .unwrap();
+    assert_eq!(head.status, 429);
+    conn.body(100).await.unwrap();
+    conn.finish(&head);
+    assert!(!conn.is_reusable(), "the rest of the body is still due");
+}
+
+#[actix_rt::test]
+async fn an_endpoint_that_refuses_was_sent_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    assert!(Connection::open(address, TIMEOUT).await.is_err());
+}
