--- a/crates/sesamehaven-daemons/tests/metrics.rs
+++ b/crates/sesamehaven-daemons/tests/metrics.rs
@@ -7,7 +7,16 @@
 use std::path::Path;
 
 const PAGE: &str = include_str!("../../../docs/METRICS.md");
-const ENDINGS: [&str; 6] = ["_slots", "_total", "_bytes", "_seconds", "_ratio", "_info"];
+const ENDINGS: [&str; 8] = [
+    "_slots",
+    "_requests",
+    "_endpoints",
+    "_total",
+    "_bytes",
+    "_seconds",
+    "_ratio",
+    "_info",
+];
 
 fn sources(dir: &Path, found: &mut Vec<String>) {
     for entry in fs::read_dir(dir).unwrap() {
@@ -46,6 +55,7 @@
         "sesamehaven-wire",
         "sesamehaven-config",
         "sesamehaven-daemons",
+        "sesamehaven-front",
     ] {
         sources(&crates.join(name).join("src"), &mut found);
     }
--- a/crates/sesamehaven-front/src/hosts.rs
+++ b/crates/sesamehaven-front/src/hosts.rs
@@ -75,7 +75,7 @@
             }
             host.address
         };
-        counter!("endpoint_connections_total").increment(1);
+        counter!("front_endpoint_connections_total").increment(1);
         Connection::open(address, CONNECT_TIMEOUT).await
     }
 
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -5,6 +5,7 @@
 
 use actix_http::{Method, StatusCode};
 use bytes::{BufMut, Bytes, BytesMut};
+use metrics::histogram;
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
@@ -126,7 +127,19 @@
             session: self.call.session,
             tried: self.tried.clone(),
         };
-        self.front.pools.acquire(&self.pool, work).await
+        let since = clock::now();
+        let place = self.front.pools.acquire(&self.pool, work).await;
+        let waited = clock::now().since(since);
+        let tier = self.rank.tier.to_string();
+        histogram!("front_wait_seconds", "tier" => tier).record(waited.duration());
+        place
+    }
+
+    /// Notes that the answer, or its first event, is on its way to the caller.
+    pub fn observe_answer(&self) {
+        let tier = self.rank.tier.to_string();
+        let took = clock::now().since(self.arrived).duration();
+        histogram!("front_first_answer_seconds", "tier" => tier).record(took);
     }
 
     /// Sends the request to an endpoint and reads the head of its answer.
--- a/crates/sesamehaven-front/src/journal.rs
+++ b/crates/sesamehaven-front/src/journal.rs
@@ -65,7 +65,7 @@
         }
         if self.lines.get() >= LINES_PER_SECOND {
             self.dropped.set(self.dropped.get() + 1);
-            counter!("log_lines_dropped_total").increment(1);
+            counter!("front_log_lines_dropped_total").increment(1);
             return false;
         }
         self.lines.set(self.lines.get() + 1);
--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -209,8 +209,8 @@
     pub fn publish(&self) {
         for (name, pool) in self.pools.borrow().iter() {
             let (free, _) = pool.places();
-            gauge!("pool_places_free", "pool" => name.to_string()).set(free);
-            gauge!("pool_waiting", "pool" => name.to_string()).set(pool.waiting() as f64);
+            gauge!("front_free_slots", "pool" => name.to_string()).set(free);
+            gauge!("front_waiting_requests", "pool" => name.to_string()).set(pool.waiting() as f64);
         }
     }
 
--- a/crates/sesamehaven-front/src/refresh.rs
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -38,7 +38,8 @@
 impl Dependency {
     fn note(&mut self, outcome: Result<(), &Error>) {
         let label = if outcome.is_ok() { "ok" } else { "failed" };
-        counter!("directory_reads_total", "what" => self.name, "outcome" => label).increment(1);
+        counter!("front_directory_calls_total", "what" => self.name, "outcome" => label)
+            .increment(1);
         match outcome {
             Ok(()) if self.is_lost => {
                 spdlog::info!("dependency regained", kv: { name = self.name });
@@ -182,7 +183,7 @@
     let data_centre = front.settings.borrow().data_centre.clone();
     front.hosts.set_entries(&listing.entries);
     front.pools.set_entries(&listing.entries, &data_centre);
-    gauge!("endpoints_listed").set(listing.entries.len() as f64);
+    gauge!("front_listed_endpoints").set(listing.entries.len() as f64);
 }
 
 fn take_config<D: Dialect>(front: &Front<D>, raw: Bytes, as_of: Instant, source: &str) {
@@ -196,7 +197,7 @@
             let mut spending = front.spending.borrow_mut();
             spending.set_table(&table, &bounds, clock::now());
             drop(spending);
-            counter!("configurations_total").increment(1);
+            counter!("front_configurations_total").increment(1);
             spdlog::info!("configuration in force", kv: {
                 version = table.version,
                 routes = table.routes(),
@@ -205,7 +206,7 @@
             });
         }
         Err(err) => {
-            counter!("configurations_rejected_total").increment(1);
+            counter!("front_configurations_rejected_total").increment(1);
             if front.knowledge.is_news(&raw) {
                 spdlog::error!("configuration rejected, the one in force stays", kv: {
                     reason = err.to_string(),
@@ -327,7 +328,7 @@
     for peer in to {
         // A digest that cannot be sent is made good by the next one.
         if socket.try_send_to(&buf, *peer).is_err() {
-            counter!("digests_unsent_total").increment(1);
+            counter!("front_digests_unsent_total").increment(1);
         }
     }
 }
@@ -340,14 +341,14 @@
             Ok(received) => received,
             Err(err) => {
                 // An unreachable peer shows up as an error of the socket.
-                counter!("digests_unread_total").increment(1);
+                counter!("front_digests_unread_total").increment(1);
                 spdlog::debug!("digest not read", kv: { reason = err.to_string() });
                 tokio::task::yield_now().await;
                 continue;
             }
         };
         let Ok(digest) = postcard::from_bytes::<Digest>(&buf[..len]) else {
-            counter!("digests_unread_total").increment(1);
+            counter!("front_digests_unread_total").increment(1);
             continue;
         };
         on_digest(&front, &socket, from, &digest);
@@ -388,7 +389,7 @@
         match peers::ask(peer, &known).await {
             Ok(told) => take_told(&front, told, sent),
             Err(err) => {
-                counter!("questions_failed_total").increment(1);
+                counter!("front_questions_failed_total").increment(1);
                 spdlog::info!("other front did not answer", kv: {
                     peer = peer.to_string(),
                     reason = err.to_string()
@@ -436,7 +437,7 @@
                 }
             };
             if peers::answer(io, told).await.is_err() {
-                counter!("questions_unanswered_total").increment(1);
+                counter!("front_questions_unanswered_total").increment(1);
             }
         });
     }
--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -258,7 +258,7 @@
                 actix_rt::spawn(service.call(io));
             }
             Err(err) => {
-                metrics::counter!("accept_errors_total").increment(1);
+                metrics::counter!("front_accept_errors_total").increment(1);
                 spdlog::warn!("connection not accepted", kv: { reason = err.to_string() });
                 tokio::time::sleep(DRAIN_TICK).await;
             }
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -57,7 +57,7 @@
         reply::close(&mut res);
     }
     let status = res.status().as_u16();
-    counter!("responses_total", "status" => status.to_string()).increment(1);
+    counter!("front_responses_total", "status" => status.to_string()).increment(1);
     res
 }
 
@@ -174,7 +174,7 @@
         return Ok(());
     }
     log_denied(front, call, "quarantined", front.knowledge.version());
-    counter!("requests_quarantined_total").increment(1);
+    counter!("front_quarantined_total").increment(1);
     Err(Failure::refused(
         "quarantined",
         "this request ran at endpoints that crashed, and runs no more",
@@ -200,7 +200,7 @@
     let drawn = spending.draw(&organisation.name, amount, &peers.hearing, clock::now());
     let (least, most) = LIMIT_RETRY_AFTER;
     drawn.map(|()| amount).map_err(|wait| {
-        counter!("requests_over_limit_total").increment(1);
+        counter!("front_over_limit_total").increment(1);
         Failure {
             status: StatusCode::TOO_MANY_REQUESTS,
             code: "over_limit",
@@ -263,8 +263,14 @@
     let result = tokio::time::timeout(left, to_answer(&mut job)).await;
     drop(held);
     let failure = match result {
-        Ok(Ok(Served::Whole(res))) => return res,
-        Ok(Ok(Served::Stream(answer, first))) => return relay::start(job, *answer, first),
+        Ok(Ok(Served::Whole(res))) => {
+            job.observe_answer();
+            return res;
+        }
+        Ok(Ok(Served::Stream(answer, first))) => {
+            job.observe_answer();
+            return relay::start(job, *answer, first);
+        }
         Ok(Err(failure)) => failure,
         Err(_) => timed_out(&job),
     };
@@ -277,7 +283,7 @@
         }
     }
     job.log("failed", "", failure.code);
-    counter!("requests_failed_total", "code" => failure.code).increment(1);
+    counter!("front_failures_total", "code" => failure.code).increment(1);
     failure.response()
 }
 
