--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -25,7 +25,7 @@
 /// The bounds of the time factor of an endpoint.
 const FACTOR_RANGE: (f64, f64) = (0.1, 20.0);
 /// What the session's first and second home are worth, as a share of a full endpoint's load.
-const HOME_BONUS: [f64; 2] = [0.45, 0.2];
+const HOME_BONUS: [f64; 2] = [0.1, 0.05];
 /// What an endpoint in the same data centre is worth, as a share of a full endpoint's load.
 const NEAR_BONUS: f64 = 0.05;
 /// The requests that an endpoint holds beyond those that it runs, so that its batch stays full.
