Tell other fronts sooner what runs, and begin elsewhere than they do

Cause: with 27 fronts a digest was 216 ms old, in which 160 requests start; all fronts took the same free places, engines got several requests too many and others idled.

--- a/crates/sesamehaven-front/src/front.rs
+++ b/crates/sesamehaven-front/src/front.rs
@@ -42,6 +42,8 @@
     pub spending: RefCell<Spending>,
     /// The other fronts.
     pub peers: RefCell<Peers>,
+    /// When the other fronts were last told what changes slowly.
+    pub told_all: Cell<Instant>,
     /// The requests that crash endpoints.
     pub quarantine: RefCell<Quarantine>,
     /// The requests in flight, by endpoint, as fingerprints.
@@ -62,13 +64,14 @@
     pub fn new(settings: Settings, incarnation: u64) -> Self {
         let peers = Peers::new(settings.peers, incarnation, settings.seeds.clone());
         Front {
-            settings: RefCell::new(settings),
             knowledge: Knowledge::default(),
             listed: Listed::default(),
-            pools: Rc::new(Pools::default()),
+            pools: Rc::new(Pools::new(hash_of(&settings.peers.to_string()))),
             hosts: Hosts::default(),
             spending: RefCell::new(Spending::default()),
+            settings: RefCell::new(settings),
             peers: RefCell::new(peers),
+            told_all: Cell::new(Instant(0)),
             quarantine: RefCell::new(Quarantine::default()),
             flights: RefCell::new(HashMap::new()),
             is_draining: Cell::new(false),
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -175,7 +175,7 @@
                 match head.status {
                     // The address belongs to another endpoint by now.
                     StatusCode::MISDIRECTED_REQUEST => place.unreachable(),
-                    _ => place.end(Ended::Unjudged),
+                    _ => place.full(),
                 }
                 Attempt::NotRun
             }
--- a/crates/sesamehaven-front/src/peers.rs
+++ b/crates/sesamehaven-front/src/peers.rs
@@ -65,6 +65,8 @@
     pub listing_age: u64,
     /// The requests in flight, by the hash of the endpoint.
     pub running: Vec<(u32, u32)>,
+    /// Whether the parts that change slowly are there: what was drawn, notices and peers.
+    pub is_full: bool,
     /// What was drawn on the limits of organisations.
     pub drawn: Vec<Drawn>,
     /// What is held against requests that crash endpoints.
@@ -134,6 +136,7 @@
             listing: 0,
             listing_age: 0,
             running: Vec::new(),
+            is_full: false,
             drawn: Vec::new(),
             notices: Vec::new(),
             peers: self.peers.keys().take(NAMED_MAX).copied().collect(),
--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -34,6 +34,7 @@
 /// The queues and endpoints of all pools.
 #[derive(Debug, Default)]
 pub struct Pools {
+    seed: u64,
     pools: RefCell<HashMap<SmolStr, Dispatcher>>,
     turns: RefCell<HashMap<Ticket, oneshot::Sender<Turn>>>,
     next: Cell<u64>,
@@ -58,13 +59,17 @@
     }
 
     /// Says that the endpoint cannot be reached, and frees the place.
-    pub fn unreachable(mut self) {
-        self.ended = None;
-        let ticket = self.ticket;
-        let now = clock::now();
+    pub fn unreachable(self) {
+        let (ticket, now) = (self.ticket, clock::now());
         self.pools
             .step(&self.pool, |d| d.on_unreachable(ticket, now));
     }
+
+    /// Says that the endpoint had no room, and frees the place.
+    pub fn full(self) {
+        let (ticket, now) = (self.ticket, clock::now());
+        self.pools.step(&self.pool, |d| d.on_full(ticket, now));
+    }
 }
 
 impl Drop for Place {
@@ -100,6 +105,14 @@
 }
 
 impl Pools {
+    /// Builds the pools of a front, whose own order of endpoints follows from its seed.
+    pub fn new(seed: u64) -> Self {
+        Pools {
+            seed,
+            ..Pools::default()
+        }
+    }
+
     /// Takes over the endpoints that the directory lists.
     pub fn set_entries(&self, entries: &[Entry], data_centre: &str) {
         let mut listed: HashMap<SmolStr, Vec<Listed>> = HashMap::new();
@@ -117,7 +130,7 @@
                 pool.set_listed(listed.remove(name).unwrap_or_default());
             }
             for (name, listed) in listed {
-                let mut pool = Dispatcher::default();
+                let mut pool = Dispatcher::new(self.seed);
                 pool.set_listed(listed);
                 pools.insert(name, pool);
             }
--- a/crates/sesamehaven-front/src/refresh.rs
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -20,9 +20,11 @@
 use crate::spending::Kept;
 
 /// How often a digest goes to the other fronts, at the least.
-const DIGEST_EVERY: Millis = Millis(100);
+const DIGEST_EVERY: Millis = Millis(50);
+/// How often a digest also tells what changes slowly.
+const SLOW_PARTS_EVERY: Millis = Millis(100);
 /// The pause between digests for each other front, which bounds their cost in large fleets.
-const DIGEST_EVERY_PER_PEER: Millis = Millis(8);
+const DIGEST_EVERY_PER_PEER: Millis = Millis(2);
 /// How often a front looks whether another one knows more.
 const COMPARE_EVERY: Duration = Duration::from_millis(300);
 /// The notices of crashes that a digest carries.
@@ -314,10 +316,16 @@
     digest.listing = front.listed.digest();
     digest.listing_age = front.listed.age(now).0;
     digest.running = front.pools.running();
-    digest.drawn = front.spending.borrow().drawn(now);
-    let mut notices = front.quarantine.borrow().summary(now);
-    notices.truncate(NOTICES_MAX);
-    digest.notices = notices;
+    digest.is_full = leaving || now.since(front.told_all.get()) >= SLOW_PARTS_EVERY;
+    if digest.is_full {
+        front.told_all.set(now);
+        digest.drawn = front.spending.borrow().drawn(now);
+        let mut notices = front.quarantine.borrow().summary(now);
+        notices.truncate(NOTICES_MAX);
+        digest.notices = notices;
+    } else {
+        digest.peers.clear();
+    }
     let buf = match peers::encode(&mut digest) {
         Ok(buf) => buf,
         Err(err) => {
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -169,8 +169,15 @@
 
 impl Default for Dispatcher {
     fn default() -> Self {
+        Dispatcher::new(0)
+    }
+}
+
+impl Dispatcher {
+    /// Builds the dispatcher of a process, whose own order of endpoints follows from its seed.
+    pub fn new(seed: u64) -> Self {
         Dispatcher {
-            placement: Placement::default(),
+            placement: Placement::new(seed),
             backlog: Backlog::default(),
             works: HashMap::new(),
             running: HashMap::new(),
@@ -275,6 +282,14 @@
         self.on_end(ticket, Ended::Unjudged, now)
     }
 
+    /// Notes that an endpoint had no room; the request has not run there.
+    pub fn on_full(&mut self, ticket: Ticket, now: Instant) -> Steps {
+        if let Some(run) = self.running.get(&ticket) {
+            self.placement.on_full(&run.endpoint, now);
+        }
+        self.on_end(ticket, Ended::Unjudged, now)
+    }
+
     /// Refuses what has waited too long, and starts what has a place by now.
     pub fn on_tick(&mut self, now: Instant) -> Steps {
         let mut steps = Steps::new();
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -30,6 +30,15 @@
 const NEAR_BONUS: f64 = 0.05;
 /// The requests that an endpoint holds beyond those that it runs, so that its batch stays full.
 const AHEAD: u32 = 2;
+/// How long an endpoint is passed over that had no room, about the time that a request holds a place.
+const FULL_KEPT: Millis = Millis(150);
+/// How strongly a process prefers endpoints by its own order, as a share of a full endpoint's load.
+///
+/// Processes whose counts of each other are stale crowd together less when each
+/// begins elsewhere.
+const OWN_ORDER: f64 = 1.0;
+/// How much chance adds, as a share of a full endpoint's load.
+const TIE: f64 = 0.05;
 /// The share of an endpoint's places that long work may hold.
 const LONG_SHARE: f64 = 0.67;
 
@@ -80,6 +89,7 @@
     samples: u32,
     ejected_until: Instant,
     ejections: u32,
+    full_until: Instant,
 }
 
 impl Member {
@@ -95,6 +105,7 @@
             samples: 0,
             ejected_until: Instant(0),
             ejections: 0,
+            full_until: Instant(0),
         }
     }
 
@@ -111,9 +122,18 @@
 #[derive(Debug, Default)]
 pub struct Placement {
     members: Vec<Member>,
+    seed: u64,
 }
 
 impl Placement {
+    /// Builds the placement of a process, whose own order of endpoints follows from its seed.
+    pub fn new(seed: u64) -> Self {
+        Placement {
+            members: Vec::new(),
+            seed,
+        }
+    }
+
     /// Takes over what the directory lists, keeping what was learned of endpoints that stay.
     pub fn set_listed(&mut self, listed: impl IntoIterator<Item = Listed>) {
         let mut old = std::mem::take(&mut self.members);
@@ -172,7 +192,7 @@
             if tried.contains(&member.listed.id) || !self.may_take(member, demand, median, now) {
                 continue;
             }
-            let score = score(member, demand, &homes);
+            let score = self.score(member, demand, &homes);
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, member));
             }
@@ -234,6 +254,13 @@
         }
     }
 
+    /// Passes over an endpoint for a while that had no room for a request.
+    pub fn on_full(&mut self, id: &str, now: Instant) {
+        if let Some(member) = self.member(id) {
+            member.full_until = now.after(FULL_KEPT);
+        }
+    }
+
     /// Sets an endpoint aside that cannot be reached.
     pub fn on_unreachable(&mut self, id: &str, now: Instant) {
         if let Some(member) = self.member(id) {
@@ -255,7 +282,7 @@
         if member.free() == 0 {
             return false;
         }
-        if member.ejected_until > now {
+        if member.ejected_until > now || member.full_until > now {
             return false;
         }
         if member.ejections > 0 && member.own > 0 {
@@ -268,6 +295,21 @@
         !demand.is_long || f64::from(member.own_long) < long_max
     }
 
+    /// Rates an endpoint for a request; the least is the best.
+    fn score(&self, member: &Member, demand: &Demand, homes: &[u64]) -> f64 {
+        let load = f64::from(member.load() + 1) / f64::from(member.listed.places.max(1));
+        let home = homes.iter().position(|h| *h == member.hash);
+        let bonus = home.map_or(0.0, |rank| HOME_BONUS[rank]);
+        let near = if member.listed.is_near {
+            NEAR_BONUS
+        } else {
+            0.0
+        };
+        let own = unit(mix(member.hash ^ self.seed)) * OWN_ORDER;
+        let tie = unit(mix(member.hash ^ demand.draw)) * TIE;
+        load * member.factor - bonus - near + own + tie
+    }
+
     fn homes(&self, demand: &Demand) -> SmallVec<[u64; 2]> {
         let Some(session) = demand.session else {
             return SmallVec::new();
@@ -298,19 +340,6 @@
     }
 }
 
-fn score(member: &Member, demand: &Demand, homes: &[u64]) -> f64 {
-    let load = f64::from(member.load() + 1) / f64::from(member.listed.places.max(1));
-    let home = homes.iter().position(|h| *h == member.hash);
-    let bonus = home.map_or(0.0, |rank| HOME_BONUS[rank]);
-    let near = if member.listed.is_near {
-        NEAR_BONUS
-    } else {
-        0.0
-    };
-    let tie = (mix(member.hash ^ demand.draw) >> 40) as f64 / (1u64 << 24) as f64 * NEAR_BONUS;
-    load * member.factor - bonus - near + tie
-}
-
 /// Digests a name into the number by which processes speak of it.
 pub fn hash_of(name: &str) -> u64 {
     let digest = blake3::hash(name.as_bytes());
@@ -318,6 +347,11 @@
     u64::from_le_bytes(head.unwrap_or_default())
 }
 
+/// Maps a number to the range from 0 to 1.
+fn unit(n: u64) -> f64 {
+    (n >> 40) as f64 / (1u64 << 24) as f64
+}
+
 /// Spreads the bits of a number, so that its neighbours fall far apart.
 fn mix(n: u64) -> u64 {
     let n = (n ^ (n >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
