--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -37,9 +37,11 @@
 const LONG_MS: f64 = 700.0;
 /// The part of the objective that a request may be expected to wait for a place.
 const WAIT_SHARE: f64 = 0.6;
+/// The same for the most urgent rank, which is worth serving late.
+const URGENT_WAIT_SHARE: f64 = 2.0;
 /// The part of the objective after which a request that has no place is given up.
 const GIVE_UP_SHARE: f64 = 1.2;
-/// The same for the most urgent tier, which is worth serving late.
+/// The same for the most urgent rank.
 const URGENT_GIVE_UP_SHARE: f64 = 3.0;
 /// The part of the objective that a started request needs up to its first token.
 const FIRST_TOKEN_SHARE: f64 = 0.3;
@@ -224,18 +226,19 @@
         }
         let wait = self.expected_wait(ticket, &work, now);
         let waited = now.since(work.arrived);
-        let most = work.share_of_objective(WAIT_SHARE);
+        let is_urgent = self.backlog.ranks_above(work.rank) == 0;
+        let (wait_share, give_up_share) = match is_urgent {
+            true => (URGENT_WAIT_SHARE, URGENT_GIVE_UP_SHARE),
+            false => (WAIT_SHARE, GIVE_UP_SHARE),
+        };
+        let most = work.share_of_objective(wait_share);
         let is_starved = self.backlog.is_starved(&work.class, work.rank);
         let is_hopeless = wait.0 > 0 && wait.0 + waited.0 > most.0;
         if is_hopeless && !is_starved && work.tried.is_empty() {
             self.backlog.count_refused(&work.class, work.rank, now);
             return self.refuse(ticket, Refusal::Overload, now.after(wait), now);
         }
-        let share = match self.backlog.ranks_above(work.rank) == 0 {
-            true => URGENT_GIVE_UP_SHARE,
-            false => GIVE_UP_SHARE,
-        };
-        let give_up = work.arrived.after(work.share_of_objective(share));
+        let give_up = work.arrived.after(work.share_of_objective(give_up_share));
         let on_time = work.share_of_objective(1.0 - FIRST_TOKEN_SHARE);
         let waiting = Waiting {
             ticket,
