Return sessions to the endpoint that ran them, and split long files

The agreed homes of sessions unbalanced endpoints where sessions never come back. A front now remembers where a session ran lately and returns it there. Files of the front are split by their jobs.

--- /dev/null
+++ b/crates/sesamehaven-front/src/headers.rs
@@ -0,0 +1,61 @@
+//! The header fields that pass through a front.
+
+use actix_http::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+use bytes::{BufMut, Bytes, BytesMut};
+use smallvec::SmallVec;
+use smol_str::SmolStr;
+
+use crate::dialect::Dialect;
+
+/// Writes the caller's header fields that go on to the endpoint.
+pub(crate) fn forwarded<D: Dialect>(headers: &HeaderMap) -> Bytes {
+    let named = connection_options(headers);
+    let mut fields = BytesMut::with_capacity(512);
+    for (name, value) in headers {
+        let name = name.as_str();
+        if is_hop_by_hop(name) || named.iter().any(|n| n == name) || !D::passes(name) {
+            continue;
+        }
+        fields.put_slice(name.as_bytes());
+        fields.put_slice(b": ");
+        fields.put_slice(value.as_bytes());
+        fields.put_slice(b"\r\n");
+    }
+    fields.freeze()
+}
+
+fn connection_options(headers: &HeaderMap) -> SmallVec<[SmolStr; 2]> {
+    let values = headers.get_all(CONNECTION).filter_map(|v| v.to_str().ok());
+    let options = values.flat_map(|v| v.split(','));
+    options
+        .map(|o| SmolStr::new(o.trim().to_ascii_lowercase()))
+        .collect()
+}
+
+fn is_hop_by_hop(name: &str) -> bool {
+    let known = [
+        CONNECTION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+        CONTENT_LENGTH,
+        EXPECT,
+    ];
+    known.iter().any(|k| k.as_str() == name)
+        || matches!(
+            name,
+            "keep-alive" | "proxy-connection" | "proxy-authorization"
+        )
+}
+
+/// Copies the header fields of an endpoint's answer, but for those of its connection.
+pub(crate) fn copy_headers(from: &http::HeaderMap, to: &mut HeaderMap) {
+    for (name, value) in from {
+        if !is_hop_by_hop(name.as_str()) {
+            to.append(name.clone(), value.clone());
+        }
+    }
+}
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -148,7 +148,7 @@
         let mut conn = match self.front.hosts.connect(&endpoint).await {
             Ok(conn) => conn,
             Err(err) => {
-                self.log("unreachable", &endpoint, &err.to_string());
+                self.log("unreachable", &endpoint, err.to_string());
                 place.unreachable();
                 return Attempt::NotSent;
             }
@@ -190,7 +190,7 @@
                 Attempt::NotSent
             }
             Err(err) => {
-                self.log("broken_off", &endpoint, &err.to_string());
+                self.log("broken_off", &endpoint, err.to_string());
                 if !err.is_malformed() {
                     self.front.on_broken_off(&endpoint, clock::now());
                 }
--- a/crates/sesamehaven-front/src/lib.rs
+++ b/crates/sesamehaven-front/src/lib.rs
@@ -7,12 +7,15 @@
 //!
 //! The design is described in [`docs/FRONT.md`](../../../docs/FRONT.md).
 
+mod admit;
 pub mod body;
 pub mod clock;
 pub mod dialect;
 pub mod error;
 pub mod events;
 pub mod front;
+pub mod gossip;
+mod headers;
 pub mod hosts;
 pub mod job;
 pub mod journal;
--- a/crates/sesamehaven-front/src/relay.rs
+++ b/crates/sesamehaven-front/src/relay.rs
@@ -11,8 +11,9 @@
 use crate::dialect::Dialect;
 use crate::events::Splitter;
 use crate::front::Counted;
+use crate::headers::copy_headers;
 use crate::job::{Answer, Attempt, Job};
-use crate::serve::{copy_headers, silence_limit};
+use crate::serve::silence_limit;
 use crate::table::Repeat;
 
 /// The parts that wait for a caller that reads slowly.
--- a/crates/sesamehaven-front/src/reply.rs
+++ b/crates/sesamehaven-front/src/reply.rs
@@ -12,6 +12,9 @@
 /// The field that tells a caller whether its request has run.
 const OUTCOME: HeaderName = HeaderName::from_static("request-outcome");
 
+/// The result of steps on the way to an answer.
+pub type Outcome<T> = Result<T, Failure>;
+
 /// What a front says of a request that it has no answer for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Failure {
--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -21,6 +21,7 @@
 use crate::clock;
 use crate::dialect::{Dialect, Directory};
 use crate::front::Front;
+use crate::gossip;
 use crate::refresh;
 use crate::serve::serve;
 use crate::settings::Settings;
@@ -71,7 +72,7 @@
         settings.clone(),
         u64::from(rand::random::<u32>()),
     ));
-    let (udp, tcp) = refresh::socket(settings.peers).await?;
+    let (udp, tcp) = gossip::socket(settings.peers).await?;
     let udp = Rc::new(udp);
     spdlog::info!("front started", kv: {
         name = settings.name.as_str(),
@@ -85,10 +86,10 @@
     ));
     actix_rt::spawn(refresh::endpoints(Rc::clone(&front), Rc::clone(&directory)));
     actix_rt::spawn(refresh::keep_spending(Rc::clone(&front), directory));
-    actix_rt::spawn(refresh::tell(Rc::clone(&front), Rc::clone(&udp)));
-    actix_rt::spawn(refresh::listen(Rc::clone(&front), Rc::clone(&udp)));
-    actix_rt::spawn(refresh::catch_up(Rc::clone(&front)));
-    actix_rt::spawn(refresh::answer(Rc::clone(&front), tcp));
+    actix_rt::spawn(gossip::tell(Rc::clone(&front), Rc::clone(&udp)));
+    actix_rt::spawn(gossip::listen(Rc::clone(&front), Rc::clone(&udp)));
+    actix_rt::spawn(gossip::catch_up(Rc::clone(&front)));
+    actix_rt::spawn(gossip::answer(Rc::clone(&front), tcp));
     actix_rt::spawn(reread(Rc::clone(&front), reload));
     let pools = Rc::clone(&front.pools);
     actix_rt::spawn(async move { pools.run().await });
@@ -97,7 +98,7 @@
     listen_for_admin(&front, &settings, metrics)?;
     terminate.recv().await;
     drain(&front, close).await;
-    refresh::say_leaving(&front, &udp);
+    gossip::say_leaving(&front, &udp);
     spdlog::info!("front stopped", kv: { in_flight = front.active.get() });
     spdlog::default_logger().flush();
     Ok(())
--- a/crates/sesamehaven-front/tests/events.rs
+++ b/crates/sesamehaven-front/tests/events.rs
@@ -1,5 +1,7 @@
 //! Streams of events that are cut anywhere and go on at another endpoint.
 
+#![allow(clippy::unwrap_used)] // The helpers run in tests only.
+
 use bytes::Bytes;
 use rstest::rstest;
 
--- a/crates/sesamehaven-wire/src/http1.rs
+++ b/crates/sesamehaven-wire/src/http1.rs
@@ -267,7 +267,7 @@
         loop {
             let mut interest = Interest::READABLE;
             if !self.out.is_empty() {
-                interest = interest | Interest::WRITABLE;
+                interest |= Interest::WRITABLE;
             }
             let ready = self.io.ready(interest).await?;
             if ready.is_writable() {
--- a/crates/sesamehaven-wire/tests/http1.rs
+++ b/crates/sesamehaven-wire/tests/http1.rs
@@ -1,5 +1,7 @@
 //! Exchanges with endpoints that answer early, late, twice, not at all or not in the protocol.
 
+#![allow(clippy::unwrap_used)] // The helpers run in tests only.
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/sesamehaven/src/backlog.rs
+++ b/crates/sesamehaven/src/backlog.rs
@@ -209,16 +209,16 @@
         if asked > 0.0 { started / asked } else { 1.0 }
     }
 
-    /// Returns how many ranks above this one were asked for lately.
-    pub fn ranks_above(&self, rank: Rank) -> usize {
-        let mut above: SmallVec<[Rank; 8]> = SmallVec::new();
+    /// Returns how many ranks above this one were asked for lately, and how many in all.
+    pub fn position(&self, rank: Rank) -> (usize, usize) {
+        let mut ranks: SmallVec<[Rank; 8]> = SmallVec::new();
         for class in &self.classes {
-            let is_above = class.rank < rank && class.asked >= SHARE_MIN;
-            if is_above && !above.contains(&class.rank) {
-                above.push(class.rank);
+            if class.asked >= SHARE_MIN && !ranks.contains(&class.rank) {
+                ranks.push(class.rank);
             }
         }
-        above.len()
+        let above = ranks.iter().filter(|r| **r < rank).count();
+        (above, ranks.len())
     }
 
     fn class(&mut self, name: &SmolStr, rank: Rank, now: Instant) -> &mut Class {
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -31,8 +31,8 @@
 use crate::tier::Tier;
 use crate::unit::{Instant, Millis};
 
-/// The share of the places that each less urgent tier leaves free for those above it.
-const RESERVE_SHARE: f64 = 0.07;
+/// The share of the places that the least urgent rank leaves free for those above it.
+const RESERVE_SHARE: f64 = 0.14;
 /// The time in a place from which work counts as long, in milliseconds.
 const LONG_MS: f64 = 700.0;
 /// The part of the objective that a request may be expected to wait for a place.
@@ -226,7 +226,7 @@
         }
         let wait = self.expected_wait(ticket, &work, now);
         let waited = now.since(work.arrived);
-        let is_urgent = self.backlog.ranks_above(work.rank) == 0;
+        let is_urgent = self.backlog.position(work.rank).0 == 0;
         let (wait_share, give_up_share) = match is_urgent {
             true => (URGENT_WAIT_SHARE, URGENT_GIVE_UP_SHARE),
             false => (WAIT_SHARE, GIVE_UP_SHARE),
@@ -333,7 +333,7 @@
                 continue;
             };
             self.backlog.start(ticket, now);
-            self.placement.on_start(&endpoint, work.is_long());
+            self.placement.on_start(&endpoint, &demand, now);
             let run = Running {
                 endpoint: endpoint.clone(),
                 rank: work.rank,
@@ -382,7 +382,8 @@
 
     /// Returns the places that a rank leaves free for those above it.
     fn reserve(&self, rank: Rank, places: u32) -> u32 {
-        let above = self.backlog.ranks_above(rank) as f64;
-        (f64::from(places) * RESERVE_SHARE * above).round() as u32
+        let (above, ranks) = self.backlog.position(rank);
+        let below_first = (ranks.max(2) - 1) as f64;
+        (f64::from(places) * RESERVE_SHARE * above as f64 / below_first).round() as u32
     }
 }
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -1,10 +1,13 @@
 //! The choice of an endpoint among those of a pool, by a process that dispatches directly.
 //!
 //! Several processes dispatch to the same endpoints, and each knows the work of
-//! the others only as of their last message. Placement therefore spreads by
-//! session first, on which all agree without a message, and by load second. See
+//! the others only as of their last message. So each begins with endpoints of its
+//! own order, which keeps them from crowding together on those that looked free
+//! to all. A session returns to the endpoint that ran it lately. See
 //! [`docs/FRONT.md`](../../../docs/FRONT.md#placing).
 
+use std::collections::{HashMap, VecDeque};
+
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
@@ -24,8 +27,12 @@
 const SLOW_FACTOR: f64 = 3.0;
 /// The bounds of the time factor of an endpoint.
 const FACTOR_RANGE: (f64, f64) = (0.1, 20.0);
-/// What the session's first and second home are worth, as a share of a full endpoint's load.
-const HOME_BONUS: [f64; 2] = [0.1, 0.05];
+/// What the endpoint that ran a session lately is worth, as a share of a full endpoint's load.
+const SESSION_BONUS: f64 = 1.2;
+/// How long a session is expected to find its prompt cached.
+const SESSION_KEPT: Millis = Millis(10_000);
+/// The sessions that are remembered.
+const SESSIONS_MAX: usize = 4_096;
 /// What an endpoint in the same data centre is worth, as a share of a full endpoint's load.
 const NEAR_BONUS: f64 = 0.05;
 /// The requests that an endpoint holds beyond those that it runs, so that its batch stays full.
@@ -122,14 +129,48 @@
 #[derive(Debug, Default)]
 pub struct Placement {
     members: Vec<Member>,
+    sessions: Sessions,
     seed: u64,
 }
 
+/// Where sessions ran lately.
+#[derive(Debug, Default)]
+struct Sessions {
+    endpoints: HashMap<u64, (u64, Instant)>,
+    order: VecDeque<(Instant, u64)>,
+}
+
+impl Sessions {
+    fn endpoint(&self, session: u64, now: Instant) -> Option<u64> {
+        let (endpoint, at) = self.endpoints.get(&session)?;
+        (now.since(*at) <= SESSION_KEPT).then_some(*endpoint)
+    }
+
+    fn note(&mut self, session: u64, endpoint: u64, now: Instant) {
+        self.endpoints.insert(session, (endpoint, now));
+        self.order.push_back((now, session));
+        while let Some((at, oldest)) = self.order.front().copied()
+            && (now.since(at) > SESSION_KEPT || self.order.len() > SESSIONS_MAX)
+        {
+            self.order.pop_front();
+            // A session that ran again since has a younger place in the order.
+            if self
+                .endpoints
+                .get(&oldest)
+                .is_some_and(|(_, last)| *last == at)
+            {
+                self.endpoints.remove(&oldest);
+            }
+        }
+    }
+}
+
 impl Placement {
     /// Builds the placement of a process, whose own order of endpoints follows from its seed.
     pub fn new(seed: u64) -> Self {
         Placement {
             members: Vec::new(),
+            sessions: Sessions::default(),
             seed,
         }
     }
@@ -185,14 +226,14 @@
 
     /// Chooses the endpoint of a request, outside of those that it has tried.
     pub fn choose(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> Option<SmolStr> {
-        let homes = self.homes(demand);
+        let last = demand.session.and_then(|s| self.sessions.endpoint(s, now));
         let median = self.median_factor();
         let mut best: Option<(f64, &Member)> = None;
         for member in self.ready() {
             if tried.contains(&member.listed.id) || !self.may_take(member, demand, median, now) {
                 continue;
             }
-            let score = self.score(member, demand, &homes);
+            let score = self.score(member, demand, last);
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, member));
             }
@@ -201,10 +242,15 @@
     }
 
     /// Notes that a request was dispatched.
-    pub fn on_start(&mut self, id: &str, is_long: bool) {
-        if let Some(member) = self.member(id) {
-            member.own += 1;
-            member.own_long += u32::from(is_long);
+    pub fn on_start(&mut self, id: &str, demand: &Demand, now: Instant) {
+        let Some(member) = self.member(id) else {
+            return;
+        };
+        member.own += 1;
+        member.own_long += u32::from(demand.is_long);
+        let hash = member.hash;
+        if let Some(session) = demand.session {
+            self.sessions.note(session, hash, now);
         }
     }
 
@@ -296,10 +342,10 @@
     }
 
     /// Rates an endpoint for a request; the least is the best.
-    fn score(&self, member: &Member, demand: &Demand, homes: &[u64]) -> f64 {
+    fn score(&self, member: &Member, demand: &Demand, last: Option<u64>) -> f64 {
         let load = f64::from(member.load() + 1) / f64::from(member.listed.places.max(1));
-        let home = homes.iter().position(|h| *h == member.hash);
-        let bonus = home.map_or(0.0, |rank| HOME_BONUS[rank]);
+        let ran_session = last == Some(member.hash);
+        let bonus = if ran_session { SESSION_BONUS } else { 0.0 };
         let near = if member.listed.is_near {
             NEAR_BONUS
         } else {
@@ -310,24 +356,6 @@
         load * member.factor - bonus - near + own + tie
     }
 
-    fn homes(&self, demand: &Demand) -> SmallVec<[u64; 2]> {
-        let Some(session) = demand.session else {
-            return SmallVec::new();
-        };
-        let mut first: (u64, u64) = (0, 0);
-        let mut second = first;
-        for member in self.ready() {
-            let weight = mix(member.hash ^ session);
-            if weight > first.0 {
-                second = first;
-                first = (weight, member.hash);
-            } else if weight > second.0 {
-                second = (weight, member.hash);
-            }
-        }
-        SmallVec::from_buf([first.1, second.1])
-    }
-
     fn median_factor(&self) -> f64 {
         let mut factors: SmallVec<[f64; 16]> = self.ready().map(|m| m.factor).collect();
         factors.sort_by(f64::total_cmp);
--- a/crates/sesamehaven/tests/dispatcher.rs
+++ b/crates/sesamehaven/tests/dispatcher.rs
@@ -1,5 +1,7 @@
 //! How requests wait, are turned away and are placed, on the load patterns that the parts answer.
 
+#![allow(clippy::unwrap_used)] // The helpers run in tests only.
+
 use rstest::rstest;
 
 use sesamehaven::Tier;
--- a/crates/sesamehaven/tests/shared_limit.rs
+++ b/crates/sesamehaven/tests/shared_limit.rs
@@ -1,5 +1,7 @@
 //! Limits that several processes keep together, through cuts, restarts and lost messages.
 
+#![allow(clippy::unwrap_used)] // The helpers run in tests only.
+
 use rstest::rstest;
 
 use sesamehaven::shared_limit::{Allowance, Hearing, RetryShare, SharedWindow};
