--- a/crates/sesamehaven-front/src/refresh.rs
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -259,10 +259,7 @@
         }
         match directory.kept().await {
             Ok(texts) => {
-                let kept = texts
-                    .iter()
-                    .filter_map(|text| serde_json::from_slice(text).ok());
-                let kept: Vec<Kept> = kept.collect();
+                let kept: Vec<Kept> = texts.iter().filter_map(parse_kept).collect();
                 front.spending.borrow_mut().on_kept(&kept, clock::now());
                 spdlog::info!("spending recalled", kv: { fronts = kept.len() });
                 return;
@@ -274,3 +271,12 @@
         }
     }
 }
+
+/// Reads what one front kept; what cannot be read counts as nothing kept, and is logged.
+fn parse_kept(text: &Bytes) -> Option<Kept> {
+    let kept = serde_json::from_slice(text);
+    kept.map_err(|err| {
+        spdlog::warn!("kept spending passed over", kv: { reason = err.to_string() });
+    })
+    .ok()
+}
--- a/crates/sesamehaven-front/src/relay.rs
+++ b/crates/sesamehaven-front/src/relay.rs
@@ -1,10 +1,13 @@
 //! Streams of events from endpoints to callers, which go on at another endpoint when one breaks off.
 
+use std::time::Duration;
+
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
 use tokio::sync::mpsc;
 
 use sesamehaven::placement::Ended;
+use sesamehaven::unit::Millis;
 
 use crate::body::{Body, Part, Stream};
 use crate::clock;
@@ -13,12 +16,18 @@
 use crate::front::Counted;
 use crate::headers::copy_headers;
 use crate::job::{Answer, Attempt, Job};
-use crate::serve::silence_limit;
-use crate::table::Repeat;
+use crate::table::{Repeat, Route};
 
 /// The parts that wait for a caller that reads slowly.
 const PARTS_WAITING: usize = 16;
 
+/// The least time for which a stream may be silent.
+const SILENCE_MIN: Millis = Millis(1_000);
+/// How often the objective of the first event a stream may be silent.
+const SILENCE_OBJECTIVES: u64 = 2;
+/// How often the objective of pauses between events a stream may be silent.
+const SILENCE_PAUSES: u64 = 4;
+
 /// The first events of a stream.
 #[derive(Debug)]
 pub struct First {
@@ -202,3 +211,10 @@
         }
     }
 }
+
+/// How long a stream may be silent before it goes on elsewhere, well before callers give up.
+fn silence_limit(route: &Route) -> Duration {
+    let first = route.objective.0 * SILENCE_OBJECTIVES;
+    let pause = route.pause_objective.0 * SILENCE_PAUSES;
+    Millis(first.max(pause).max(SILENCE_MIN.0)).duration()
+}
--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode};
-use actix_rt::signal::unix::{SignalKind, signal};
+use actix_rt::signal::unix::{Signal, SignalKind, signal};
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::Bytes;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -67,7 +67,9 @@
     reload: impl Fn() -> crate::Result<Settings> + 'static,
     metrics: PrometheusHandle,
 ) -> io::Result<()> {
+    // Until there is a handler, a signal ends the process.
     let mut terminate = signal(SignalKind::terminate())?;
+    let hangup = signal(SignalKind::hangup())?;
     let front = Rc::new(Front::<D>::new(
         settings.clone(),
         u64::from(rand::random::<u32>()),
@@ -90,7 +92,7 @@
     actix_rt::spawn(gossip::listen(Rc::clone(&front), Rc::clone(&udp)));
     actix_rt::spawn(gossip::catch_up(Rc::clone(&front)));
     actix_rt::spawn(gossip::answer(Rc::clone(&front), tcp));
-    actix_rt::spawn(reread(Rc::clone(&front), reload));
+    actix_rt::spawn(reread(Rc::clone(&front), hangup, reload));
     let pools = Rc::clone(&front.pools);
     actix_rt::spawn(async move { pools.run().await });
     let (close, closing) = watch::channel(false);
@@ -135,11 +137,11 @@
 }
 
 /// Takes over changed settings, at SIGHUP and when they changed without one.
-async fn reread<D: Dialect>(front: Rc<Front<D>>, reload: impl Fn() -> crate::Result<Settings>) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        spdlog::error!("SIGHUP cannot be received; settings are read again every few seconds only");
-        return;
-    };
+async fn reread<D: Dialect>(
+    front: Rc<Front<D>>,
+    mut hangup: Signal,
+    reload: impl Fn() -> crate::Result<Settings>,
+) {
     loop {
         // Either way the settings are read again.
         let _ = tokio::time::timeout(SETTINGS_EVERY, hangup.recv()).await;
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use actix_http::{Request, Response, StatusCode};
 use metrics::counter;
@@ -20,7 +19,7 @@
 use crate::job::{Answer, Attempt, Job, Phase};
 use crate::relay;
 use crate::reply::{self, Failure, Outcome};
-use crate::table::{Repeat, Route};
+use crate::table::Repeat;
 
 /// The longest answer of a plain service, in bytes.
 const ANSWER_MAX_BYTES: usize = 16 << 20;
@@ -256,14 +255,3 @@
         self.held.set(self.held.get() - self.bytes);
     }
 }
-
-/// How long a stream may be silent, given the objectives of its route.
-pub fn silence_limit(route: &Route) -> Duration {
-    const LEAST: Millis = Millis(1_000);
-    Millis(
-        (route.objective.0 * 2)
-            .max(route.pause_objective.0 * 4)
-            .max(LEAST.0),
-    )
-    .duration()
-}
