Remove what nothing calls, and hash names for digests in one place

Found when reading the whole change again; behaviour is the same. Dead: a type of events, a look-up in the backlog, and the time of the next wake, which the tick does not use. The bounds are copied, not cloned.

--- a/crates/sesamehaven-front/src/events.rs
+++ b/crates/sesamehaven-front/src/events.rs
@@ -5,15 +5,6 @@
 /// The longest event that is held back until its end has come, in bytes.
 const EVENT_MAX_BYTES: usize = 1 << 20;
 
-/// Whole events of a stream, with the id of the last one.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Events {
-    /// The bytes of the events, as the endpoint sent them.
-    pub bytes: Bytes,
-    /// The id of the last event that has one.
-    pub last_id: Option<u64>,
-}
-
 /// Holds back what has come of an event until its end has come.
 #[derive(Debug, Default)]
 pub struct Splitter {
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -258,7 +258,7 @@
     /// Draws on the budget of second sends.
     pub fn take_retry(&self) -> bool {
         let now = clock::now();
-        let bounds = self.front.settings.borrow().bounds.clone();
+        let bounds = self.front.settings.borrow().bounds;
         let peers = self.front.peers.borrow();
         let mut spending = self.front.spending.borrow_mut();
         spending.take_retry(&self.pool, &bounds, &peers.hearing, now)
--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -258,6 +258,7 @@
 /// When to come back to a pool of which no endpoint is known.
 const NO_POOL_RETRY_AFTER: Millis = Millis(500);
 
-fn short(hash: u64) -> u32 {
+/// Shortens a hash to what goes into digests.
+pub(crate) fn short(hash: u64) -> u32 {
     (hash >> 32) as u32
 }
--- a/crates/sesamehaven-front/src/refresh.rs
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -183,7 +183,7 @@
             let Some(table) = front.knowledge.table() else {
                 return;
             };
-            let bounds = front.settings.borrow().bounds.clone();
+            let bounds = front.settings.borrow().bounds;
             let mut spending = front.spending.borrow_mut();
             spending.set_table(&table, &bounds, clock::now());
             drop(spending);
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -48,7 +48,7 @@
 async fn run<D: Dialect>(mut job: Job<D>) -> Response<Body> {
     let now = clock::now();
     {
-        let bounds = job.front.settings.borrow().bounds.clone();
+        let bounds = job.front.settings.borrow().bounds;
         let mut spending = job.front.spending.borrow_mut();
         spending.on_request(&job.pool, &bounds, now);
     }
--- a/crates/sesamehaven-front/src/settings.rs
+++ b/crates/sesamehaven-front/src/settings.rs
@@ -7,7 +7,7 @@
 use sesamehaven::unit::{Bytes, Millis};
 
 /// How long a front may trust what it knows, and what it shares with the others.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
     /// How long after it was last confirmed a configuration vouches for keys.
     pub key_trust: Millis,
--- a/crates/sesamehaven-front/src/spending.rs
+++ b/crates/sesamehaven-front/src/spending.rs
@@ -9,6 +9,7 @@
 use sesamehaven::shared_limit::{Allowance, Hearing, PeerId, RetryShare, SharedWindow};
 use sesamehaven::unit::{Instant, Millis};
 
+use crate::pools;
 use crate::settings::Bounds;
 use crate::table::{Limit, Table};
 
@@ -147,7 +148,7 @@
 }
 
 fn short(name: &str) -> u32 {
-    (hash_of(name) >> 32) as u32
+    pools::short(hash_of(name))
 }
 
 /// The part of the tolerance of a limit that is used, as totals of other fronts are a message old.
--- a/crates/sesamehaven/src/backlog.rs
+++ b/crates/sesamehaven/src/backlog.rs
@@ -152,12 +152,6 @@
         Some(waiting)
     }
 
-    /// Returns a request that waits.
-    pub fn get(&self, ticket: Ticket) -> Option<&Waiting> {
-        let all = self.classes.iter().flat_map(|c| &c.queue);
-        all.into_iter().find(|w| w.ticket == ticket)
-    }
-
     /// Takes out the requests that have waited too long.
     pub fn take_overdue(&mut self, now: Instant) -> Vec<Waiting> {
         let mut overdue = Vec::new();
@@ -186,12 +180,6 @@
         self.classes.iter().all(|c| c.queue.is_empty())
     }
 
-    /// Returns when the next request has waited too long.
-    pub fn next_give_up(&self) -> Option<Instant> {
-        let all = self.classes.iter().flat_map(|c| &c.queue);
-        all.map(|w| w.give_up).min()
-    }
-
     /// Returns whether a class was served less than its floor lately.
     pub fn is_starved(&self, name: &str, rank: Rank) -> bool {
         let all = self.share();
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -222,11 +222,6 @@
         (self.placement.free(), self.placement.places())
     }
 
-    /// Returns when [`Dispatcher::on_tick`] has something to do at the latest.
-    pub fn next_wake(&self) -> Option<Instant> {
-        self.backlog.next_give_up()
-    }
-
     /// Queues a request, or refuses it when it would wait for too long.
     pub fn on_arrival(&mut self, ticket: Ticket, work: Work, now: Instant) -> Steps {
         if !self.placement.has_ready() {
