Take an endpoint for crashed only when it refuses connections

Cause: each connection that an endpoint broke off counted as its crash, and two of them put the request in quarantine for an hour. Endpoints break off for other reasons, too.

A front now asks an endpoint that broke off for a new connection. A refusal is a crash; an answer is not, and the connection is kept for the next request. Streams and answers that break off midway count as well, which they did not before. Ruled out: connections that time out as a sign of a crash, since cut links look the same.

--- /dev/null
+++ b/crates/sesamehaven-front/src/crash.rs
@@ -0,0 +1,69 @@
+//! Telling an endpoint that crashed from one that broke off a connection.
+//!
+//! Endpoints break off connections for many reasons: they shed load, they are
+//! faulty, the network resets them. Only when nothing listens at the address
+//! any more did the process end, and what ran there may be to blame.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use metrics::counter;
+use smallvec::SmallVec;
+use smol_str::SmolStr;
+
+use sesamehaven::placement::hash_of;
+use sesamehaven::quarantine::CrashId;
+
+use crate::clock;
+use crate::dialect::Dialect;
+use crate::front::Front;
+
+/// The pause before an endpoint is asked, since a process that ends closes its sockets one by one.
+const ASK_AFTER: Duration = Duration::from_millis(50);
+
+impl<D: Dialect> Front<D> {
+    /// Finds out whether an endpoint that broke off a request has crashed.
+    ///
+    /// If it has, the requests that ran there are marked in quarantine; if not,
+    /// the connection that showed it serves the next request.
+    pub fn suspect_crash(self: &Rc<Self>, endpoint: &SmolStr) {
+        let mut suspects = self.suspects.borrow_mut();
+        if suspects.contains(endpoint) {
+            return;
+        }
+        suspects.push(endpoint.clone());
+        drop(suspects);
+        let running = self.in_flight(endpoint);
+        let (front, endpoint) = (Rc::clone(self), endpoint.clone());
+        actix_rt::spawn(async move {
+            tokio::time::sleep(ASK_AFTER).await;
+            front.settle_suspicion(&endpoint, running).await;
+            front.suspects.borrow_mut().retain(|e| *e != endpoint);
+        });
+    }
+
+    async fn settle_suspicion(&self, endpoint: &SmolStr, running: SmallVec<[u64; 8]>) {
+        match self.hosts.open(endpoint).await {
+            Ok(conn) => self.hosts.keep_unused(endpoint, conn),
+            Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => {
+                // An incarnation crashes once, so all processes number its crash alike.
+                let crash = CrashId(hash_of(endpoint));
+                let mut quarantine = self.quarantine.borrow_mut();
+                quarantine.on_crash(crash, &running, clock::now());
+                drop(quarantine);
+                counter!("front_endpoint_crashes_total").increment(1);
+                spdlog::warn!("endpoint crashed", kv: {
+                    endpoint = endpoint.as_str(),
+                    running = running.len()
+                });
+            }
+            Err(err) => {
+                spdlog::info!("endpoint not reached after it broke off", kv: {
+                    endpoint = endpoint.as_str(),
+                    reason = err.to_string()
+                });
+            }
+        }
+    }
+}
--- a/crates/sesamehaven-front/src/front.rs
+++ b/crates/sesamehaven-front/src/front.rs
@@ -9,7 +9,7 @@
 use smol_str::SmolStr;
 
 use sesamehaven::placement::hash_of;
-use sesamehaven::quarantine::{CrashId, Quarantine};
+use sesamehaven::quarantine::Quarantine;
 use sesamehaven::unit::{Instant, Millis};
 
 use crate::clock;
@@ -46,6 +46,8 @@
     pub told_all: Cell<Instant>,
     /// The requests that crash endpoints.
     pub quarantine: RefCell<Quarantine>,
+    /// The endpoints that are being asked whether they crashed.
+    pub(crate) suspects: RefCell<SmallVec<[SmolStr; 4]>>,
     /// The requests in flight, by endpoint, as fingerprints.
     flights: RefCell<HashMap<SmolStr, SmallVec<[u64; 8]>>>,
     /// Whether the front is about to leave.
@@ -73,6 +75,7 @@
             peers: RefCell::new(peers),
             told_all: Cell::new(Instant(0)),
             quarantine: RefCell::new(Quarantine::default()),
+            suspects: RefCell::default(),
             flights: RefCell::new(HashMap::new()),
             is_draining: Cell::new(false),
             active: Cell::new(0),
@@ -110,17 +113,10 @@
         }
     }
 
-    /// Notes that an endpoint broke off a request, as it does when it crashes.
-    pub fn on_broken_off(&self, endpoint: &str, now: Instant) {
-        let running = self
-            .flights
-            .borrow()
-            .get(endpoint)
-            .cloned()
-            .unwrap_or_default();
-        // An incarnation crashes once, so all processes number its crash alike.
-        let crash = CrashId(hash_of(endpoint));
-        self.quarantine.borrow_mut().on_crash(crash, &running, now);
+    /// Lists the requests that are in flight at an endpoint, as fingerprints.
+    pub fn in_flight(&self, endpoint: &str) -> SmallVec<[u64; 8]> {
+        let flights = self.flights.borrow();
+        flights.get(endpoint).cloned().unwrap_or_default()
     }
 }
 
--- a/crates/sesamehaven-front/src/hosts.rs
+++ b/crates/sesamehaven-front/src/hosts.rs
@@ -64,16 +64,33 @@
     ///
     /// Fails when the endpoint is not listed or cannot be reached.
     pub async fn connect(&self, endpoint: &str) -> io::Result<Connection> {
-        let address = {
-            let mut hosts = self.hosts.borrow_mut();
-            let host = hosts.get_mut(endpoint).ok_or(io::ErrorKind::NotFound)?;
-            let now = clock::now();
-            while let Some(mut idle) = host.idle.pop() {
-                if idle.expires > now && idle.conn.is_clean() {
-                    return Ok(idle.conn);
-                }
+        if let Some(conn) = self.take_idle(endpoint)? {
+            return Ok(conn);
+        }
+        self.open(endpoint).await
+    }
+
+    fn take_idle(&self, endpoint: &str) -> io::Result<Option<Connection>> {
+        let mut hosts = self.hosts.borrow_mut();
+        let host = hosts.get_mut(endpoint).ok_or(io::ErrorKind::NotFound)?;
+        let now = clock::now();
+        while let Some(mut idle) = host.idle.pop() {
+            if idle.expires > now && idle.conn.is_clean() {
+                return Ok(Some(idle.conn));
             }
-            host.address
+        }
+        Ok(None)
+    }
+
+    /// Opens a new connection to an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the endpoint is not listed or cannot be reached.
+    pub async fn open(&self, endpoint: &str) -> io::Result<Connection> {
+        let address = {
+            let hosts = self.hosts.borrow();
+            hosts.get(endpoint).ok_or(io::ErrorKind::NotFound)?.address
         };
         counter!("front_endpoint_connections_total").increment(1);
         Connection::open(address, CONNECT_TIMEOUT).await
@@ -81,9 +98,17 @@
 
     /// Keeps a connection that its exchange left clean.
     pub fn keep(&self, endpoint: &str, conn: Connection, head: &Head) {
-        if !conn.is_reusable() {
-            return;
+        if conn.is_reusable() {
+            self.add_idle(endpoint, conn, idle_limit(head));
         }
+    }
+
+    /// Keeps a connection that has carried nothing yet.
+    pub fn keep_unused(&self, endpoint: &str, conn: Connection) {
+        self.add_idle(endpoint, conn, IDLE_UNSTATED);
+    }
+
+    fn add_idle(&self, endpoint: &str, conn: Connection, limit: Millis) {
         let mut hosts = self.hosts.borrow_mut();
         let Some(host) = hosts.get_mut(endpoint) else {
             return;
@@ -91,7 +116,7 @@
         let now = clock::now();
         host.idle.retain(|idle| idle.expires > now);
         if host.idle.len() < IDLE_MAX {
-            let expires = now.after(idle_limit(head));
+            let expires = now.after(limit);
             host.idle.push(Idle { conn, expires });
         }
     }
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -192,7 +192,7 @@
             Err(err) => {
                 self.log("broken_off", &endpoint, err.to_string());
                 if !err.is_malformed() {
-                    self.front.on_broken_off(&endpoint, clock::now());
+                    self.front.suspect_crash(&endpoint);
                 }
                 place.end(Ended::Badly);
                 Attempt::Unknown("the endpoint broke off before its answer")
--- a/crates/sesamehaven-front/src/lib.rs
+++ b/crates/sesamehaven-front/src/lib.rs
@@ -10,6 +10,7 @@
 mod admit;
 pub mod body;
 pub mod clock;
+pub mod crash;
 pub mod dialect;
 pub mod error;
 pub mod events;
--- a/crates/sesamehaven-front/src/relay.rs
+++ b/crates/sesamehaven-front/src/relay.rs
@@ -207,7 +207,12 @@
                 return Next::Broken("the stream ended inside an event");
             }
             Ok(None) => return Next::Whole,
-            Err(_) => return Next::Broken("the endpoint broke off"),
+            Err(err) => {
+                if !err.is_malformed() {
+                    job.front.suspect_crash(&answer.place.endpoint);
+                }
+                return Next::Broken("the endpoint broke off");
+            }
         }
     }
 }
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -179,6 +179,9 @@
         Ok(body) => body,
         Err(err) => {
             job.log("answer_spoilt", &endpoint, &err);
+            if !err.is_malformed() {
+                job.front.suspect_crash(&endpoint);
+            }
             place.end(Ended::Badly);
             return Judged::Spoilt;
         }
