Share the few free places among fronts, and serve first what can be on time

Requests waited in the engines, not in the fronts. Each of 27 fronts saw the same few free places and took them all, so one engine held up to 42 requests for its 6 places.

Now each front draws which free places it may take until the next count, by its part of what waits (digests carry that); a place that it freed itself is its own until then. Pools whose requests are shorter than three counts are left out: there the counts say nothing. One request is held ahead instead of two. Inside a class the youngest that can be on time goes first, short requests before long ones (which keep at least half of the share of their class), and those that come back after a refusal, known by what is left of their callers' patience, after new ones. Floors 0.35 instead of 0.45 (the users ask for 0.25). The expected time of a request counts its start, too.

The test of what an endpoint holds now expects 7 in place of 8, as one is held ahead by design.

--- a/crates/sesamehaven-front/src/admit.rs
+++ b/crates/sesamehaven-front/src/admit.rs
@@ -72,6 +72,13 @@
     let pool = route.pool(draw).cloned().unwrap_or_default();
     let fingerprint = fingerprint(organisation.as_deref(), &path, &body);
     refuse_quarantined(front, &call, fingerprint, arrived)?;
+    let first_sent = match call.patience {
+        Some(left) => {
+            let mut patience = front.patience.borrow_mut();
+            patience.first_sent(&route.name, left, arrived)
+        }
+        None => arrived,
+    };
     let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
     let tier = organisation
         .as_ref()
@@ -92,6 +99,7 @@
         body,
         fingerprint,
         arrived,
+        first_sent,
         until: arrived.after(patience),
         phase: Cell::new(Phase::NotRun),
         tried: SmallVec::new(),
--- a/crates/sesamehaven-front/src/front.rs
+++ b/crates/sesamehaven-front/src/front.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
+use sesamehaven::patience::Patience;
 use sesamehaven::placement::hash_of;
 use sesamehaven::quarantine::Quarantine;
 use sesamehaven::unit::{Instant, Millis};
@@ -44,6 +45,8 @@
     pub peers: RefCell<Peers>,
     /// When the other fronts were last told what changes slowly.
     pub told_all: Cell<Instant>,
+    /// The patience of callers, by which requests that come back are known.
+    pub patience: RefCell<Patience>,
     /// The requests that crash endpoints.
     pub quarantine: RefCell<Quarantine>,
     /// The endpoints that are being asked whether they crashed.
@@ -74,6 +77,7 @@
             settings: RefCell::new(settings),
             peers: RefCell::new(peers),
             told_all: Cell::new(Instant(0)),
+            patience: RefCell::default(),
             quarantine: RefCell::new(Quarantine::default()),
             suspects: RefCell::default(),
             flights: RefCell::new(HashMap::new()),
--- a/crates/sesamehaven-front/src/gossip.rs
+++ b/crates/sesamehaven-front/src/gossip.rs
@@ -32,8 +32,8 @@
     loop {
         let targets = front.peers.borrow().targets();
         send_digest(&front, &socket, &targets, false);
-        let running = front.peers.borrow().running(clock::now());
-        front.pools.set_peers(&running);
+        let loads = front.peers.borrow().loads(clock::now());
+        front.pools.set_peers(&loads);
         let pause = DIGEST_EVERY
             .0
             .max(DIGEST_EVERY_PER_PEER.0 * targets.len() as u64);
@@ -55,7 +55,7 @@
     digest.config_age = front.knowledge.age(now).0;
     digest.listing = front.listed.digest();
     digest.listing_age = front.listed.age(now).0;
-    digest.running = front.pools.running();
+    digest.load = front.pools.demand();
     digest.is_full = leaving || now.since(front.told_all.get()) >= SLOW_PARTS_EVERY;
     if digest.is_full {
         front.told_all.set(now);
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -21,10 +21,12 @@
 use crate::pools::{Place, Refused};
 use crate::table::{Organisation, Repeat, Route};
 
+/// The time before an engine has read any of a prompt, in milliseconds; the least seen on a quiet day.
+const START_MS: f64 = 83.0;
 /// The time that a token of a prompt takes at an ordinary engine, in milliseconds.
-const PREFILL_MS_PER_TOKEN: f64 = 0.011;
+const PREFILL_MS_PER_TOKEN: f64 = 0.0142;
 /// The time that a token of an answer takes at an ordinary engine, in milliseconds.
-const DECODE_MS_PER_TOKEN: f64 = 6.0;
+const DECODE_MS_PER_TOKEN: f64 = 6.5;
 /// The share of the most tokens that an answer has when the caller gives no estimate.
 const ANSWER_SHARE: f64 = 0.5;
 /// The time that a call of a plain service takes, in milliseconds.
@@ -70,6 +72,8 @@
     pub fingerprint: u64,
     /// When it came.
     pub arrived: Instant,
+    /// When its caller first sent it, before refusals.
+    pub first_sent: Instant,
     /// When it must have its answer.
     pub until: Instant,
     /// How far it has come.
@@ -121,6 +125,7 @@
             class: self.route.name.clone(),
             rank: self.rank,
             arrived: self.arrived,
+            first_sent: self.first_sent,
             objective: self.route.objective,
             deadline: self.until,
             slot_ms: self.slot_ms(),
@@ -247,7 +252,7 @@
         };
         let guess = (most as f64 * ANSWER_SHARE) as u64;
         let answer = self.call.expected_tokens.unwrap_or(guess).min(most);
-        prompt as f64 * PREFILL_MS_PER_TOKEN + answer as f64 * DECODE_MS_PER_TOKEN
+        START_MS + prompt as f64 * PREFILL_MS_PER_TOKEN + answer as f64 * DECODE_MS_PER_TOKEN
     }
 
     /// Returns whether the request may be sent to another endpoint after it may have run.
--- a/crates/sesamehaven-front/src/peers.rs
+++ b/crates/sesamehaven-front/src/peers.rs
@@ -27,7 +27,7 @@
 use crate::spending::Drawn;
 
 /// The version of the messages; others are dropped.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 /// The longest digest, which common networks carry whole, in bytes.
 pub(crate) const DIGEST_MAX_BYTES: usize = 8 << 10;
 /// How long a front counts as known after its last digest.
@@ -43,6 +43,38 @@
 /// The most fronts that a digest names.
 const NAMED_MAX: usize = 24;
 
+/// What a front runs, and what waits there.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// The requests in flight, by the hash of the endpoint.
+    pub running: Vec<(u32, u32)>,
+    /// The requests that wait for a place, by the hash of the pool.
+    pub waiting: Vec<(u32, u32)>,
+}
+
+/// The loads of several fronts, summed up.
+#[derive(Debug, Default)]
+pub struct Loads {
+    /// The fronts.
+    pub fronts: usize,
+    /// The requests in flight, by the hash of the endpoint.
+    pub running: HashMap<u32, u32>,
+    /// The requests that wait for a place, by the hash of the pool.
+    pub waiting: HashMap<u32, u32>,
+}
+
+impl Loads {
+    fn add(&mut self, load: &Load) {
+        self.fronts += 1;
+        for (endpoint, n) in &load.running {
+            *self.running.entry(*endpoint).or_insert(0) += n;
+        }
+        for (pool, n) in &load.waiting {
+            *self.waiting.entry(*pool).or_insert(0) += n;
+        }
+    }
+}
+
 /// What one front tells the others, several times a second.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
@@ -63,8 +95,8 @@
     pub listing: u64,
     /// How long ago these were listed.
     pub listing_age: u64,
-    /// The requests in flight, by the hash of the endpoint.
-    pub running: Vec<(u32, u32)>,
+    /// What it runs, and what waits there.
+    pub load: Load,
     /// Whether the parts that change slowly are there: what was drawn, notices and peers.
     pub is_full: bool,
     /// What was drawn on the limits of organisations.
@@ -80,7 +112,7 @@
     id: PeerId,
     seq: u64,
     heard: Instant,
-    running: Vec<(u32, u32)>,
+    load: Load,
     config: u64,
     config_age: Millis,
     listing: u64,
@@ -135,7 +167,7 @@
             config_age: 0,
             listing: 0,
             listing_age: 0,
-            running: Vec::new(),
+            load: Load::default(),
             is_full: false,
             drawn: Vec::new(),
             notices: Vec::new(),
@@ -178,7 +210,7 @@
             id: digest.from,
             seq: digest.seq,
             heard: now,
-            running: digest.running.clone(),
+            load: digest.load.clone(),
             config: digest.config,
             config_age: Millis(digest.config_age),
             listing: digest.listing,
@@ -207,17 +239,15 @@
         heard.filter(|(address, _)| **address < self.own).count()
     }
 
-    /// Sums up what the other fronts run, by the hash of the endpoint.
-    pub fn running(&self, now: Instant) -> HashMap<u32, u32> {
-        let mut sum = HashMap::new();
+    /// Sums up what the other fronts run, and what waits there.
+    pub fn loads(&self, now: Instant) -> Loads {
+        let mut loads = Loads::default();
         let live = self
             .peers
             .values()
             .filter(|p| now.since(p.heard) <= RUNNING_KEPT);
-        for (endpoint, n) in live.flat_map(|p| &p.running) {
-            *sum.entry(*endpoint).or_insert(0) += n;
-        }
-        sum
+        live.for_each(|p| loads.add(&p.load));
+        loads
     }
 
     /// Finds the front that knows of a newer configuration or of other endpoints, or both more freshly.
--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -11,11 +11,12 @@
 
 use sesamehaven::backlog::Ticket;
 use sesamehaven::dispatcher::{Dispatcher, Refusal, Step, Work};
-use sesamehaven::placement::{Ended, Listed};
+use sesamehaven::placement::{Ended, Listed, hash_of};
 use sesamehaven::unit::Millis;
 
 use crate::clock;
 use crate::dialect::Entry;
+use crate::peers::{Load, Loads};
 
 /// How often waiting requests are looked at when no place becomes free meanwhile.
 const TICK: Duration = Duration::from_millis(20);
@@ -138,19 +139,30 @@
         self.tick();
     }
 
-    /// Notes how many requests the other fronts run at each endpoint, by its hash.
-    pub fn set_peers(&self, running: &HashMap<u32, u32>) {
-        let of = |hash: u64| running.get(&short(hash)).copied().unwrap_or_default();
-        for pool in self.pools.borrow_mut().values_mut() {
-            pool.set_peers(of);
+    /// Notes what the other fronts run, and what waits there.
+    pub fn set_peers(&self, loads: &Loads) {
+        for (name, pool) in self.pools.borrow_mut().iter_mut() {
+            let waiting = loads.waiting.get(&short(hash_of(name)));
+            let running = |hash: u64| loads.running.get(&short(hash)).copied();
+            let waiting = waiting.copied().unwrap_or_default();
+            pool.set_peers(loads.fronts, waiting, clock::now(), |hash| {
+                running(hash).unwrap_or_default()
+            });
         }
+        self.tick();
     }
 
-    /// Lists the hash of each endpoint with the requests that this front runs there.
-    pub fn running(&self) -> Vec<(u32, u32)> {
+    /// Returns what this front runs at each endpoint, and what waits for each pool.
+    pub fn demand(&self) -> Load {
         let pools = self.pools.borrow();
-        let all = pools.values().flat_map(Dispatcher::running);
-        all.map(|(hash, n)| (short(hash), n)).collect()
+        let running = pools.values().flat_map(Dispatcher::running);
+        let waiting = pools.iter().filter(|(_, pool)| pool.waiting() > 0);
+        Load {
+            running: running.map(|(hash, n)| (short(hash), n)).collect(),
+            waiting: waiting
+                .map(|(name, pool)| (short(hash_of(name)), pool.waiting() as u32))
+                .collect(),
+        }
     }
 
     /// Returns the places of a pool that are free, all of them, and the requests that wait.
--- a/crates/sesamehaven/src/backlog.rs
+++ b/crates/sesamehaven/src/backlog.rs
@@ -17,7 +17,11 @@
 /// How often a class is served before rank counts, against how often all are.
 ///
 /// The users ask for a quarter at least over a whole day.
-const FLOOR: f64 = 0.45;
+const FLOOR: f64 = 0.35;
+/// How often the long requests of a class are served before length counts, against the class.
+///
+/// The users ask for a half at least over a whole day.
+const LONG_FLOOR: f64 = 0.65;
 /// The span over which shares are counted, in milliseconds.
 const SHARE_SPAN_MS: f64 = 6_000.0;
 /// The requests that a class must have sent before its share counts.
@@ -52,6 +56,8 @@
     pub ticket: Ticket,
     /// The kind of request, which shares are counted by.
     pub class: SmolStr,
+    /// Whether it holds its place for much longer than others of its kind.
+    pub is_long: bool,
     /// Its rank.
     pub rank: Rank,
     /// When its first byte came.
@@ -67,6 +73,7 @@
 #[derive(Debug)]
 struct Class {
     name: SmolStr,
+    is_long: bool,
     rank: Rank,
     queue: VecDeque<Waiting>,
     asked: f64,
@@ -83,14 +90,20 @@
         self.counted = now;
     }
 
-    /// Returns whether the class was served far less often lately than the share of all.
-    fn is_starved(&self, all: f64) -> bool {
-        self.asked >= SHARE_MIN && self.started < FLOOR * all * self.asked
+    fn share(&self) -> f64 {
+        self.started / self.asked.max(1.0)
+    }
+
+    fn is_kind_of(&self, other: &Class) -> bool {
+        self.name == other.name && self.rank == other.rank
     }
 
     /// Returns the place in the queue of the request that goes next.
+    ///
+    /// The youngest goes first while it can be on time: when more is asked than
+    /// can run, the oldest would all start just too late.
     fn next(&self, now: Instant) -> Option<usize> {
-        let on_time = self.queue.iter().position(|w| w.on_time_until >= now);
+        let on_time = self.queue.iter().rposition(|w| w.on_time_until >= now);
         on_time.or(if self.queue.is_empty() { None } else { Some(0) })
     }
 }
@@ -104,14 +117,14 @@
 impl Backlog {
     /// Adds a request.
     pub fn push(&mut self, waiting: Waiting, now: Instant) {
-        let class = self.class(&waiting.class, waiting.rank, now);
+        let class = self.class(&waiting.class, waiting.is_long, waiting.rank, now);
         class.asked += 1.0;
         class.queue.push_back(waiting);
     }
 
     /// Counts a request that was refused without waiting.
-    pub fn count_refused(&mut self, name: &SmolStr, rank: Rank, now: Instant) {
-        self.class(name, rank, now).asked += 1.0;
+    pub fn count_refused(&mut self, name: &SmolStr, is_long: bool, rank: Rank, now: Instant) {
+        self.class(name, is_long, rank, now).asked += 1.0;
     }
 
     /// Takes a request out that its caller has left.
@@ -129,26 +142,28 @@
         for class in &mut self.classes {
             class.decay(now);
         }
-        let all = self.share();
-        let mut heads: Vec<(bool, Rank, Instant, Ticket)> = Vec::new();
+        let mut heads: Vec<(bool, Rank, bool, Instant, Ticket)> = Vec::new();
         for class in &self.classes {
             let Some(at) = class.next(now) else { continue };
             let head = &class.queue[at];
             heads.push((
-                !class.is_starved(all),
+                !self.is_below_floor(class),
                 class.rank,
+                class.is_long,
                 head.arrived,
                 head.ticket,
             ));
         }
         heads.sort();
-        heads.into_iter().map(|(fed, _, _, t)| (t, !fed)).collect()
+        let turns = heads.into_iter().map(|(fed, .., ticket)| (ticket, !fed));
+        turns.collect()
     }
 
     /// Takes the request out that starts.
     pub fn start(&mut self, ticket: Ticket, now: Instant) -> Option<Waiting> {
         let waiting = self.remove(ticket)?;
-        self.class(&waiting.class, waiting.rank, now).started += 1.0;
+        self.class(&waiting.class, waiting.is_long, waiting.rank, now)
+            .started += 1.0;
         Some(waiting)
     }
 
@@ -164,10 +179,14 @@
         overdue
     }
 
-    /// Returns the time of places that waits at or above a rank.
-    pub fn slot_ms_ahead(&self, rank: Rank) -> f64 {
+    /// Returns the time of places that goes before a request of a rank, which may be late already.
+    pub fn slot_ms_ahead(&self, rank: Rank, is_late: bool, now: Instant) -> f64 {
         let ahead = self.classes.iter().filter(|c| c.rank <= rank);
-        ahead.flat_map(|c| &c.queue).map(|w| w.slot_ms).sum()
+        let waiting = ahead.flat_map(|c| c.queue.iter().map(move |w| (c.rank, w)));
+        waiting
+            .filter(|(above, w)| *above < rank || is_late || w.on_time_until >= now)
+            .map(|(_, w)| w.slot_ms)
+            .sum()
     }
 
     /// Returns the number of requests that wait.
@@ -181,20 +200,20 @@
     }
 
     /// Returns whether a class was served less than its floor lately.
-    pub fn is_starved(&self, name: &str, rank: Rank) -> bool {
-        let all = self.share();
+    pub fn is_starved(&self, name: &str, is_long: bool, rank: Rank) -> bool {
         let found = self
             .classes
             .iter()
-            .find(|c| c.name == name && c.rank == rank);
-        found.is_some_and(|c| c.is_starved(all))
+            .find(|c| c.name == name && c.is_long == is_long && c.rank == rank);
+        found.is_some_and(|c| self.is_below_floor(c))
     }
 
-    /// Returns the share of all requests that were started lately.
-    fn share(&self) -> f64 {
-        let asked: f64 = self.classes.iter().map(|c| c.asked).sum();
-        let started: f64 = self.classes.iter().map(|c| c.started).sum();
-        if asked > 0.0 { started / asked } else { 1.0 }
+    /// A class has a floor against all requests, and its long ones have one against their class.
+    fn is_below_floor(&self, class: &Class) -> bool {
+        let kind = share(self.classes.iter().filter(|c| c.is_kind_of(class)));
+        let all = share(self.classes.iter());
+        class.asked >= SHARE_MIN
+            && (kind < FLOOR * all || class.is_long && class.share() < LONG_FLOOR * kind)
     }
 
     /// Returns how many ranks above this one were asked for lately, and how many in all.
@@ -209,14 +228,15 @@
         (above, ranks.len())
     }
 
-    fn class(&mut self, name: &SmolStr, rank: Rank, now: Instant) -> &mut Class {
+    fn class(&mut self, name: &SmolStr, is_long: bool, rank: Rank, now: Instant) -> &mut Class {
         let at = self
             .classes
             .iter()
-            .position(|c| c.name == *name && c.rank == rank);
+            .position(|c| c.name == *name && c.is_long == is_long && c.rank == rank);
         let at = at.unwrap_or_else(|| {
             self.classes.push(Class {
                 name: name.clone(),
+                is_long,
                 rank,
                 queue: VecDeque::new(),
                 asked: 0.0,
@@ -231,6 +251,16 @@
     }
 }
 
+/// Returns how often the requests of some classes were started lately.
+fn share<'a>(classes: impl Iterator<Item = &'a Class>) -> f64 {
+    let (mut asked, mut started) = (0.0, 0.0);
+    for class in classes {
+        asked += class.asked;
+        started += class.started;
+    }
+    if asked > 0.0 { started / asked } else { 1.0 }
+}
+
 /// Returns the time that `slot_ms` of work takes on `places`.
 pub fn drain_time(slot_ms: f64, places: f64) -> Millis {
     Millis((slot_ms / places.max(1.0)).min(1e9) as u64)
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -24,7 +24,7 @@
 use std::collections::HashMap;
 
 use smallvec::SmallVec;
-use smol_str::{SmolStr, format_smolstr};
+use smol_str::SmolStr;
 
 use crate::backlog::{Backlog, Rank, Ticket, Waiting, drain_time};
 use crate::placement::{Demand, Ended, Listed, Placement};
@@ -45,9 +45,11 @@
 const URGENT_GIVE_UP_SHARE: f64 = 3.0;
 /// The part of the objective that a started request needs up to its first token.
 const FIRST_TOKEN_SHARE: f64 = 0.3;
+/// The times between counts for which requests must hold their places, so that counts tell what is free.
+const HOLD_COUNTS: f64 = 3.0;
 /// The bounds of when a refused caller is asked to come back.
 const RETRY_AFTER_RANGE: (Millis, Millis) = (Millis(150), Millis(2_000));
-/// The weight of a new sample in the pool's time factor.
+/// The weight of a new sample in the pool's averages.
 const SAMPLE_WEIGHT: f64 = 0.05;
 /// The time factor of the pool is kept within these bounds.
 const FACTOR_RANGE: (f64, f64) = (0.2, 10.0);
@@ -61,6 +63,8 @@
     pub rank: Rank,
     /// When its first byte came.
     pub arrived: Instant,
+    /// When its caller first sent it, before refusals; its objective counts from then.
+    pub first_sent: Instant,
     /// The time within which its answer, or the first event, earns its full credit.
     pub objective: Millis,
     /// When its caller stops waiting.
@@ -80,6 +84,7 @@
             class: class.into(),
             rank: tier.into(),
             arrived,
+            first_sent: arrived,
             objective,
             deadline: arrived.after(Millis(objective.0 * 8)),
             slot_ms: 100.0,
@@ -100,12 +105,10 @@
         self.slot_ms > LONG_MS
     }
 
-    /// Returns the class that floors count by: the long requests of a class have a floor of their own.
-    fn floor_class(&self) -> SmolStr {
-        match self.is_long() {
-            true => format_smolstr!("{} (long)", self.class),
-            false => self.class.clone(),
-        }
+    /// Returns the latest start that meets the objective.
+    fn on_time_until(&self) -> Instant {
+        let share = self.share_of_objective(1.0 - FIRST_TOKEN_SHARE);
+        self.first_sent.after(share)
     }
 
     fn share_of_objective(&self, share: f64) -> Millis {
@@ -175,6 +178,12 @@
     works: HashMap<Ticket, Work>,
     running: HashMap<Ticket, Running>,
     factor: f64,
+    /// The part of what waits at all processes that waits here.
+    part: f64,
+    /// When the other processes were last counted.
+    counted: Instant,
+    /// How long requests held their places lately, in milliseconds.
+    hold_ms: f64,
 }
 
 impl Default for Dispatcher {
@@ -192,6 +201,9 @@
             works: HashMap::new(),
             running: HashMap::new(),
             factor: 1.0,
+            part: 1.0,
+            counted: Instant(0),
+            hold_ms: 0.0,
         }
     }
 }
@@ -202,9 +214,21 @@
         self.placement.set_listed(listed);
     }
 
-    /// Notes how many requests the other processes run at each endpoint.
-    pub fn set_peers(&mut self, running: impl Fn(u64) -> u32) {
-        self.placement.set_peers(running);
+    /// Notes what the other processes run at each endpoint, how many they are, and what waits there.
+    pub fn set_peers(
+        &mut self,
+        others: usize,
+        waiting: u32,
+        now: Instant,
+        running: impl Fn(u64) -> u32,
+    ) {
+        let own = self.backlog.len() as f64 + 1.0;
+        self.part = own / (own + f64::from(waiting) + others as f64);
+        let age = now.since(self.counted).0 as f64;
+        self.counted = now;
+        let is_telling = others > 0 && self.hold_ms > age * HOLD_COUNTS;
+        let part = is_telling.then_some(self.part);
+        self.placement.set_peers(part, running);
     }
 
     /// Lists the hash of each endpoint with the requests that this process runs there.
@@ -235,21 +259,22 @@
             false => (WAIT_SHARE, GIVE_UP_SHARE),
         };
         let most = work.share_of_objective(wait_share);
-        let class = work.floor_class();
-        let is_starved = self.backlog.is_starved(&class, work.rank);
+        let is_long = work.is_long();
+        let is_starved = self.backlog.is_starved(&work.class, is_long, work.rank);
         let is_hopeless = wait.0 > 0 && wait.0 + waited.0 > most.0;
         if is_hopeless && !is_starved && work.tried.is_empty() {
-            self.backlog.count_refused(&class, work.rank, now);
+            self.backlog
+                .count_refused(&work.class, is_long, work.rank, now);
             return self.refuse(ticket, Refusal::Overload, now.after(wait), now);
         }
         let give_up = work.arrived.after(work.share_of_objective(give_up_share));
-        let on_time = work.share_of_objective(1.0 - FIRST_TOKEN_SHARE);
         let waiting = Waiting {
             ticket,
-            class,
+            class: work.class.clone(),
+            is_long,
             rank: work.rank,
             arrived: work.arrived,
-            on_time_until: work.arrived.after(on_time),
+            on_time_until: work.on_time_until(),
             give_up: give_up.min(work.deadline),
             slot_ms: work.slot_ms * self.factor,
         };
@@ -273,6 +298,12 @@
         let ratio = (took / run.slot_ms.max(1.0)).clamp(FACTOR_RANGE.0, FACTOR_RANGE.1);
         let factor = (ended == Ended::Well).then(|| ratio / self.factor);
         if ended == Ended::Well {
+            let weight = if self.hold_ms > 0.0 {
+                SAMPLE_WEIGHT
+            } else {
+                1.0
+            };
+            self.hold_ms += weight * (took - self.hold_ms);
             self.factor += SAMPLE_WEIGHT * (ratio - self.factor);
         }
         let is_long = run.slot_ms > LONG_MS;
@@ -360,19 +391,16 @@
     fn expected_wait(&self, ticket: Ticket, work: &Work, now: Instant) -> Millis {
         let places = self.placement.places();
         let is_free = self.placement.free() > self.reserve(work.rank, places);
-        if is_free
-            && self
-                .placement
-                .choose(&work.demand(ticket), &work.tried, now)
-                .is_some()
-        {
+        let demand = work.demand(ticket);
+        if is_free && self.placement.has_place(&demand, &work.tried, now) {
             return Millis(0);
         }
         let above = self.running.values().filter(|r| r.rank < work.rank);
-        let own = self.running.len().max(1) as f64;
-        let left = 1.0 - above.count() as f64 / own;
-        let ahead = self.backlog.slot_ms_ahead(work.rank) + work.slot_ms * self.factor;
-        let share = own.min(f64::from(places.max(1)));
+        let left = 1.0 - above.count() as f64 / self.running.len().max(1) as f64;
+        let is_late = work.on_time_until() < now;
+        let ahead =
+            self.backlog.slot_ms_ahead(work.rank, is_late, now) + work.slot_ms * self.factor;
+        let share = f64::from(places.max(1)) * self.part;
         drain_time(ahead, share * left.max(0.25))
     }
 
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod order;
 pub mod outcome;
 pub mod parts;
+pub mod patience;
 pub mod placement;
 pub mod plan;
 pub mod prefix;
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -36,7 +36,7 @@
 /// What an endpoint in the same data centre is worth, as a share of a full endpoint's load.
 const NEAR_BONUS: f64 = 0.05;
 /// The requests that an endpoint holds beyond those that it runs, so that its batch stays full.
-const AHEAD: u32 = 2;
+const AHEAD: u32 = 1;
 /// How long an endpoint is passed over that had no room, about the time that a request holds a place.
 const FULL_KEPT: Millis = Millis(150);
 /// How strongly a process prefers endpoints by its own order, as a share of a full endpoint's load.
@@ -46,6 +46,10 @@
 const OWN_ORDER: f64 = 1.0;
 /// How much chance adds, as a share of a full endpoint's load.
 const TIE: f64 = 0.05;
+/// The part of the places from which on there is room for all processes.
+const ROOM_SHARE: f64 = 0.5;
+/// The processes that may take one free place, on average.
+const CLAIMS_PER_PLACE: f64 = 2.0;
 /// The share of an endpoint's places that long work may hold.
 const LONG_SHARE: f64 = 0.67;
 
@@ -91,6 +95,8 @@
     own: u32,
     own_long: u32,
     peers: u32,
+    /// The places that this process may take before the next count.
+    open: u32,
     factor: f64,
     failures: f64,
     samples: u32,
@@ -107,6 +113,7 @@
             own: 0,
             own_long: 0,
             peers: 0,
+            open: 0,
             factor: 1.0,
             failures: 0.0,
             samples: 0,
@@ -131,6 +138,9 @@
     members: Vec<Member>,
     sessions: Sessions,
     seed: u64,
+    /// Whether other processes dispatch to the same endpoints.
+    is_shared: bool,
+    counts: u64,
 }
 
 /// Where sessions ran lately.
@@ -172,6 +182,8 @@
             members: Vec::new(),
             sessions: Sessions::default(),
             seed,
+            is_shared: false,
+            counts: 0,
         }
     }
 
@@ -196,11 +208,25 @@
         self.members.extend(retired);
     }
 
-    /// Notes how many requests the other processes run at an endpoint.
-    pub fn set_peers(&mut self, running: impl Fn(u64) -> u32) {
+    /// Notes how many requests the other processes run at each endpoint.
+    ///
+    /// All of them see the same few free places. So each draws which of them it
+    /// may take until the next count, by its `part` of what waits; without a
+    /// part it may take any.
+    pub fn set_peers(&mut self, part: Option<f64>, running: impl Fn(u64) -> u32) {
+        self.is_shared = part.is_some();
+        let part = part.unwrap_or(1.0);
+        self.counts += 1;
         for member in &mut self.members {
             member.peers = running(member.hash);
         }
+        let draw = mix(self.seed ^ self.counts);
+        for member in &mut self.members {
+            let wins = |place: &u32| {
+                unit(mix(member.hash ^ draw ^ u64::from(*place))) < part * CLAIMS_PER_PLACE
+            };
+            member.open = (0..member.free()).filter(wins).count() as u32;
+        }
     }
 
     /// Lists the hash of each endpoint with the requests that this process runs there.
@@ -224,13 +250,26 @@
         self.ready().next().is_some()
     }
 
+    /// Returns whether a request finds a free place, whoever may take it.
+    pub fn has_place(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> bool {
+        let median = self.median_factor();
+        let is_fit =
+            |m: &Member| !tried.contains(&m.listed.id) && self.has_room(m, demand, median, now);
+        self.ready().any(is_fit)
+    }
+
     /// Chooses the endpoint of a request, outside of those that it has tried.
     pub fn choose(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> Option<SmolStr> {
         let last = demand.session.and_then(|s| self.sessions.endpoint(s, now));
         let median = self.median_factor();
+        let is_contended = self.is_contended();
         let mut best: Option<(f64, &Member)> = None;
         for member in self.ready() {
-            if tried.contains(&member.listed.id) || !self.may_take(member, demand, median, now) {
+            let is_open = !is_contended || member.open > 0;
+            if !is_open || tried.contains(&member.listed.id) {
+                continue;
+            }
+            if !self.has_room(member, demand, median, now) {
                 continue;
             }
             let score = self.score(member, demand, last);
@@ -247,6 +286,7 @@
             return;
         };
         member.own += 1;
+        member.open = member.open.saturating_sub(1);
         member.own_long += u32::from(demand.is_long);
         let hash = member.hash;
         if let Some(session) = demand.session {
@@ -274,6 +314,7 @@
             return;
         };
         member.own = member.own.saturating_sub(1);
+        member.open += 1;
         member.own_long = member.own_long.saturating_sub(u32::from(is_long));
         if let Some(factor) = factor {
             let factor = factor.clamp(FACTOR_RANGE.0, FACTOR_RANGE.1);
@@ -316,6 +357,12 @@
         }
     }
 
+    /// Returns whether places are so few that processes have to share them.
+    fn is_contended(&self) -> bool {
+        let free = f64::from(self.free());
+        self.is_shared && free < f64::from(self.places()) * ROOM_SHARE
+    }
+
     fn ready(&self) -> impl Iterator<Item = &Member> {
         self.members.iter().filter(|m| m.listed.is_ready)
     }
@@ -324,7 +371,7 @@
         self.members.iter_mut().find(|m| m.listed.id == id)
     }
 
-    fn may_take(&self, member: &Member, demand: &Demand, median: f64, now: Instant) -> bool {
+    fn has_room(&self, member: &Member, demand: &Demand, median: f64, now: Instant) -> bool {
         if member.free() == 0 {
             return false;
         }
--- a/crates/sesamehaven/tests/dispatcher.rs
+++ b/crates/sesamehaven/tests/dispatcher.rs
@@ -115,6 +115,12 @@
         self.started_tickets.contains(&ticket)
     }
 
+    /// Returns the place of a request in the order of starts, the last for one that has not started.
+    fn turn(&self, ticket: Ticket) -> usize {
+        let turn = self.started_tickets.iter().position(|t| *t == ticket);
+        turn.unwrap_or(usize::MAX)
+    }
+
     fn count(&self, class: &str) -> usize {
         self.started.iter().filter(|c| *c == class).count()
     }
@@ -195,6 +201,118 @@
     assert!(long >= all / 2.0, "of the long ones {long}, of all {all}");
 }
 
+/// Fills a pool of one place, so that what is asked from then on waits.
+fn full_pool() -> Pool {
+    let mut pool = Pool::new(&["engine"], 1);
+    while pool.started.len() == pool.next as usize {
+        pool.ask("filler", 0, 400.0);
+    }
+    pool.dispatcher.on_leave(Ticket(pool.next - 1));
+    pool
+}
+
+#[test]
+fn the_youngest_that_can_be_on_time_goes_first() {
+    let mut pool = full_pool();
+    let old = pool.ask("brief", 0, 100.0);
+    pool.advance(200);
+    let young = pool.ask("brief", 0, 100.0);
+    pool.advance(200);
+    assert!(pool.turn(young) < pool.turn(old));
+}
+
+#[test]
+fn a_request_that_comes_back_late_goes_after_new_ones() {
+    let mut pool = full_pool();
+    let (new, returned) = (Ticket(100), Ticket(101));
+    for (ticket, first_sent) in [(new, Instant(2_000)), (returned, Instant(1_000))] {
+        pool.now = Instant(2_000);
+        pool.classes.push((ticket, "brief".to_owned(), 100.0));
+        let work = Work {
+            first_sent,
+            ..work("brief", 0, 100.0, pool.now)
+        };
+        let steps = pool.dispatcher.on_arrival(ticket, work, pool.now);
+        pool.carry_out(steps);
+    }
+    pool.advance(100);
+    assert!(pool.turn(new) < pool.turn(returned));
+}
+
+#[test]
+fn short_requests_of_a_class_go_before_long_ones() {
+    let mut pool = full_pool();
+    let long = pool.ask("brief", 0, 900.0);
+    let short = pool.ask("brief", 0, 100.0);
+    pool.advance(400);
+    assert!(pool.turn(short) < pool.turn(long));
+}
+
+/// Requests wait at nine processes, which count each other's work every 60 ms.
+#[test]
+fn processes_that_see_the_same_free_places_do_not_all_take_them() {
+    const IDS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+    const PLACES: u32 = 6;
+    const PROCESSES: u64 = 9;
+    const COUNT_MS: u64 = 60;
+    let new = |seed| {
+        let mut dispatcher = Dispatcher::new(seed);
+        dispatcher.set_listed(IDS.map(|id| listed(id, PLACES)));
+        dispatcher
+    };
+    let mut all: Vec<Dispatcher> = (0..PROCESSES).map(new).collect();
+    let mut running: Vec<(Instant, usize, Ticket, String)> = Vec::new();
+    let mut most = 0;
+    for ms in 0..4_000 {
+        let now = Instant(ms);
+        let mut steps = Vec::new();
+        for (at, dispatcher) in all.iter_mut().enumerate() {
+            // Half as much again as the pool can run.
+            if (ms + at as u64).is_multiple_of(60) {
+                let ticket = Ticket(ms * PROCESSES + at as u64);
+                let arrived = dispatcher.on_arrival(ticket, work("brief", 0, 360.0, now), now);
+                steps.extend(arrived.into_iter().map(|s| (at, s)));
+            }
+        }
+        let (over, still) = running.into_iter().partition(|(end, ..)| *end <= now);
+        running = still;
+        let over: Vec<(Instant, usize, Ticket, String)> = over;
+        for (_, at, ticket, _) in over {
+            let ended = all[at].on_end(ticket, Ended::Well, now);
+            steps.extend(ended.into_iter().map(|s| (at, s)));
+        }
+        if ms.is_multiple_of(COUNT_MS) {
+            let counts: Vec<Vec<(u64, u32)>> = all.iter().map(|d| d.running().collect()).collect();
+            let waits: Vec<u32> = all.iter().map(|d| d.waiting() as u32).collect();
+            for (at, dispatcher) in all.iter_mut().enumerate() {
+                let others = |n: &usize| *n != at;
+                let waiting = (0..waits.len()).filter(others).map(|n| waits[n]).sum();
+                let others: Vec<_> = (0..counts.len()).filter(others).collect();
+                dispatcher.set_peers(others.len(), waiting, now, |hash| {
+                    let of = others.iter().flat_map(|n| &counts[*n]);
+                    of.filter(|(h, _)| *h == hash).map(|(_, n)| n).sum()
+                });
+                let filled = dispatcher.on_tick(now);
+                steps.extend(filled.into_iter().map(|s| (at, s)));
+            }
+        }
+        for (at, step) in steps {
+            if let Step::Start { ticket, endpoint } = step {
+                let took = Millis(200 + ticket.0 * 97 % 320);
+                running.push((now.after(took), at, ticket, endpoint.to_string()));
+            }
+        }
+        // The pace of requests is learned from the first ones.
+        if ms > 1_000 {
+            for id in IDS {
+                most = most.max(running.iter().filter(|r| r.3 == id).count());
+            }
+        }
+    }
+    // Little waits at an endpoint: fewer than it runs.
+    assert!(most < 2 * PLACES as usize, "held at one endpoint: {most}");
+}
+
 #[test]
 fn a_batch_is_kept_full_by_requests_held_ahead() {
     let mut pool = Pool::new(&["engine"], 6);
@@ -202,7 +320,7 @@
         pool.ask("brief", 0, 300.0);
     }
     assert!(pool.running.len() > 6, "held: {}", pool.running.len());
-    assert!(pool.running.len() <= 8, "held: {}", pool.running.len());
+    assert!(pool.running.len() <= 7, "held: {}", pool.running.len());
 }
 
 #[test]
--- a/crates/sesamehaven/tests/placement.rs
+++ b/crates/sesamehaven/tests/placement.rs
@@ -85,8 +85,8 @@
         p.on_start(&id, &demand(None, 1), Instant(0));
         taken[IDS.iter().position(|i| *i == id).unwrap()] += 1;
     }
-    // Two requests are held beyond the places, so that the batch stays full.
-    assert_eq!(taken, [8; IDS.len()]);
+    // One request is held beyond the places, so that the batch stays full.
+    assert_eq!(taken, [7; IDS.len()]);
 }
 
 /// An endpoint whose health check is good fails four requests in ten.
