Tell the story of a request from logs: sesamectl explain

Reads the logs of all processes together, from files or the standard input, and prints what happened to one request in order, what its processes believed, what became of its endpoints, and the cause.

--- a/crates/sesamehaven-daemons/src/ctl.rs
+++ b/crates/sesamehaven-daemons/src/ctl.rs
@@ -19,6 +19,7 @@
 use sesamehaven_config::{digest_key, from_yaml};
 
 use crate::ctl_apply;
+use crate::ctl_explain;
 use crate::ctl_history;
 use crate::ctl_options::{Command, Options, options};
 use crate::ctl_plan;
@@ -185,6 +186,7 @@
 
 async fn run(command: Command) -> Result<Output> {
     match command {
+        Command::Explain { id, files } => ctl_explain::run(&id, &files),
         Command::Check { file } => check_file(&file),
         Command::DigestKey => digest_stdin(),
         Command::Plan { store, file } => ctl_plan::run(&store.open(), &file).await,
--- /dev/null
+++ b/crates/sesamehaven-daemons/src/ctl_explain.rs
@@ -0,0 +1,60 @@
+//! `sesamectl explain`: the story of one request, from the logs of all processes.
+
+use std::io::BufRead;
+use std::path::{Path, PathBuf};
+
+use serde_json::json;
+
+use crate::ctl::{Error, Exit, Output, Result};
+use crate::story::{Line, Story};
+
+/// Reads logs and tells the story of a request.
+///
+/// # Errors
+///
+/// Fails when a file cannot be read.
+pub(crate) fn run(id: &str, files: &[PathBuf]) -> Result<Output> {
+    let mut lines = Vec::new();
+    for path in files {
+        read(path, &mut lines)?;
+    }
+    if files.is_empty() {
+        read(Path::new("-"), &mut lines)?;
+    }
+    Ok(match Story::find(id, &lines) {
+        Some(story) => Output::done(story.text(), json!(story)),
+        None => {
+            let text = format!(
+                "no line of {} names request {id}; give the logs of all processes\n",
+                lines.len()
+            );
+            Output {
+                json: json!({ "id": id, "lines": [] }),
+                text,
+                exit: Exit::Difference,
+            }
+        }
+    })
+}
+
+fn read(path: &Path, lines: &mut Vec<Line>) -> Result<()> {
+    let failed = |err| Error::Read {
+        path: path.to_owned(),
+        err,
+    };
+    if path == Path::new("-") {
+        return collect(std::io::stdin().lock(), "stdin", lines).map_err(failed);
+    }
+    let file = std::fs::File::open(path).map_err(failed)?;
+    let source = path.file_stem().unwrap_or_default().to_string_lossy();
+    collect(std::io::BufReader::new(file), &source, lines).map_err(failed)
+}
+
+/// Collects the lines that are of a log in JSON; others are passed over.
+fn collect(text: impl BufRead, source: &str, lines: &mut Vec<Line>) -> std::io::Result<()> {
+    for line in text.split(b'\n') {
+        let line = line?;
+        lines.extend(Line::parse(&String::from_utf8_lossy(&line), source));
+    }
+    Ok(())
+}
--- a/crates/sesamehaven-daemons/src/ctl_options.rs
+++ b/crates/sesamehaven-daemons/src/ctl_options.rs
@@ -57,6 +57,10 @@
     Report {
         burn: BurnOptions,
     },
+    Explain {
+        id: String,
+        files: Vec<PathBuf>,
+    },
 }
 
 /// What a report on burn is made of.
@@ -156,8 +160,13 @@
         .to_options()
         .descr("Reports on service levels")
         .command("report");
+    let explain = sub(
+        "explain",
+        "Tells the story of a request from logs; exits with 1 when no line names it",
+        explain(),
+    );
     construct!([
-        check, plan, apply, undo, history, show, status, report, digest_key
+        check, plan, apply, undo, history, show, status, report, explain, digest_key
     ])
 }
 
@@ -244,6 +253,14 @@
     construct!(Command::Status { store, daemons })
 }
 
+fn explain() -> impl Parser<Command> {
+    let id = positional::<String>("ID").help("The id of the caller's attempt");
+    let files = positional::<PathBuf>("LOG")
+        .help("Logs in JSON lines, of all processes; without any, or as `-`, the standard input")
+        .many();
+    construct!(Command::Explain { id, files })
+}
+
 fn daemons() -> impl Parser<Vec<SocketAddr>> {
     long("daemon")
         .help("The admin address of a daemon; may be repeated")
--- /dev/null
+++ b/crates/sesamehaven-daemons/src/story.rs
@@ -0,0 +1,222 @@
+//! The story of one request, told from the logs of all processes together.
+//!
+//! The lines and fields are those of fronts; see
+//! [`docs/OPERATIONS.md`](../../../docs/OPERATIONS.md#fronts).
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+use smol_str::SmolStr;
+
+/// How long before its first line what a process believed belongs to a request's story, in milliseconds.
+const BEFORE_MS: u64 = 3_000;
+/// How long after its last line what became of its endpoints does, in milliseconds.
+const AFTER_MS: u64 = 1_000;
+/// The lines that say what a process believes or has to rely on.
+const BELIEFS: [&str; 7] = [
+    "configuration in force",
+    "configuration rejected, the one in force stays",
+    "dependency lost",
+    "dependency regained",
+    "front draining",
+    "front started",
+    "settings reloaded",
+];
+/// The lines that tell what became of an endpoint.
+const ENDPOINT_NEWS: [&str; 3] = ["endpoint crashed", "endpoint gone", "endpoint listed"];
+
+/// A line of a log.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    /// The process that wrote it.
+    #[serde(default)]
+    pub process: SmolStr,
+    /// When, in milliseconds of the time of day.
+    #[serde(rename = "timestamp")]
+    pub time: u64,
+    /// What happened.
+    #[serde(rename = "payload")]
+    pub text: SmolStr,
+    /// The fields.
+    #[serde(rename = "kv", default)]
+    pub fields: Map<String, Value>,
+}
+
+impl Line {
+    /// Reads a line; [`None`] when it is not one of a log in JSON.
+    ///
+    /// A collector may have put words before it. The last of them names the
+    /// process, otherwise `source` does.
+    pub fn parse(text: &str, source: &str) -> Option<Self> {
+        let at = text.find('{')?;
+        let mut line: Line = serde_json::from_str(text[at..].trim()).ok()?;
+        let before = text[..at].split_whitespace().next_back();
+        line.process = before.unwrap_or(source).into();
+        Some(line)
+    }
+
+    fn text_of(&self, field: &str) -> &str {
+        self.fields
+            .get(field)
+            .and_then(Value::as_str)
+            .unwrap_or_default()
+    }
+
+    fn number(&self, field: &str) -> u64 {
+        self.fields
+            .get(field)
+            .and_then(Value::as_u64)
+            .unwrap_or_default()
+    }
+
+    fn is_about(&self, id: &str) -> bool {
+        self.text_of("id") == id
+    }
+
+    /// Writes the line with its time after `start`.
+    fn tell(&self, start: u64) -> String {
+        let after = self.time as i64 - start as i64;
+        let fields = self.fields.iter().filter(|(name, _)| *name != "id");
+        let fields = fields.map(|(name, value)| match value {
+            Value::String(text) => format!(" {name}={text}"),
+            other => format!(" {name}={other}"),
+        });
+        let fields: String = fields.collect();
+        format!("{after:+} ms {} {}:{fields}\n", self.process, self.text)
+    }
+}
+
+/// What the logs say of one request.
+#[derive(Debug, Clone, Serialize)]
+pub struct Story {
+    /// The request.
+    pub id: String,
+    /// Why it ended as it did.
+    pub cause: String,
+    /// The lines that tell it, in the order of time.
+    pub lines: Vec<Line>,
+}
+
+impl Story {
+    /// Finds the story of a request; [`None`] when no line names it.
+    pub fn find(id: &str, lines: &[Line]) -> Option<Self> {
+        let own: Vec<&Line> = lines.iter().filter(|l| l.is_about(id)).collect();
+        let first = own.iter().map(|l| l.time).min()?;
+        let last = own.iter().max_by_key(|l| l.time)?;
+        let span = first.saturating_sub(BEFORE_MS)..last.time + AFTER_MS;
+        let is_part = |line: &&Line| {
+            let is_near = span.contains(&line.time);
+            let is_belief = BELIEFS.contains(&line.text.as_str())
+                && own.iter().any(|l| l.process == line.process);
+            let is_news = ENDPOINT_NEWS.contains(&line.text.as_str())
+                && own.iter().any(|l| {
+                    let endpoint = l.text_of("endpoint");
+                    !endpoint.is_empty() && endpoint == line.text_of("endpoint")
+                });
+            line.is_about(id) || is_near && (is_belief || is_news)
+        };
+        let mut told: Vec<Line> = lines.iter().filter(is_part).cloned().collect();
+        for text in ["configuration in force", "dependency lost"] {
+            // What was believed may be older than the span.
+            let earlier = lines
+                .iter()
+                .filter(|l| l.process == last.process && l.text == text && l.time < span.start);
+            told.extend(earlier.max_by_key(|l| l.time).cloned());
+        }
+        told.sort_by_key(|l| l.time);
+        Some(Story {
+            id: id.to_owned(),
+            cause: cause(&own, last, &told),
+            lines: told,
+        })
+    }
+
+    /// Writes the story for people.
+    pub fn text(&self) -> String {
+        let own = self.lines.iter().find(|l| l.is_about(&self.id));
+        let start = own.map_or(0, |l| l.time);
+        let lines: String = self.lines.iter().map(|l| l.tell(start)).collect();
+        format!("{lines}cause: {}\n", self.cause)
+    }
+}
+
+/// Says why a request ended as its last line tells.
+fn cause(own: &[&Line], last: &Line, told: &[Line]) -> String {
+    if last.text == "request denied" {
+        return denied(last, told);
+    }
+    let endpoint = own
+        .iter()
+        .rev()
+        .map(|l| l.text_of("endpoint"))
+        .find(|endpoint| !endpoint.is_empty())
+        .unwrap_or_default();
+    let elapsed = last.number("elapsed_ms");
+    match (last.text_of("event"), last.text_of("detail")) {
+        ("answered" | "stream_whole", _) => {
+            format!("answered whole by {endpoint} after {elapsed} ms")
+        }
+        ("failed", why @ ("overload" | "overdue" | "no_endpoint" | "rejected")) => format!(
+            "refused as {why} after {elapsed} ms, not run: {} of {} places were free and {} requests waited at {}",
+            last.number("free"),
+            last.number("places"),
+            last.number("waiting"),
+            last.process,
+        ),
+        ("over_limit", organisation) => {
+            format!("refused, not run: organisation {organisation} was over its limit")
+        }
+        ("failed" | "stream_cut", why) => {
+            let crashed = told
+                .iter()
+                .any(|l| l.text == "endpoint crashed" && l.text_of("endpoint") == endpoint);
+            let fate = match crashed {
+                true => "which crashed",
+                false => "which went on serving",
+            };
+            let broken = own.iter().rev().find(|l| {
+                ["broken_off", "stream_broken", "answer_spoilt", "doubtful"]
+                    .contains(&l.text_of("event"))
+            });
+            match broken {
+                Some(line) => format!(
+                    "{why}: {} at {endpoint}, {fate}: {}; it may have run",
+                    line.text_of("event"),
+                    line.text_of("detail"),
+                ),
+                None => format!("{why} at {endpoint} after {elapsed} ms; it may have run"),
+            }
+        }
+        (event, detail) => format!("no end is logged; the last event is {event} {detail}"),
+    }
+}
+
+fn denied(last: &Line, told: &[Line]) -> String {
+    let (version, age) = (last.number("config"), last.number("config_age_ms"));
+    let before = |text: &str| {
+        let lines = told.iter().rev();
+        let mut lines = lines.filter(|l| l.process == last.process && l.time <= last.time);
+        lines.find(|l| l.text == text)
+    };
+    match last.text_of("why") {
+        why @ ("unknown_key" | "no_route") => {
+            let since = before("configuration in force").map_or(String::new(), |l| {
+                format!(", in force there for {} ms", last.time - l.time)
+            });
+            format!("{why} in version {version}{since} and confirmed {age} ms before")
+        }
+        "keys_not_confirmed" => {
+            let since = before("dependency lost").map_or(String::new(), |l| {
+                let ago = last.time - l.time;
+                format!(
+                    "; {} was lost {ago} ms before: {}",
+                    l.text_of("name"),
+                    l.text_of("reason")
+                )
+            });
+            format!(
+                "refused, not run: version {version} was last confirmed {age} ms before, too long to vouch for keys{since}"
+            )
+        }
+        why => format!("refused as {why}, not run"),
+    }
+}
