--- a/crates/sesamehaven/examples/replay/main.rs
+++ b/crates/sesamehaven/examples/replay/main.rs
@@ -19,7 +19,7 @@
     let seed = args.next().and_then(|s| s.parse().ok()).unwrap_or(1);
     let wanted = args.next().unwrap_or_default();
     println!(
-        "scene | policy | worth | served, in time % by kind | large served % | refused | p95 held | beside room | wasted %"
+        "scene | policy | worth | served % | served, in time % by kind | large served % | refused | p95 held | beside room | wasted %"
     );
     let mut sum = [0.0; 3];
     for mut scene in scenes() {
@@ -50,8 +50,9 @@
     let large = (0..KINDS.len()).map(|kind| format!("{:.0}", 100.0 * tally.large_served(kind)));
     let large: Vec<String> = large.collect();
     format!(
-        "{:.3} | {} | {} | {} | {:.2} | {} | {:.1}",
+        "{:.3} | {:.0} | {} | {} | {} | {:.2} | {} | {:.1}",
         tally.worth(),
+        100.0 * tally.all_served(),
         kinds.join(", "),
         large.join(" "),
         tally.refusals.len(),
--- a/crates/sesamehaven/examples/replay/tally.rs
+++ b/crates/sesamehaven/examples/replay/tally.rs
@@ -82,6 +82,12 @@
         share(self.kinds[kind].large_served, self.kinds[kind].large_owed)
     }
 
+    /// Returns how often all requests were served.
+    pub(crate) fn all_served(&self) -> f64 {
+        let sum = |f: fn(&Count) -> u32| self.kinds.iter().map(f).sum();
+        share(sum(|c| c.served), sum(|c| c.owed))
+    }
+
     /// Returns the wait before a refusal that one in twenty exceeds, as a part of the objective.
     pub(crate) fn refusal_p95(&self) -> f64 {
         let mut sorted = self.refusals.clone();
