Give the longest requests of a class a floor of their own again

Short requests went before long ones of their class, and one floor for all long ones did not reach the longest.

Now length no longer decides the order, and long and longest requests have a floor each, 0.65 of their class (the users ask for 0.5).

--- a/crates/sesamehaven/examples/replay/caller.rs
+++ b/crates/sesamehaven/examples/replay/caller.rs
@@ -22,8 +22,10 @@
 const HINT_SPREAD: f64 = 0.5;
 /// The longest prompts and answers, against the mean.
 const LENGTH_MAX: f64 = 10.0;
-/// The length from which on a prompt is among the largest tenth, against the mean.
-const LARGEST_TENTH: f64 = 2.11;
+/// The weight of a token of an answer in the size of a request, against one of the prompt.
+const ANSWER_WEIGHT: u64 = 10;
+/// The lengths that are drawn to find from which size on a request is among the largest tenth.
+const SIZES_DRAWN: usize = 2_000;
 /// The time that a request is expected to be prepared for, in milliseconds.
 const EXPECTED_START_MS: f64 = 83.0;
 /// The time that tokens of prompt and answer are expected to take, in milliseconds.
@@ -59,9 +61,9 @@
         let id = self.count;
         self.count += 1;
         let cfg = KINDS[kind];
-        let size = self.length(PROMPT_SPREAD);
-        let output = cfg.events as f64 * self.length(ANSWER_SPREAD);
-        let hint = output * self.log_normal(HINT_SPREAD);
+        let (prompt, output) = self.lengths(kind);
+        let size = prompt + output * TOKENS_PER_EVENT * ANSWER_WEIGHT;
+        let hint = output as f64 * self.log_normal(HINT_SPREAD);
         let tiers = self.scene.tiers;
         let mut req = Request {
             kind,
@@ -70,9 +72,9 @@
             } else {
                 tiers[self.rng.random_range(0..tiers.len())]
             },
-            prompt: ((cfg.prompt as f64 * size) as u64).max(2),
-            is_large: size > LARGEST_TENTH,
-            output: (output as u64).max(1),
+            prompt,
+            is_large: size > self.large_from[kind],
+            output,
             hint: (hint as u64).max(1),
             session: id as u64 + 1,
             front: 0,
@@ -120,6 +122,22 @@
         self.reach_front(id, front);
     }
 
+    /// Draws the tokens of a prompt and the events of its answer.
+    fn lengths(&mut self, kind: usize) -> (u64, u64) {
+        let cfg = KINDS[kind];
+        let prompt = cfg.prompt as f64 * self.length(PROMPT_SPREAD);
+        let output = cfg.events as f64 * self.length(ANSWER_SPREAD);
+        ((prompt as u64).max(2), (output as u64).max(1))
+    }
+
+    /// Finds from which size on a request of a kind is among the largest tenth.
+    pub(crate) fn find_large(&mut self, kind: usize) -> u64 {
+        let size = |(prompt, output)| prompt + output * TOKENS_PER_EVENT * ANSWER_WEIGHT;
+        let mut sizes: Vec<u64> = (0..SIZES_DRAWN).map(|_| size(self.lengths(kind))).collect();
+        sizes.sort_unstable();
+        sizes[SIZES_DRAWN * 9 / 10]
+    }
+
     fn log_normal(&mut self, spread: f64) -> f64 {
         // The sum of twelve even draws is close to normal.
         let sum: f64 = (0..12).map(|_| self.rng.random::<f64>()).sum();
--- a/crates/sesamehaven/examples/replay/world.rs
+++ b/crates/sesamehaven/examples/replay/world.rs
@@ -73,6 +73,8 @@
     pub(crate) requests: HashMap<Id, Request>,
     pub(crate) due: BTreeMap<(u64, Id), Due>,
     pub(crate) steps: VecDeque<(usize, Step)>,
+    /// The size from which on a request is among the largest tenth of its kind.
+    pub(crate) large_from: [u64; KINDS.len()],
     pub(crate) count: usize,
     pub(crate) now: u64,
     pub(crate) tally: Tally,
@@ -103,11 +105,13 @@
             requests: HashMap::new(),
             due: BTreeMap::new(),
             steps: VecDeque::new(),
+            large_from: [0; KINDS.len()],
             count: 0,
             now: 0,
             tally: Tally::default(),
             scene,
         };
+        world.large_from = std::array::from_fn(|kind| world.find_large(kind));
         world.list();
         world
     }
--- a/crates/sesamehaven/src/backlog.rs
+++ b/crates/sesamehaven/src/backlog.rs
@@ -22,6 +22,10 @@
 ///
 /// The users ask for a half at least over a whole day.
 const LONG_FLOOR: f64 = 0.65;
+/// The time in a place from which work counts as long, in milliseconds.
+const LONG_MS: f64 = 700.0;
+/// The time in a place from which work counts as the longest, in milliseconds.
+const LONGEST_MS: f64 = 2_500.0;
 /// The span over which shares are counted, in milliseconds.
 const SHARE_SPAN_MS: f64 = 6_000.0;
 /// The requests that a class must have sent before its share counts.
@@ -45,6 +49,28 @@
     }
 }
 
+/// How long a request is expected to hold its place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Length {
+    /// About as long as most.
+    Short,
+    /// Several times as long.
+    Long,
+    /// So long that few of them fill a pool.
+    Longest,
+}
+
+impl Length {
+    /// Tells the length of a request that holds its place for `slot_ms`.
+    pub fn of(slot_ms: f64) -> Self {
+        match slot_ms {
+            ms if ms <= LONG_MS => Length::Short,
+            ms if ms <= LONGEST_MS => Length::Long,
+            _ => Length::Longest,
+        }
+    }
+}
+
 /// The number of a request that waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Ticket(pub u64);
@@ -56,8 +82,8 @@
     pub ticket: Ticket,
     /// The kind of request, which shares are counted by.
     pub class: SmolStr,
-    /// Whether it holds its place for much longer than others of its kind.
-    pub is_long: bool,
+    /// How long it holds its place, roughly.
+    pub length: Length,
     /// Its rank.
     pub rank: Rank,
     /// When its first byte came.
@@ -73,7 +99,7 @@
 #[derive(Debug)]
 struct Class {
     name: SmolStr,
-    is_long: bool,
+    length: Length,
     rank: Rank,
     queue: VecDeque<Waiting>,
     asked: f64,
@@ -117,14 +143,14 @@
 impl Backlog {
     /// Adds a request.
     pub fn push(&mut self, waiting: Waiting, now: Instant) {
-        let class = self.class(&waiting.class, waiting.is_long, waiting.rank, now);
+        let class = self.class(&waiting.class, waiting.length, waiting.rank, now);
         class.asked += 1.0;
         class.queue.push_back(waiting);
     }
 
     /// Counts a request that was refused without waiting.
-    pub fn count_refused(&mut self, name: &SmolStr, is_long: bool, rank: Rank, now: Instant) {
-        self.class(name, is_long, rank, now).asked += 1.0;
+    pub fn count_refused(&mut self, name: &SmolStr, length: Length, rank: Rank, now: Instant) {
+        self.class(name, length, rank, now).asked += 1.0;
     }
 
     /// Takes a request out that its caller has left.
@@ -142,14 +168,13 @@
         for class in &mut self.classes {
             class.decay(now);
         }
-        let mut heads: Vec<(bool, Rank, bool, Instant, Ticket)> = Vec::new();
+        let mut heads: Vec<(bool, Rank, Instant, Ticket)> = Vec::new();
         for class in &self.classes {
             let Some(at) = class.next(now) else { continue };
             let head = &class.queue[at];
             heads.push((
                 !self.is_below_floor(class),
                 class.rank,
-                class.is_long,
                 head.arrived,
                 head.ticket,
             ));
@@ -162,7 +187,7 @@
     /// Takes the request out that starts.
     pub fn start(&mut self, ticket: Ticket, now: Instant) -> Option<Waiting> {
         let waiting = self.remove(ticket)?;
-        self.class(&waiting.class, waiting.is_long, waiting.rank, now)
+        self.class(&waiting.class, waiting.length, waiting.rank, now)
             .started += 1.0;
         Some(waiting)
     }
@@ -200,11 +225,11 @@
     }
 
     /// Returns whether a class was served less than its floor lately.
-    pub fn is_starved(&self, name: &str, is_long: bool, rank: Rank) -> bool {
+    pub fn is_starved(&self, name: &str, length: Length, rank: Rank) -> bool {
         let found = self
             .classes
             .iter()
-            .find(|c| c.name == name && c.is_long == is_long && c.rank == rank);
+            .find(|c| c.name == name && c.length == length && c.rank == rank);
         found.is_some_and(|c| self.is_below_floor(c))
     }
 
@@ -213,7 +238,8 @@
         let kind = share(self.classes.iter().filter(|c| c.is_kind_of(class)));
         let all = share(self.classes.iter());
         class.asked >= SHARE_MIN
-            && (kind < FLOOR * all || class.is_long && class.share() < LONG_FLOOR * kind)
+            && (kind < FLOOR * all
+                || class.length > Length::Short && class.share() < LONG_FLOOR * kind)
     }
 
     /// Returns how many ranks above this one were asked for lately, and how many in all.
@@ -228,15 +254,15 @@
         (above, ranks.len())
     }
 
-    fn class(&mut self, name: &SmolStr, is_long: bool, rank: Rank, now: Instant) -> &mut Class {
+    fn class(&mut self, name: &SmolStr, length: Length, rank: Rank, now: Instant) -> &mut Class {
         let at = self
             .classes
             .iter()
-            .position(|c| c.name == *name && c.is_long == is_long && c.rank == rank);
+            .position(|c| c.name == *name && c.length == length && c.rank == rank);
         let at = at.unwrap_or_else(|| {
             self.classes.push(Class {
                 name: name.clone(),
-                is_long,
+                length,
                 rank,
                 queue: VecDeque::new(),
                 asked: 0.0,
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -26,15 +26,13 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
-use crate::backlog::{Backlog, Rank, Ticket, Waiting, drain_time};
+use crate::backlog::{Backlog, Length, Rank, Ticket, Waiting, drain_time};
 use crate::placement::{Demand, Ended, Listed, Placement};
 use crate::tier::Tier;
 use crate::unit::{Instant, Millis};
 
 /// The share of the places that the least urgent rank leaves free for those above it.
 const RESERVE_SHARE: f64 = 0.14;
-/// The time in a place from which work counts as long, in milliseconds.
-const LONG_MS: f64 = 700.0;
 /// The part of the objective that a request may be expected to wait for a place.
 const WAIT_SHARE: f64 = 0.6;
 /// The same for the most urgent rank, which is worth serving late.
@@ -101,8 +99,12 @@
         }
     }
 
+    fn length(&self) -> Length {
+        Length::of(self.slot_ms)
+    }
+
     fn is_long(&self) -> bool {
-        self.slot_ms > LONG_MS
+        self.length() > Length::Short
     }
 
     /// Returns the latest start that meets the objective.
@@ -259,19 +261,19 @@
             false => (WAIT_SHARE, GIVE_UP_SHARE),
         };
         let most = work.share_of_objective(wait_share);
-        let is_long = work.is_long();
-        let is_starved = self.backlog.is_starved(&work.class, is_long, work.rank);
+        let length = work.length();
+        let is_starved = self.backlog.is_starved(&work.class, length, work.rank);
         let is_hopeless = wait.0 > 0 && wait.0 + waited.0 > most.0;
         if is_hopeless && !is_starved && work.tried.is_empty() {
             self.backlog
-                .count_refused(&work.class, is_long, work.rank, now);
+                .count_refused(&work.class, length, work.rank, now);
             return self.refuse(ticket, Refusal::Overload, now.after(wait), now);
         }
         let give_up = work.arrived.after(work.share_of_objective(give_up_share));
         let waiting = Waiting {
             ticket,
             class: work.class.clone(),
-            is_long,
+            length,
             rank: work.rank,
             arrived: work.arrived,
             on_time_until: work.on_time_until(),
@@ -306,7 +308,7 @@
             self.hold_ms += weight * (took - self.hold_ms);
             self.factor += SAMPLE_WEIGHT * (ratio - self.factor);
         }
-        let is_long = run.slot_ms > LONG_MS;
+        let is_long = Length::of(run.slot_ms) > Length::Short;
         self.placement
             .on_end(&run.endpoint, is_long, ended, factor, now);
         self.fill(now)
--- a/crates/sesamehaven/tests/dispatcher.rs
+++ b/crates/sesamehaven/tests/dispatcher.rs
@@ -174,8 +174,10 @@
 }
 
 /// More short and long streams of one class are asked for than the pool can run.
-#[test]
-fn the_long_requests_of_a_class_are_served_half_as_often_as_all_at_least() {
+#[rstest]
+#[case::long(1_500.0)]
+#[case::longest(3_000.0)]
+fn the_long_requests_of_a_class_are_served_half_as_often_as_all_at_least(#[case] long_ms: f64) {
     const SPAN_MS: u64 = 20_000;
     let mut pool = Pool::new(&["a", "b", "c"], 6);
     let mut asked = (0, 0);
@@ -186,7 +188,7 @@
         }
         if now % 25 == 0 {
             let is_long = now % 125 == 0;
-            let ticket = pool.ask("guidance", 2, if is_long { 3_000.0 } else { 500.0 });
+            let ticket = pool.ask("guidance", 2, if is_long { long_ms } else { 500.0 });
             asked.0 += 1;
             if is_long {
                 asked.1 += 1;
@@ -239,15 +241,6 @@
     assert!(pool.turn(new) < pool.turn(returned));
 }
 
-#[test]
-fn short_requests_of_a_class_go_before_long_ones() {
-    let mut pool = full_pool();
-    let long = pool.ask("brief", 0, 900.0);
-    let short = pool.ask("brief", 0, 100.0);
-    pool.advance(400);
-    assert!(pool.turn(short) < pool.turn(long));
-}
-
 /// Requests wait at nine processes, which count each other's work every 60 ms.
 #[test]
 fn processes_that_see_the_same_free_places_do_not_all_take_them() {
