Forget the patience of classes that are no longer asked for

Each route name that ever was in force stayed in memory. Found when reading the change; the test failed with 20,000 classes before. Comments say where the expected times come from.

--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -23,9 +23,9 @@
 
 /// The time before an engine has read any of a prompt, in milliseconds; the least seen on a quiet day.
 const START_MS: f64 = 83.0;
-/// The time that a token of a prompt takes at an ordinary engine, in milliseconds.
+/// The time that a token of a prompt takes at an engine of mean speed, in milliseconds; the users' sheet.
 const PREFILL_MS_PER_TOKEN: f64 = 0.0142;
-/// The time that a token of an answer takes at an ordinary engine, in milliseconds.
+/// The time that a token of an answer takes in a full batch there, in milliseconds; the users' sheet.
 const DECODE_MS_PER_TOKEN: f64 = 6.5;
 /// The share of the most tokens that an answer has when the caller gives no estimate.
 const ANSWER_SHARE: f64 = 0.5;
--- a/crates/sesamehaven/src/backlog.rs
+++ b/crates/sesamehaven/src/backlog.rs
@@ -18,7 +18,7 @@
 ///
 /// The users ask for a quarter at least over a whole day.
 const FLOOR: f64 = 0.35;
-/// How often the long requests of a class are served before length counts, against the class.
+/// How often the long requests of a class are served at least, against the class.
 ///
 /// The users ask for a half at least over a whole day.
 const LONG_FLOOR: f64 = 0.65;
--- a/crates/sesamehaven/src/patience.rs
+++ b/crates/sesamehaven/src/patience.rs
@@ -14,6 +14,8 @@
 
 /// How long the longest patience of a class is believed without being seen again.
 const KEPT: Millis = Millis(10_000);
+/// The classes from which on those that were not seen for that long are forgotten.
+const REMEMBERED: usize = 1_024;
 
 /// The longest patience of each class.
 #[derive(Debug, Default)]
@@ -22,6 +24,16 @@
 }
 
 impl Patience {
+    /// Returns the number of classes that are remembered.
+    pub fn len(&self) -> usize {
+        self.longest.len()
+    }
+
+    /// Returns whether no class is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.longest.is_empty()
+    }
+
     /// Returns when a request was sent first, whose caller will wait for `left` from now on.
     ///
     /// # Example
@@ -40,6 +52,9 @@
     pub fn first_sent(&mut self, class: &SmolStr, left: Millis, now: Instant) -> Instant {
         let (longest, seen) = self.longest.get(class).copied().unwrap_or_default();
         if left >= longest || now.since(seen) > KEPT {
+            if self.longest.len() >= REMEMBERED {
+                self.longest.retain(|_, (_, seen)| now.since(*seen) <= KEPT);
+            }
             self.longest.insert(class.clone(), (left, now));
             return now;
         }
--- a/crates/sesamehaven/tests/patience.rs
+++ b/crates/sesamehaven/tests/patience.rs
@@ -33,3 +33,13 @@
     let found = patience.first_sent(&"brief".into(), Millis(5_000), Instant(1_000));
     assert_eq!(found, Instant(1_000));
 }
+
+#[test]
+fn classes_that_are_no_longer_asked_for_are_forgotten() {
+    let mut patience = Patience::default();
+    for n in 0..20_000 {
+        let class = format!("route-{n}").into();
+        patience.first_sent(&class, Millis(5_000), Instant(n * 100));
+    }
+    assert!(patience.len() <= 1_024, "{} classes", patience.len());
+}
