--- a/crates/sesamehaven/examples/replay/caller.rs
+++ b/crates/sesamehaven/examples/replay/caller.rs
@@ -31,6 +31,7 @@
 /// The time that tokens of prompt and answer are expected to take, in milliseconds.
 const EXPECTED_MS: (f64, f64) = (0.0142, 6.5);
 
+/// A request, from its first sending to its end.
 #[derive(Debug, Clone)]
 pub(crate) struct Request {
     pub(crate) kind: usize,
--- a/crates/sesamehaven/examples/replay/engine.rs
+++ b/crates/sesamehaven/examples/replay/engine.rs
@@ -57,6 +57,7 @@
     Ended(Id),
 }
 
+/// A model engine.
 #[derive(Debug)]
 pub(crate) struct Engine {
     pub(crate) slots: usize,
--- a/crates/sesamehaven/examples/replay/trouble.rs
+++ b/crates/sesamehaven/examples/replay/trouble.rs
@@ -91,12 +91,14 @@
         for at in (0..self.fronts.len()).step_by(4) {
             self.fronts[at].is_up = false;
         }
-        let lost: Vec<Id> = self
+        let mut lost: Vec<Id> = self
             .requests
             .iter()
             .filter(|(_, r)| !self.fronts[r.front].is_up)
             .map(|(id, _)| *id)
             .collect();
+        // The map has no order, and the replay must have one.
+        lost.sort_unstable();
         for id in lost {
             self.stop_run(id, Ended::Unjudged);
             if let Some(req) = self.requests.remove(&id) {
--- a/crates/sesamehaven/examples/replay/world.rs
+++ b/crates/sesamehaven/examples/replay/world.rs
@@ -46,6 +46,7 @@
     RoundRobin,
 }
 
+/// A front, with what it runs at each engine and what it knows of the others.
 pub(crate) struct Front {
     pub(crate) dispatcher: Dispatcher,
     pub(crate) outstanding: Vec<u32>,
@@ -63,6 +64,7 @@
     Free,
 }
 
+/// A scene while it plays.
 pub(crate) struct World {
     pub(crate) scene: Scene,
     pub(crate) policy: Policy,
