Use one digest, one sliding window and one end of an exchange

The front digested requests, listings and rejected configurations by hand, as the library does in five places: all of them now call digest, and the front's fingerprint of a request is the library's. The two sliding windows of shared limits are one. A whole answer and a whole stream end by the same code, and the check that malformed answers are no crash stands where crashes are suspected. Ejection, the fronts heard lately and the fixture of listed endpoints have one place each; a type that nothing used and a stale comment are gone.

Taking over a configuration no longer compares all limits with all organisations, and the share of all is summed once a round of turns.

--- a/crates/sesamehaven-daemons/src/intake.rs
+++ b/crates/sesamehaven-daemons/src/intake.rs
@@ -329,7 +329,7 @@
         output: work.output,
         prefixes: work.prefixes,
         weight: party.contract.limits.weight.unwrap_or(1),
-        fingerprint: quarantine::fingerprint(&organisation, &pool.name, &body),
+        fingerprint: quarantine::fingerprint(organisation.as_str(), pool.name.as_str(), &body),
         limits: party.contract.limits.clone(),
         organisation,
         method: req.method().as_str().into(),
--- a/crates/sesamehaven-front/src/admit.rs
+++ b/crates/sesamehaven-front/src/admit.rs
@@ -11,7 +11,7 @@
 use smol_str::SmolStr;
 
 use sesamehaven::backlog::Rank;
-use sesamehaven::quarantine::Standing;
+use sesamehaven::quarantine::{self, Standing};
 use sesamehaven::unit::{Instant, Millis};
 
 use crate::clock;
@@ -70,7 +70,8 @@
     let body = read_body(front, payload, limit).await?;
     let draw = u64::from(rand::random::<u32>());
     let pool = route.pool(draw).cloned().unwrap_or_default();
-    let fingerprint = fingerprint(organisation.as_deref(), &path, &body);
+    let name = organisation.as_ref().map_or("", |o| o.name.as_str());
+    let fingerprint = quarantine::fingerprint(name, &path, &body);
     refuse_quarantined(front, &call, fingerprint, arrived)?;
     let first_sent = match call.patience {
         Some(left) => {
@@ -216,18 +217,6 @@
     Ok(whole.freeze())
 }
 
-/// Digests what makes two requests the same to an endpoint.
-fn fingerprint(organisation: Option<&Organisation>, path: &str, body: &[u8]) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(organisation.map_or("", |o| o.name.as_str()).as_bytes());
-    hasher.update(&[0]);
-    hasher.update(path.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(body);
-    let head = hasher.finalize().as_bytes().first_chunk().copied();
-    u64::from_le_bytes(head.unwrap_or_default())
-}
-
 fn log_denied<D: Dialect>(front: &Front<D>, call: &Call, why: &str, version: u64) {
     let now = clock::now();
     if front.lines.take(now) {
--- a/crates/sesamehaven-front/src/crash.rs
+++ b/crates/sesamehaven-front/src/crash.rs
@@ -12,8 +12,9 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
-use sesamehaven::placement::hash_of;
+use sesamehaven::digest::hash_of;
 use sesamehaven::quarantine::CrashId;
+use sesamehaven_wire::http1::Error as WireError;
 
 use crate::clock;
 use crate::dialect::Dialect;
@@ -26,8 +27,12 @@
     /// Finds out whether an endpoint that broke off a request has crashed.
     ///
     /// If it has, the requests that ran there are marked in quarantine; if not,
-    /// the connection that showed it serves the next request.
-    pub fn suspect_crash(self: &Rc<Self>, endpoint: &SmolStr) {
+    /// the connection that showed it serves the next request. An endpoint that
+    /// sent something that is no answer is alive.
+    pub fn suspect_crash(self: &Rc<Self>, endpoint: &SmolStr, err: &WireError) {
+        if err.is_malformed() {
+            return;
+        }
         let mut suspects = self.suspects.borrow_mut();
         if suspects.contains(endpoint) {
             return;
--- a/crates/sesamehaven-front/src/dialect.rs
+++ b/crates/sesamehaven-front/src/dialect.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use sesamehaven::digest::hash_of;
 use sesamehaven::unit::Millis;
 use sesamehaven_wire::http1::Head;
 
@@ -95,8 +96,7 @@
     pub fn digest(&self) -> u64 {
         // A listing that cannot be encoded is taken as changed each time.
         let text = serde_json::to_vec(self).unwrap_or_default();
-        let digest = blake3::hash(&text);
-        u64::from_le_bytes(digest.as_bytes().first_chunk().copied().unwrap_or_default())
+        hash_of(text)
     }
 }
 
--- a/crates/sesamehaven-front/src/front.rs
+++ b/crates/sesamehaven-front/src/front.rs
@@ -8,8 +8,8 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
+use sesamehaven::digest::hash_of;
 use sesamehaven::patience::Patience;
-use sesamehaven::placement::hash_of;
 use sesamehaven::quarantine::Quarantine;
 use sesamehaven::unit::{Instant, Millis};
 
@@ -71,7 +71,7 @@
         Front {
             knowledge: Knowledge::default(),
             listed: Listed::default(),
-            pools: Rc::new(Pools::new(hash_of(&settings.peers.to_string()))),
+            pools: Rc::new(Pools::new(hash_of(settings.peers.to_string()))),
             hosts: Hosts::default(),
             spending: RefCell::new(Spending::default()),
             settings: RefCell::new(settings),
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -1,6 +1,7 @@
 //! One request on its way through a front, and one attempt of it at one endpoint.
 
 use std::cell::Cell;
+use std::fmt::Display;
 use std::rc::Rc;
 
 use actix_http::{Method, StatusCode};
@@ -147,6 +148,24 @@
         histogram!("front_first_answer_seconds", "tier" => tier).record(took);
     }
 
+    /// Ends an exchange whose answer is whole, and keeps its connection for the next one.
+    pub fn finish(&self, answer: Answer<D>, ended: Ended, event: &str, detail: impl Display) {
+        let Answer {
+            head,
+            mut conn,
+            place,
+            ..
+        } = answer;
+        conn.finish(&head);
+        let endpoint = place.endpoint.clone();
+        self.front.hosts.keep(&endpoint, conn, &head);
+        place.end(ended);
+        let mut quarantine = self.front.quarantine.borrow_mut();
+        quarantine.on_finished(self.fingerprint);
+        drop(quarantine);
+        self.log(event, &endpoint, detail);
+    }
+
     /// Sends the request to an endpoint and reads the head of its answer.
     pub async fn attempt(&self, place: Place, last_event: Option<u64>) -> Attempt<D> {
         let endpoint = place.endpoint.clone();
@@ -196,9 +215,7 @@
             }
             Err(err) => {
                 self.log("broken_off", &endpoint, err.to_string());
-                if !err.is_malformed() {
-                    self.front.suspect_crash(&endpoint);
-                }
+                self.front.suspect_crash(&endpoint, &err);
                 place.end(Ended::Badly);
                 Attempt::Unknown("the endpoint broke off before its answer")
             }
@@ -270,7 +287,7 @@
     }
 
     /// Writes a line about a decision or an event of this request.
-    pub fn log(&self, event: &str, endpoint: &str, detail: impl std::fmt::Display) {
+    pub fn log(&self, event: &str, endpoint: &str, detail: impl Display) {
         let now = clock::now();
         if !self.front.lines.take(now) {
             return;
--- a/crates/sesamehaven-front/src/knowledge.rs
+++ b/crates/sesamehaven-front/src/knowledge.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 
+use sesamehaven::digest::hash_of;
 use sesamehaven::unit::{Instant, Millis};
 
 use crate::dialect::{Dialect, Listing};
@@ -135,8 +136,7 @@
 
     /// Returns whether a rejected configuration is another than the last one, which was logged.
     pub fn is_news(&self, rejected: &Bytes) -> bool {
-        let digest = blake3::hash(rejected).as_bytes().first_chunk().copied();
-        let digest = u64::from_le_bytes(digest.unwrap_or_default());
+        let digest = hash_of(rejected);
         self.rejected.replace(digest) != digest
     }
 }
--- a/crates/sesamehaven-front/src/peers.rs
+++ b/crates/sesamehaven-front/src/peers.rs
@@ -7,7 +7,6 @@
 //! age of the answer counts from the sending of the question. See
 //! [`docs/FRONT.md`](../../../docs/FRONT.md#what-fronts-tell-each-other).
 
-use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
@@ -18,7 +17,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use sesamehaven::placement::hash_of;
+use sesamehaven::digest::hash_of;
 use sesamehaven::quarantine::Notice;
 use sesamehaven::shared_limit::{Hearing, PeerId};
 use sesamehaven::unit::{Instant, Millis};
@@ -136,7 +135,7 @@
     pub fn new(own: SocketAddr, incarnation: u64, seeds: Vec<IpAddr>) -> Self {
         let mut peers = Peers {
             own,
-            id: hash_of(&format!("{own}/{incarnation}")),
+            id: hash_of(format!("{own}/{incarnation}")),
             seq: 0,
             seeds: Vec::new(),
             peers: HashMap::new(),
@@ -185,7 +184,7 @@
         self.peers.keys().copied().chain(unknown).collect()
     }
 
-    /// Takes in a digest; returns whether it is news, and the fronts that it names and nobody else did.
+    /// Takes in a digest; returns whether it is news.
     pub fn on_digest(&mut self, from: SocketAddr, digest: &Digest, now: Instant) -> bool {
         if digest.version != VERSION || digest.from == self.id || from == self.own {
             return false;
@@ -228,34 +227,31 @@
             .collect()
     }
 
+    fn heard(&self, span: Millis, now: Instant) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
+        self.peers
+            .iter()
+            .filter(move |(_, p)| now.since(p.heard) <= span)
+    }
+
     /// Returns how many fronts in touch come before this one.
     ///
     /// What only a few fronts need to do is done by the first ones.
     pub fn rank(&self, now: Instant) -> usize {
-        let heard = self
-            .peers
-            .iter()
-            .filter(|(_, p)| now.since(p.heard) <= IN_TOUCH);
+        let heard = self.heard(IN_TOUCH, now);
         heard.filter(|(address, _)| **address < self.own).count()
     }
 
     /// Sums up what the other fronts run, and what waits there.
     pub fn loads(&self, now: Instant) -> Loads {
         let mut loads = Loads::default();
-        let live = self
-            .peers
-            .values()
-            .filter(|p| now.since(p.heard) <= RUNNING_KEPT);
-        live.for_each(|p| loads.add(&p.load));
+        let live = self.heard(RUNNING_KEPT, now);
+        live.for_each(|(_, p)| loads.add(&p.load));
         loads
     }
 
     /// Finds the front that knows of a newer configuration or of other endpoints, or both more freshly.
     pub fn better_informed(&self, known: &Known, now: Instant) -> Option<SocketAddr> {
-        let live = self
-            .peers
-            .iter()
-            .filter(|(_, p)| now.since(p.heard) <= RUNNING_KEPT);
+        let live = self.heard(RUNNING_KEPT, now);
         let gain = |p: &Peer| {
             let since = now.since(p.heard).0;
             let config = known.config_age.0.saturating_sub(p.config_age.0 + since);
@@ -358,6 +354,3 @@
     digest.peers.clear();
     postcard::to_stdvec(digest)
 }
-
-/// Shares a view of the other fronts within the process.
-pub type SharedPeers = RefCell<Peers>;
--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -10,8 +10,9 @@
 use tokio::sync::{Notify, oneshot};
 
 use sesamehaven::backlog::Ticket;
+use sesamehaven::digest::hash_of;
 use sesamehaven::dispatcher::{Dispatcher, Refusal, Step, Work};
-use sesamehaven::placement::{Ended, Listed, hash_of};
+use sesamehaven::placement::{Ended, Listed};
 use sesamehaven::unit::Millis;
 
 use crate::clock;
--- a/crates/sesamehaven-front/src/relay.rs
+++ b/crates/sesamehaven-front/src/relay.rs
@@ -122,7 +122,7 @@
                 tx.send(Some(Ok(events))).await.map_err(|_| LEFT)?;
             }
             Next::Whole => {
-                finish(job, answer);
+                job.finish(answer, Ended::Well, "stream_whole", "");
                 return tx.send(None).await.map_err(|_| LEFT);
             }
             Next::Broken(why) => {
@@ -134,24 +134,6 @@
     }
 }
 
-fn finish<D: Dialect>(job: &Job<D>, answer: Answer<D>) {
-    let Answer {
-        head,
-        mut conn,
-        place,
-        ..
-    } = answer;
-    conn.finish(&head);
-    let endpoint = place.endpoint.clone();
-    job.front.hosts.keep(&endpoint, conn, &head);
-    place.end(Ended::Well);
-    job.front
-        .quarantine
-        .borrow_mut()
-        .on_finished(job.fingerprint);
-    job.log("stream_whole", &endpoint, "");
-}
-
 /// Goes on at another endpoint after the last event that the caller has.
 async fn resume<D: Dialect>(
     job: &mut Job<D>,
@@ -208,9 +190,7 @@
             }
             Ok(None) => return Next::Whole,
             Err(err) => {
-                if !err.is_malformed() {
-                    job.front.suspect_crash(&answer.place.endpoint);
-                }
+                job.front.suspect_crash(&answer.place.endpoint, &err);
                 return Next::Broken("the endpoint broke off");
             }
         }
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -167,39 +167,25 @@
 }
 
 /// Reads a whole answer.
-async fn whole<D: Dialect>(job: &Job<D>, answer: Answer<D>) -> Judged<D> {
-    let Answer {
-        head,
-        mut conn,
-        place,
-        ..
-    } = answer;
-    let endpoint = place.endpoint.clone();
-    let body = match conn.body(ANSWER_MAX_BYTES).await {
+async fn whole<D: Dialect>(job: &Job<D>, mut answer: Answer<D>) -> Judged<D> {
+    let body = match answer.conn.body(ANSWER_MAX_BYTES).await {
         Ok(body) => body,
         Err(err) => {
+            let endpoint = answer.place.endpoint.clone();
             job.log("answer_spoilt", &endpoint, &err);
-            if !err.is_malformed() {
-                job.front.suspect_crash(&endpoint);
-            }
-            place.end(Ended::Badly);
+            job.front.suspect_crash(&endpoint, &err);
+            answer.place.end(Ended::Badly);
             return Judged::Spoilt;
         }
     };
-    conn.finish(&head);
-    job.front.hosts.keep(&endpoint, conn, &head);
-    let failed = head.status.is_server_error();
-    place.end(if failed { Ended::Badly } else { Ended::Well });
-    job.front
-        .quarantine
-        .borrow_mut()
-        .on_finished(job.fingerprint);
-    job.log("answered", &endpoint, head.status.as_u16());
+    let (status, failed) = (answer.head.status, answer.head.status.is_server_error());
+    let mut res = Response::with_body(status, Body::Whole(body));
+    copy_headers(&answer.head.headers, res.headers_mut());
+    let ended = if failed { Ended::Badly } else { Ended::Well };
+    job.finish(answer, ended, "answered", status.as_u16());
     if failed && job.route.repeat == Repeat::Always && job.has_time_again() && job.take_retry() {
         return Judged::Again;
     }
-    let mut res = Response::with_body(head.status, Body::Whole(body));
-    copy_headers(&head.headers, res.headers_mut());
     Judged::Serve(Served::Whole(res))
 }
 
--- a/crates/sesamehaven-front/src/spending.rs
+++ b/crates/sesamehaven-front/src/spending.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use sesamehaven::placement::hash_of;
+use sesamehaven::digest::hash_of;
 use sesamehaven::shared_limit::{Allowance, Hearing, PeerId, RetryShare, SharedWindow};
 use sesamehaven::unit::{Instant, Millis};
 
@@ -41,21 +41,16 @@
 impl Spending {
     /// Takes over the limits of a configuration, keeping what was drawn.
     pub fn set_table(&mut self, table: &Table, bounds: &Bounds, now: Instant) {
-        let limited = |name: &SmolStr| {
-            let organisations = table.organisations().iter();
-            organisations
-                .into_iter()
-                .any(|o| o.name == *name && o.limit.is_some())
-        };
-        self.windows.retain(|name, _| limited(name));
+        let mut known = std::mem::take(&mut self.windows);
         for organisation in table.organisations() {
             let Some(limit) = organisation.limit else {
                 continue;
             };
             let allowance = allowance(&limit, bounds);
             let window = self.windows.entry(organisation.name.clone());
+            let mut kept = || known.remove(&organisation.name);
             window
-                .or_insert_with(|| SharedWindow::new(allowance, now))
+                .or_insert_with(|| kept().unwrap_or_else(|| SharedWindow::new(allowance, now)))
                 .set_allowance(allowance);
         }
     }
--- a/crates/sesamehaven/examples/replay/world.rs
+++ b/crates/sesamehaven/examples/replay/world.rs
@@ -7,8 +7,9 @@
 use smol_str::{SmolStr, format_smolstr};
 
 use sesamehaven::backlog::Ticket;
+use sesamehaven::digest::hash_of;
 use sesamehaven::dispatcher::{Dispatcher, Step, Steps};
-use sesamehaven::placement::{Ended, Listed, hash_of};
+use sesamehaven::placement::{Ended, Listed};
 use sesamehaven::unit::{Instant, Millis};
 
 use crate::caller::{Request, work};
@@ -92,7 +93,7 @@
             .map(|i| format_smolstr!("e{i}"))
             .collect();
         let fronts = (0..scene.fronts).map(|i| Front {
-            dispatcher: Dispatcher::new(hash_of(&i.to_string())),
+            dispatcher: Dispatcher::new(hash_of(i.to_string())),
             outstanding: vec![0; scene.engines],
             peers: vec![0; scene.engines],
             is_up: true,
@@ -435,7 +436,7 @@
         let waiting: Vec<usize> = self.fronts.iter().map(|f| f.dispatcher.waiting()).collect();
         let all_waiting: usize = waiting.iter().sum();
         let others = self.fronts.len() - 1;
-        let hashes: Vec<u64> = self.names.iter().map(|n| hash_of(n)).collect();
+        let hashes: Vec<u64> = self.names.iter().map(hash_of).collect();
         for (front, own) in self.fronts.iter_mut().zip(waiting) {
             front.peers = (0..count).map(|e| all[e] - front.outstanding[e]).collect();
             let peers = &front.peers;
--- a/crates/sesamehaven/src/backlog.rs
+++ b/crates/sesamehaven/src/backlog.rs
@@ -69,6 +69,11 @@
             _ => Length::Longest,
         }
     }
+
+    /// Returns whether a request holds its place for longer than most.
+    pub fn is_long(self) -> bool {
+        self > Length::Short
+    }
 }
 
 /// The number of a request that waits.
@@ -168,12 +173,13 @@
         for class in &mut self.classes {
             class.decay(now);
         }
+        let all = share(self.classes.iter());
         let mut heads: Vec<(bool, Rank, Instant, Ticket)> = Vec::new();
         for class in &self.classes {
             let Some(at) = class.next(now) else { continue };
             let head = &class.queue[at];
             heads.push((
-                !self.is_below_floor(class),
+                !self.is_below_floor(class, all),
                 class.rank,
                 head.arrived,
                 head.ticket,
@@ -230,16 +236,15 @@
             .classes
             .iter()
             .find(|c| c.name == name && c.length == length && c.rank == rank);
-        found.is_some_and(|c| self.is_below_floor(c))
+        let all = share(self.classes.iter());
+        found.is_some_and(|c| self.is_below_floor(c, all))
     }
 
     /// A class has a floor against all requests, and its long ones have one against their class.
-    fn is_below_floor(&self, class: &Class) -> bool {
+    fn is_below_floor(&self, class: &Class, all: f64) -> bool {
         let kind = share(self.classes.iter().filter(|c| c.is_kind_of(class)));
-        let all = share(self.classes.iter());
         class.asked >= SHARE_MIN
-            && (kind < FLOOR * all
-                || class.length > Length::Short && class.share() < LONG_FLOOR * kind)
+            && (kind < FLOOR * all || class.length.is_long() && class.share() < LONG_FLOOR * kind)
     }
 
     /// Returns how many ranks above this one were asked for lately, and how many in all.
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -94,7 +94,7 @@
     fn demand(&self, ticket: Ticket) -> Demand {
         Demand {
             session: self.session,
-            is_long: self.is_long(),
+            is_long: self.length().is_long(),
             draw: ticket.0,
         }
     }
@@ -103,10 +103,6 @@
         Length::of(self.slot_ms)
     }
 
-    fn is_long(&self) -> bool {
-        self.length() > Length::Short
-    }
-
     /// Returns the latest start that meets the objective.
     fn on_time_until(&self) -> Instant {
         let share = self.share_of_objective(1.0 - FIRST_TOKEN_SHARE);
@@ -208,9 +204,7 @@
             hold_ms: 0.0,
         }
     }
-}
 
-impl Dispatcher {
     /// Takes over the endpoints that the directory lists.
     pub fn set_listed(&mut self, listed: impl IntoIterator<Item = Listed>) {
         self.placement.set_listed(listed);
@@ -308,7 +302,7 @@
             self.hold_ms += weight * (took - self.hold_ms);
             self.factor += SAMPLE_WEIGHT * (ratio - self.factor);
         }
-        let is_long = Length::of(run.slot_ms) > Length::Short;
+        let is_long = Length::of(run.slot_ms).is_long();
         self.placement
             .on_end(&run.endpoint, is_long, ended, factor, now);
         self.fill(now)
--- a/crates/sesamehaven/src/fair.rs
+++ b/crates/sesamehaven/src/fair.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::digest::hash_of;
 use crate::id::{OrganisationName, RequestId};
 use crate::unit::Instant;
 
@@ -23,9 +24,7 @@
 impl OrganisationDigest {
     /// Digests the name.
     pub fn of(name: &OrganisationName) -> Self {
-        let hash = blake3::hash(name.as_str().as_bytes());
-        let head = hash.as_bytes().first_chunk().copied();
-        OrganisationDigest(u64::from_le_bytes(head.unwrap_or_default()))
+        OrganisationDigest(hash_of(name.as_str()))
     }
 }
 
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod claim;
 pub mod config;
 pub mod delivery;
+pub mod digest;
 pub mod dispatcher;
 pub mod election;
 pub mod error;
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -11,6 +11,7 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
+use crate::digest::hash_of;
 use crate::unit::{Instant, Millis};
 
 /// The weight of a new sample in the averages of an endpoint.
@@ -127,6 +128,13 @@
         self.own + self.peers
     }
 
+    /// Sets the endpoint aside, for twice as long as the last time.
+    fn eject(&mut self, now: Instant) {
+        let span = EJECTION.0 << self.ejections.min(8);
+        self.ejected_until = now.after(Millis(span.min(EJECTION_MAX.0)));
+        self.ejections += 1;
+    }
+
     fn free(&self) -> u32 {
         (self.listed.places + AHEAD).saturating_sub(self.load())
     }
@@ -335,9 +343,7 @@
         }
         let excess = member.failures - mean.min(member.failures / 2.0);
         if member.samples >= SAMPLES_MIN && excess > FAILURE_EXCESS && ejected < most {
-            let span = EJECTION.0 << member.ejections.min(8);
-            member.ejected_until = now.after(Millis(span.min(EJECTION_MAX.0)));
-            member.ejections += 1;
+            member.eject(now);
         }
     }
 
@@ -351,9 +357,7 @@
     /// Sets an endpoint aside that cannot be reached.
     pub fn on_unreachable(&mut self, id: &str, now: Instant) {
         if let Some(member) = self.member(id) {
-            let span = EJECTION.0 << member.ejections.min(8);
-            member.ejected_until = now.after(Millis(span.min(EJECTION_MAX.0)));
-            member.ejections += 1;
+            member.eject(now);
         }
     }
 
@@ -415,13 +419,6 @@
     }
 }
 
-/// Digests a name into the number by which processes speak of it.
-pub fn hash_of(name: &str) -> u64 {
-    let digest = blake3::hash(name.as_bytes());
-    let head = digest.as_bytes().first_chunk().copied();
-    u64::from_le_bytes(head.unwrap_or_default())
-}
-
 /// Maps a number to the range from 0 to 1.
 fn unit(n: u64) -> f64 {
     (n >> 40) as f64 / (1u64 << 24) as f64
--- a/crates/sesamehaven/src/prefix.rs
+++ b/crates/sesamehaven/src/prefix.rs
@@ -7,6 +7,7 @@
 use smallvec::SmallVec;
 
 use crate::bloom::Bloom;
+use crate::digest;
 use crate::id::EndpointName;
 use crate::lru::Lru;
 
@@ -35,8 +36,7 @@
         while taken + part.len() >= end && digests.len() < DIGESTS_MAX {
             let (head, rest) = part.split_at(end - taken);
             hasher.update(head);
-            let digest = hasher.finalize().as_bytes().first_chunk().copied();
-            digests.push(u64::from_le_bytes(digest.unwrap_or_default()));
+            digests.push(digest::head(&hasher.finalize()));
             taken = end;
             end *= 2;
             part = rest;
--- a/crates/sesamehaven/src/quarantine.rs
+++ b/crates/sesamehaven/src/quarantine.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::id::{EndpointName, Incarnation, OrganisationName, PoolName};
+use crate::digest;
+use crate::id::{EndpointName, Incarnation};
 use crate::unit::{Instant, Millis};
 
 /// How long one crash is held against a request.
@@ -22,15 +23,16 @@
 const REMEMBERED: usize = 4_096;
 
 /// Digests what makes two requests the same to an endpoint.
-pub fn fingerprint(organisation: &OrganisationName, pool: &PoolName, body: &[u8]) -> u64 {
+///
+/// `target` is the pool or the path that the request goes to.
+pub fn fingerprint(organisation: &str, target: &str, body: &[u8]) -> u64 {
     let mut hasher = blake3::Hasher::new();
-    hasher.update(organisation.as_str().as_bytes());
+    hasher.update(organisation.as_bytes());
     hasher.update(&[0]);
-    hasher.update(pool.as_str().as_bytes());
+    hasher.update(target.as_bytes());
     hasher.update(&[0]);
     hasher.update(body);
-    let head = hasher.finalize().as_bytes().first_chunk().copied();
-    u64::from_le_bytes(head.unwrap_or_default())
+    digest::head(&hasher.finalize())
 }
 
 /// One crash of an endpoint, known by the same number in every process.
@@ -44,8 +46,7 @@
         hasher.update(&incarnation.0.to_le_bytes());
         hasher.update(&count.to_le_bytes());
         hasher.update(endpoint.as_str().as_bytes());
-        let head = hasher.finalize().as_bytes().first_chunk().copied();
-        CrashId(u64::from_le_bytes(head.unwrap_or_default()))
+        CrashId(digest::head(&hasher.finalize()))
     }
 }
 
--- a/crates/sesamehaven/src/shared_limit.rs
+++ b/crates/sesamehaven/src/shared_limit.rs
@@ -94,8 +94,7 @@
 #[derive(Debug)]
 pub struct SharedWindow {
     allowance: Allowance,
-    steps: VecDeque<(u64, f64)>,
-    sum: f64,
+    window: Window,
     drawn: u64,
     peers: HashMap<PeerId, u64>,
     started: Instant,
@@ -105,17 +104,16 @@
 impl SharedWindow {
     /// Builds the window of a process that starts at `now`.
     pub fn new(allowance: Allowance, now: Instant) -> Self {
-        let mut window = SharedWindow {
+        let mut window = Window::new(allowance.window);
+        window.spread(allowance.amount as f64, now);
+        SharedWindow {
             allowance,
-            steps: VecDeque::new(),
-            sum: 0.0,
+            window,
             drawn: 0,
             peers: HashMap::new(),
             started: now,
             is_assumed: true,
-        };
-        window.assume(allowance.amount as f64, now);
-        window
+        }
     }
 
     /// Takes over a changed limit, without forgetting what was drawn.
@@ -131,21 +129,21 @@
     ///
     /// Returns the time to wait when the window holds too much already.
     pub fn draw(&mut self, amount: u64, share: f64, now: Instant) -> Result<(), Millis> {
-        self.expire(now);
+        self.window.expire(now);
         let most = self.allowance.amount as f64 * share;
-        let excess = self.sum + amount as f64 - most;
+        let excess = self.window.sum + amount as f64 - most;
         // A request that is larger than the whole limit passes an empty window.
-        if excess > 0.0 && self.sum > 0.0 {
-            return Err(self.wait_for(excess, now));
+        if excess > 0.0 && self.window.sum > 0.0 {
+            return Err(self.window.wait_for(excess, now));
         }
-        self.add(amount as f64, now);
+        self.window.add(amount as f64, now);
         self.drawn += amount;
         Ok(())
     }
 
     /// Gives back what was drawn for a request that has not run.
     pub fn give_back(&mut self, amount: u64, now: Instant) {
-        self.add(-(amount as f64), now);
+        self.window.add(-(amount as f64), now);
         self.drawn = self.drawn.saturating_sub(amount);
     }
 
@@ -157,7 +155,7 @@
     /// Returns what all processes have drawn within the window, once that is known.
     pub fn known_sum(&self, now: Instant) -> Option<u64> {
         let is_known = !self.is_assumed || now.since(self.started) >= self.allowance.window;
-        is_known.then_some(self.sum.max(0.0) as u64)
+        is_known.then_some(self.window.sum.max(0.0) as u64)
     }
 
     /// Returns what was drawn within the window, when it is so much that a restart must not forget it.
@@ -175,9 +173,10 @@
             Some(sum) => self.learn(sum as f64, now),
             None => {
                 let own = self.drawn as f64;
-                self.forget();
-                self.assume(self.allowance.amount as f64 * HOT_SHARE, now);
-                self.add(own, now);
+                self.window.clear();
+                self.window
+                    .spread(self.allowance.amount as f64 * HOT_SHARE, now);
+                self.window.add(own, now);
             }
         }
         self.is_assumed = false;
@@ -186,33 +185,55 @@
     /// Takes in the total that another process has drawn, and its sum of the window if it knows it.
     pub fn on_peer(&mut self, peer: PeerId, drawn: u64, sum: Option<u64>, now: Instant) {
         let known = self.peers.insert(peer, drawn).unwrap_or(drawn);
-        self.expire(now);
+        self.window.expire(now);
         match sum {
             Some(sum) if self.known_sum(now).is_none() => self.learn(sum as f64, now),
             // A total that shrank comes from amounts that were given back.
-            _ => self.add(drawn as f64 - known as f64, now),
+            _ => self.window.add(drawn as f64 - known as f64, now),
         }
     }
 
     /// Replaces what was assumed of the time before the start.
     fn learn(&mut self, sum: f64, now: Instant) {
-        self.forget();
+        self.window.clear();
         self.is_assumed = false;
         // When it was drawn is not known, so it counts for a whole window from now.
-        self.add(sum.max(self.drawn as f64), now);
+        self.window.add(sum.max(self.drawn as f64), now);
     }
+}
 
-    fn forget(&mut self) {
-        self.steps.clear();
-        self.sum = 0.0;
+/// Sums amounts over a sliding window, in steps.
+#[derive(Debug)]
+struct Window {
+    span: Millis,
+    steps: VecDeque<(u64, f64)>,
+    sum: f64,
+}
+
+impl Window {
+    fn new(span: Millis) -> Self {
+        Window {
+            span,
+            steps: VecDeque::new(),
+            sum: 0.0,
+        }
     }
 
     fn step_ms(&self) -> u64 {
-        (self.allowance.window.0 / STEPS).max(1)
+        (self.span.0 / STEPS).max(1)
+    }
+
+    fn add(&mut self, amount: f64, now: Instant) {
+        let step = now.0 / self.step_ms();
+        match self.steps.back_mut() {
+            Some((last, n)) if *last >= step => *n += amount,
+            _ => self.steps.push_back((step, amount)),
+        }
+        self.sum += amount;
     }
 
-    /// Spreads an amount over the window, as if it had been drawn evenly.
-    fn assume(&mut self, amount: f64, now: Instant) {
+    /// Spreads an amount over an empty window, as if it had come evenly.
+    fn spread(&mut self, amount: f64, now: Instant) {
         let newest = now.0 / self.step_ms();
         let each = amount / STEPS as f64;
         let oldest = (newest + 1).saturating_sub(STEPS);
@@ -221,13 +242,9 @@
         self.sum = self.steps.iter().map(|(_, n)| n).sum();
     }
 
-    fn add(&mut self, amount: f64, now: Instant) {
-        let step = now.0 / self.step_ms();
-        match self.steps.back_mut() {
-            Some((last, n)) if *last >= step => *n += amount,
-            _ => self.steps.push_back((step, amount)),
-        }
-        self.sum += amount;
+    fn clear(&mut self) {
+        self.steps.clear();
+        self.sum = 0.0;
     }
 
     fn expire(&mut self, now: Instant) {
@@ -253,39 +270,7 @@
                 return gone.since(now);
             }
         }
-        self.allowance.window
-    }
-}
-
-/// Counts events over a sliding window, in steps.
-#[derive(Debug)]
-struct Window {
-    step_ms: u64,
-    steps: VecDeque<(u64, u32)>,
-}
-
-impl Window {
-    fn new(span: Millis) -> Self {
-        Window {
-            step_ms: (span.0 / STEPS).max(1),
-            steps: VecDeque::new(),
-        }
-    }
-
-    fn add(&mut self, now: Instant) {
-        let step = now.0 / self.step_ms;
-        match self.steps.back_mut() {
-            Some((last, n)) if *last == step => *n += 1,
-            _ => self.steps.push_back((step, 1)),
-        }
-    }
-
-    fn count(&mut self, now: Instant) -> u32 {
-        let oldest = (now.0 / self.step_ms).saturating_sub(STEPS);
-        while self.steps.front().is_some_and(|(step, _)| *step < oldest) {
-            self.steps.pop_front();
-        }
-        self.steps.iter().map(|(_, n)| n).sum()
+        self.span
     }
 }
 
@@ -314,17 +299,18 @@
 
     /// Notes a request.
     pub fn on_request(&mut self, now: Instant) {
-        self.requests.add(now);
+        self.requests.add(1.0, now);
     }
 
     /// Returns whether a request may be sent once more, and counts that.
     pub fn take(&mut self, processes: usize, now: Instant) -> bool {
-        let most =
-            self.ratio * f64::from(self.requests.count(now)) + self.slack / processes.max(1) as f64;
-        if f64::from(self.repeats.count(now)) + 1.0 > most * USED_SHARE {
+        self.requests.expire(now);
+        self.repeats.expire(now);
+        let most = self.ratio * self.requests.sum + self.slack / processes.max(1) as f64;
+        if self.repeats.sum + 1.0 > most * USED_SHARE {
             return false;
         }
-        self.repeats.add(now);
+        self.repeats.add(1.0, now);
         true
     }
 }
--- a/crates/sesamehaven/tests/dispatcher.rs
+++ b/crates/sesamehaven/tests/dispatcher.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used)] // The helpers run in tests only.
 
+mod common;
+
 use rstest::rstest;
 
 use sesamehaven::Tier;
@@ -10,6 +12,8 @@
 use sesamehaven::placement::{Ended, Listed};
 use sesamehaven::unit::{Instant, Millis};
 
+use common::listed;
+
 fn tier(rank: u8) -> Tier {
     Tier::new(rank).unwrap()
 }
@@ -22,15 +26,6 @@
     }
 }
 
-fn listed(id: &str, places: u32) -> Listed {
-    Listed {
-        id: id.into(),
-        places,
-        is_near: true,
-        is_ready: true,
-    }
-}
-
 fn work(class: &str, route: u8, slot_ms: f64, now: Instant) -> Work {
     Work {
         rank: rank(route),
--- a/crates/sesamehaven/tests/placement.rs
+++ b/crates/sesamehaven/tests/placement.rs
@@ -2,19 +2,14 @@
 
 #![allow(clippy::unwrap_used)] // The helpers run in tests only.
 
-use sesamehaven::placement::{Demand, Ended, Listed, Placement};
+mod common;
+
+use sesamehaven::placement::{Demand, Ended, Placement};
 use sesamehaven::unit::Instant;
 
-const IDS: [&str; 4] = ["a", "b", "c", "d"];
+use common::listed;
 
-fn listed(id: &str, places: u32) -> Listed {
-    Listed {
-        id: id.into(),
-        places,
-        is_near: true,
-        is_ready: true,
-    }
-}
+const IDS: [&str; 4] = ["a", "b", "c", "d"];
 
 fn placement(places: u32) -> Placement {
     let mut placement = Placement::default();
