Drop old steps of requests also when no second send is asked for

A pool that never needed one kept a step for each quarter of a second in which it had requests. Found by reading; there is no test, as the steps are not visible from outside.

--- a/crates/sesamehaven/src/shared_limit.rs
+++ b/crates/sesamehaven/src/shared_limit.rs
@@ -299,6 +299,7 @@
 
     /// Notes a request.
     pub fn on_request(&mut self, now: Instant) {
+        self.requests.expire(now);
         self.requests.add(1.0, now);
     }
 
