Send fronts of the same data centre fresher counts, and others only what has changed

Cause: every front sent all totals of limits and 24 addresses to every other one each 200 ms at 103 fronts.

--- a/crates/sesamehaven-front/src/front.rs
+++ b/crates/sesamehaven-front/src/front.rs
@@ -43,8 +43,6 @@
     pub shared_limits: RefCell<SharedLimits>,
     /// The other fronts.
     pub peers: RefCell<Peers>,
-    /// When the last full digest was sent to the other fronts.
-    pub last_full_digest: Cell<Instant>,
     /// Detects retried requests by the remaining timeouts that callers announce.
     pub retry_detector: RefCell<RetryDetector>,
     /// The requests suspected of crashing endpoints.
@@ -68,7 +66,12 @@
 impl<P: Protocol> Front<P> {
     /// Creates the state of a front without configuration or endpoints.
     pub fn new(settings: Settings, incarnation: u64) -> Self {
-        let peers = Peers::new(settings.peers, incarnation, settings.seeds.clone());
+        let peers = Peers::new(
+            settings.peers,
+            incarnation,
+            &settings.data_centre,
+            settings.seeds.clone(),
+        );
         Front {
             config: ConfigCache::default(),
             endpoints: ListingCache::default(),
@@ -77,7 +80,6 @@
             shared_limits: RefCell::new(SharedLimits::default()),
             settings: RefCell::new(settings),
             peers: RefCell::new(peers),
-            last_full_digest: Cell::new(Instant(0)),
             retry_detector: RefCell::default(),
             quarantine: RefCell::new(Quarantine::default()),
             crash_probes: RefCell::default(),
--- a/crates/sesamehaven-front/src/gossip.rs
+++ b/crates/sesamehaven-front/src/gossip.rs
@@ -12,47 +12,121 @@
 
 use crate::clock;
 use crate::front::Front;
-use crate::peers::{self, DIGEST_MAX_BYTES, Digest, DirectoryState, StateResponse};
+use crate::peers::{self, DIGEST_MAX_BYTES, Digest, DirectoryState, Proximity, StateResponse};
 use crate::protocol::Protocol;
 use crate::refresh::{apply_config, apply_listing};
+use crate::shared_limits::{Usage, UsageChanges};
 
-/// The minimum interval between periodic digests.
+/// The minimum interval between periodic digests to a group of fronts.
 const DIGEST_INTERVAL: Millis = Millis(50);
-/// The minimum interval between full digests, which include the slowly changing parts; the digest
-/// that announces a leave is always full.
-const FULL_DIGEST_INTERVAL: Millis = Millis(100);
-/// The interval between digests is at least this long times the number of fronts that they are sent
-/// to, which bounds their cost in large fleets.
+/// The minimum interval between digests with the usage that has changed and with crash notices.
+const CHANGES_INTERVAL: Millis = Millis(100);
+/// The minimum interval between full digests, which repeat the whole usage and list other fronts.
+///
+/// They make up for lost changes and are most of the bytes, so they are rarer than changes.
+const FULL_DIGEST_INTERVAL: Millis = Millis(1_000);
+/// The interval between digests to a group of fronts is at least this long times their number.
 const DIGEST_INTERVAL_PER_PEER: Millis = Millis(2);
 /// How often a front checks whether a peer has newer state.
 const SYNC_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// The maximum number of crash notices in a digest.
 const DIGEST_MAX_NOTICES: usize = 16;
 
-/// Sends digests to the other fronts periodically, and applies the loads that they report.
-pub async fn send_digests<P: Protocol>(front: Rc<Front<P>>, socket: Rc<UdpSocket>) {
+/// The parts that a digest carries beside the load and the versions of the directory's state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DigestDetail {
+    /// Nothing else.
+    Load,
+    /// The usage that has changed, and crash notices.
+    Changes,
+    /// The whole usage, crash notices and other fronts.
+    Full,
+}
+
+/// What was last sent to a group of fronts, and when.
+#[derive(Debug, Default)]
+struct DigestSchedule {
+    changes: UsageChanges,
+    changes_at: Instant,
+    full_at: Instant,
+}
+
+impl DigestSchedule {
+    fn next(&mut self, now: Instant) -> DigestDetail {
+        if now.since(self.full_at) >= FULL_DIGEST_INTERVAL {
+            (self.full_at, self.changes_at) = (now, now);
+            return DigestDetail::Full;
+        }
+        if now.since(self.changes_at) >= CHANGES_INTERVAL {
+            self.changes_at = now;
+            return DigestDetail::Changes;
+        }
+        DigestDetail::Load
+    }
+}
+
+/// Sends digests to a group of other fronts periodically.
+pub async fn send_digests<P: Protocol>(
+    front: Rc<Front<P>>,
+    socket: Rc<UdpSocket>,
+    proximity: Proximity,
+) {
+    let mut schedule = DigestSchedule::default();
+    loop {
+        let targets = front.peers.borrow().targets(proximity);
+        let detail = schedule.next(clock::now());
+        let usage = match detail {
+            DigestDetail::Load => Vec::new(),
+            DigestDetail::Changes => {
+                let limits = front.shared_limits.borrow();
+                limits.usage_changes(&mut schedule.changes)
+            }
+            DigestDetail::Full => front.shared_limits.borrow().usage(clock::now()),
+        };
+        send_digest(&front, &socket, &targets, detail, usage, false);
+        tokio::time::sleep(digest_interval(targets.len()).duration()).await;
+    }
+}
+
+/// Returns the interval between digests to a group of fronts.
+///
+/// It grows with the group, so that the cost of digests does not.
+pub fn digest_interval(targets: usize) -> Millis {
+    let interval = DIGEST_INTERVAL_PER_PEER.0 * targets as u64;
+    Millis(interval.max(DIGEST_INTERVAL.0))
+}
+
+/// Applies the loads that the other fronts report.
+pub async fn apply_peer_loads<P: Protocol>(front: Rc<Front<P>>) {
     loop {
-        let targets = front.peers.borrow().targets();
-        send_digest(&front, &socket, &targets, false);
         let loads = front.peers.borrow().loads(clock::now());
         front.pools.set_peer_loads(&loads);
-        let interval = DIGEST_INTERVAL
-            .0
-            .max(DIGEST_INTERVAL_PER_PEER.0 * targets.len() as u64);
-        tokio::time::sleep(Millis(interval).duration()).await;
+        tokio::time::sleep(DIGEST_INTERVAL.duration()).await;
     }
 }
 
 /// Notifies the other fronts that this one is leaving.
 pub fn announce_leave<P: Protocol>(front: &Front<P>, socket: &UdpSocket) {
-    let targets = front.peers.borrow().targets();
-    send_digest(front, socket, &targets, true);
+    let usage = front.shared_limits.borrow().usage(clock::now());
+    for proximity in [Proximity::Near, Proximity::Far] {
+        let targets = front.peers.borrow().targets(proximity);
+        send_digest(
+            front,
+            socket,
+            &targets,
+            DigestDetail::Full,
+            usage.clone(),
+            true,
+        );
+    }
 }
 
 fn send_digest<P: Protocol>(
     front: &Front<P>,
     socket: &UdpSocket,
     to: &[SocketAddr],
+    detail: DigestDetail,
+    usage: Vec<Usage>,
     leaving: bool,
 ) {
     let now = clock::now();
@@ -63,14 +137,13 @@
     digest.listing_digest = front.endpoints.digest();
     digest.listing_age = front.endpoints.age(now).0;
     digest.load = front.pools.local_load();
-    digest.is_full = leaving || now.since(front.last_full_digest.get()) >= FULL_DIGEST_INTERVAL;
-    if digest.is_full {
-        front.last_full_digest.set(now);
-        digest.usage = front.shared_limits.borrow().usage(now);
+    digest.usage = usage;
+    if detail != DigestDetail::Load {
         let mut notices = front.quarantine.borrow().summary(now);
         notices.truncate(DIGEST_MAX_NOTICES);
         digest.notices = notices;
-    } else {
+    }
+    if detail != DigestDetail::Full {
         digest.peers.clear();
     }
     let buf = match peers::encode(&mut digest) {
@@ -114,10 +187,12 @@
     let now = clock::now();
     let (is_new, unknown) = {
         let mut peers = front.peers.borrow_mut();
-        (
-            peers.on_digest(from, digest, now),
-            peers.unknown_peers(digest),
-        )
+        let has_joined = !digest.leaving && !peers.is_known(from, digest.from);
+        let is_new = peers.on_digest(from, digest, now);
+        let mut unknown = peers.unknown_peers(digest);
+        // A front that has just started learns of the others at once.
+        unknown.extend(has_joined.then_some(from));
+        (is_new, unknown)
     };
     if !is_new {
         return;
@@ -127,7 +202,8 @@
     drop(shared_limits);
     front.quarantine.borrow_mut().merge(&digest.notices, now);
     if !unknown.is_empty() {
-        send_digest(front, socket, &unknown, false);
+        let usage = front.shared_limits.borrow().usage(now);
+        send_digest(front, socket, &unknown, DigestDetail::Full, usage, false);
     }
 }
 
--- a/crates/sesamehaven-front/src/peers.rs
+++ b/crates/sesamehaven-front/src/peers.rs
@@ -21,11 +21,12 @@
 use sesamehaven::shared_limit::{PeerId, PeerTracker};
 use sesamehaven::unit::{Instant, Millis};
 
+use crate::pools;
 use crate::protocol::Listing;
 use crate::shared_limits::Usage;
 
 /// The version of the digest format; digests of other versions are dropped.
-const DIGEST_VERSION: u8 = 2;
+const DIGEST_VERSION: u8 = 3;
 /// The maximum size of a digest in bytes, which common networks deliver as one datagram.
 pub(crate) const DIGEST_MAX_BYTES: usize = 8 << 10;
 /// How long a front is retained as a peer after its last digest.
@@ -73,6 +74,18 @@
     }
 }
 
+/// Whether another front is in the data centre of this one.
+///
+/// Links inside a data centre are fast and not charged, so near fronts hear from each other more
+/// often than from the rest of a large fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Proximity {
+    /// It is in the same data centre.
+    Near,
+    /// It is in another data centre, or its data centre is not known yet.
+    Far,
+}
+
 /// The state that a front broadcasts several times a second.
 ///
 /// Encoded by position with postcard: the order and the types of the fields are the wire format.
@@ -81,6 +94,8 @@
     version: u8,
     /// The incarnation of the sender.
     pub from: PeerId,
+    /// The hash of the name of the sender's data centre.
+    pub data_centre: u32,
     /// The sequence number, which increases with each digest.
     pub seq: u64,
     /// The number of live fronts that the sender sees, including itself.
@@ -100,9 +115,7 @@
     pub listing_age: u64,
     /// The requests running and waiting at the sender.
     pub load: Load,
-    /// Whether the slowly changing parts are included: usage, notices and peers.
-    pub is_full: bool,
-    /// The sender's usage of the organisations' limits.
+    /// The sender's usage of the organisations' limits, or the part of it that has changed.
     #[serde(rename = "drawn")]
     pub usage: Vec<Usage>,
     /// Notices about requests suspected of crashing endpoints.
@@ -114,6 +127,7 @@
 #[derive(Debug)]
 struct Peer {
     id: PeerId,
+    data_centre: u32,
     seq: u64,
     last_seen: Instant,
     load: Load,
@@ -128,6 +142,7 @@
 pub struct Peers {
     own: SocketAddr,
     id: PeerId,
+    data_centre: u32,
     seq: u64,
     seeds: Vec<IpAddr>,
     peers: HashMap<SocketAddr, Peer>,
@@ -137,10 +152,11 @@
 
 impl Peers {
     /// Creates the view of a front that has only its seeds.
-    pub fn new(own: SocketAddr, incarnation: u64, seeds: Vec<IpAddr>) -> Self {
+    pub fn new(own: SocketAddr, incarnation: u64, data_centre: &str, seeds: Vec<IpAddr>) -> Self {
         let mut peers = Peers {
             own,
             id: hash_of(format!("{own}/{incarnation}")),
+            data_centre: pools::short_hash(hash_of(data_centre)),
             seq: 0,
             seeds: Vec::new(),
             peers: HashMap::new(),
@@ -165,6 +181,7 @@
         Digest {
             version: DIGEST_VERSION,
             from: self.id,
+            data_centre: self.data_centre,
             seq: self.seq,
             live_fronts: self.liveness.live_processes(now) as u32,
             leaving: false,
@@ -173,21 +190,33 @@
             listing_digest: 0,
             listing_age: 0,
             load: Load::default(),
-            is_full: false,
             usage: Vec::new(),
             notices: Vec::new(),
             peers: self.peers.keys().take(DIGEST_MAX_PEERS).copied().collect(),
         }
     }
 
-    /// Returns the destinations of digests: known peers, and seeds that are not known yet.
-    pub fn targets(&self) -> Vec<SocketAddr> {
-        let seeds = self
-            .seeds
-            .iter()
-            .map(|ip| SocketAddr::new(*ip, self.own.port()));
-        let unknown = seeds.filter(|a| !self.peers.contains_key(a));
-        self.peers.keys().copied().chain(unknown).collect()
+    /// Returns the destinations of digests: the known peers of a proximity and, among the far ones,
+    /// seeds that are not known yet.
+    pub fn targets(&self, proximity: Proximity) -> Vec<SocketAddr> {
+        let known = self.peers.iter();
+        let mut targets: Vec<SocketAddr> = known
+            .filter(|(_, p)| self.proximity(p) == proximity)
+            .map(|(address, _)| *address)
+            .collect();
+        if proximity == Proximity::Far {
+            let port = self.own.port();
+            let seeds = self.seeds.iter().map(|ip| SocketAddr::new(*ip, port));
+            targets.extend(seeds.filter(|a| !self.peers.contains_key(a)));
+        }
+        targets
+    }
+
+    fn proximity(&self, peer: &Peer) -> Proximity {
+        match peer.data_centre == self.data_centre {
+            true => Proximity::Near,
+            false => Proximity::Far,
+        }
     }
 
     /// Processes a digest, and returns whether it was applied.
@@ -213,6 +242,7 @@
             .on_message(digest.from, digest.live_fronts as usize, now);
         let peer = Peer {
             id: digest.from,
+            data_centre: digest.data_centre,
             seq: digest.seq,
             last_seen: now,
             load: digest.load.clone(),
@@ -225,6 +255,11 @@
         true
     }
 
+    /// Returns whether the front at an address is known in its present incarnation.
+    pub fn is_known(&self, address: SocketAddr, id: PeerId) -> bool {
+        self.peers.get(&address).is_some_and(|p| p.id == id)
+    }
+
     /// Returns the fronts that a digest lists and that are not known yet.
     pub fn unknown_peers(&self, digest: &Digest) -> Vec<SocketAddr> {
         let named = digest.peers.iter().copied();
--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -21,6 +21,7 @@
 use crate::clock;
 use crate::front::Front;
 use crate::gossip;
+use crate::peers::Proximity;
 use crate::protocol::{Directory, Protocol};
 use crate::refresh;
 use crate::serve::serve;
@@ -96,7 +97,11 @@
         Rc::clone(&directory),
     ));
     actix_rt::spawn(refresh::save_usage(Rc::clone(&front), directory));
-    actix_rt::spawn(gossip::send_digests(Rc::clone(&front), Rc::clone(&udp)));
+    for proximity in [Proximity::Near, Proximity::Far] {
+        let (front, udp) = (Rc::clone(&front), Rc::clone(&udp));
+        actix_rt::spawn(gossip::send_digests(front, udp, proximity));
+    }
+    actix_rt::spawn(gossip::apply_peer_loads(Rc::clone(&front)));
     actix_rt::spawn(gossip::receive_digests(Rc::clone(&front), Rc::clone(&udp)));
     actix_rt::spawn(gossip::sync_from_peers(Rc::clone(&front)));
     actix_rt::spawn(gossip::serve_state(Rc::clone(&front), tcp));
--- a/crates/sesamehaven-front/src/shared_limits.rs
+++ b/crates/sesamehaven-front/src/shared_limits.rs
@@ -33,6 +33,12 @@
     pub sum: Option<u64>,
 }
 
+/// The totals that a group of other fronts was last sent, by the hash of the organisation's name.
+#[derive(Debug, Default)]
+pub struct UsageChanges {
+    totals: HashMap<u32, u64>,
+}
+
 /// The usage of each limit at this front, and what the other fronts reported.
 #[derive(Debug, Default)]
 pub struct SharedLimits {
@@ -96,6 +102,25 @@
             .collect()
     }
 
+    /// Returns the usage that has changed since it was last reported, without the sums that only
+    /// fronts that have just started need.
+    ///
+    /// Totals are cumulative, so a lost change is made up for by the next one or by a full report.
+    pub fn usage_changes(&self, changes: &mut UsageChanges) -> Vec<Usage> {
+        let windows = self.windows.iter();
+        let totals = windows.map(|(name, window)| (name_hash(name), window.consumed()));
+        let changed = totals.filter(|(name, total)| {
+            let previous = changes.totals.insert(*name, *total);
+            previous.unwrap_or_default() != *total
+        });
+        let usage = changed.map(|(organisation, total)| Usage {
+            organisation,
+            total,
+            sum: None,
+        });
+        usage.collect()
+    }
+
     /// Merges the usage that another front reported.
     pub fn merge_usage(&mut self, peer: PeerId, usage: &[Usage], now: Instant) {
         for (name, window) in &mut self.windows {
--- a/crates/sesamehaven-front/tests/directory_cache.rs
+++ b/crates/sesamehaven-front/tests/directory_cache.rs
@@ -121,13 +121,13 @@
 
 /// Returns the peers of a front at 10.0.0.2 that has received a digest from 10.0.0.1.
 fn peers(config: u64, config_age: u64, now: Instant) -> Peers {
-    let mut other = Peers::new(address(1), 1, Vec::new());
+    let mut other = Peers::new(address(1), 1, "north", Vec::new());
     let mut digest = other.digest(now);
     digest.config_version = config;
     digest.config_age = config_age;
     digest.listing_digest = 5;
     digest.listing_age = config_age;
-    let mut peers = Peers::new(address(2), 1, Vec::new());
+    let mut peers = Peers::new(address(2), 1, "north", Vec::new());
     assert!(peers.on_digest(address(1), &digest, now));
     peers
 }
@@ -166,9 +166,9 @@
 #[test]
 fn a_reordered_digest_is_ignored() {
     let now = Instant(10_000);
-    let mut other = Peers::new(address(1), 1, Vec::new());
+    let mut other = Peers::new(address(1), 1, "north", Vec::new());
     let (early, late) = (other.digest(now), other.digest(now));
-    let mut peers = Peers::new(address(2), 1, Vec::new());
+    let mut peers = Peers::new(address(2), 1, "north", Vec::new());
     assert!(peers.on_digest(address(1), &late, now));
     assert!(!peers.on_digest(address(1), &early, now));
 }
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -38,7 +38,7 @@
 const MAX_SESSIONS: usize = 4_096;
 /// The score bonus of an endpoint in the same data centre, in units of a full
 /// endpoint's load.
-const NEAR_BONUS: f64 = 0.05;
+const NEAR_BONUS: f64 = 0.6;
 /// The requests sent to an endpoint beyond those that it runs, so that its batch
 /// stays full.
 const QUEUED_AHEAD: u32 = 1;
