Keep long prompts off endpoints on which they would be late

Cause: a third of Salt's engines takes 4.4 times as long as the others. Placement weighed load by speed, so at the worst load, when a place is free wherever it is, the long prompt took the slow one.

Each endpoint learns the ratio of actual to expected time to the first event. While a request can be on time somewhere, it is not placed on an endpoint that is twice as slow as the median and would make it late; requests behind it that are on time there take the place.

Test: fails without the rule, as the long prompt then takes the slow endpoint.

--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -133,6 +133,7 @@
             objective: self.route.objective,
             deadline: self.deadline,
             slot_ms: self.estimated_slot_ms(),
+            first_event_ms: self.estimated_first_event_ms(),
             session: self.meta.session,
             tried: self.tried.clone(),
         };
@@ -274,9 +275,17 @@
         head.freeze()
     }
 
+    /// Estimates the time to the first event on an average endpoint, in milliseconds.
+    fn estimated_first_event_ms(&self) -> f64 {
+        match self.meta.tokens {
+            Some((prompt, _)) => PREFILL_OVERHEAD_MS + prompt as f64 * PREFILL_MS_PER_TOKEN,
+            None => PLAIN_CALL_MS,
+        }
+    }
+
     /// Estimates how long the request occupies a slot of an average endpoint, in milliseconds.
     fn estimated_slot_ms(&self) -> f64 {
-        let Some((prompt, max_output)) = self.meta.tokens else {
+        let Some((_, max_output)) = self.meta.tokens else {
             return PLAIN_CALL_MS;
         };
         let default_output = (max_output as f64 * DEFAULT_OUTPUT_SHARE) as u64;
@@ -285,9 +294,7 @@
             .expected_tokens
             .unwrap_or(default_output)
             .min(max_output);
-        PREFILL_OVERHEAD_MS
-            + prompt as f64 * PREFILL_MS_PER_TOKEN
-            + output as f64 * DECODE_MS_PER_TOKEN
+        self.estimated_first_event_ms() + output as f64 * DECODE_MS_PER_TOKEN
     }
 
     /// Consumes one retry from the retry budget for a request that may have run, if its route allows
--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -60,6 +60,14 @@
         self.outcome = Some(outcome);
     }
 
+    /// Records that the first event of the response, or the response, has arrived.
+    pub fn on_first_event(&self) {
+        let (ticket, now) = (self.ticket, clock::now());
+        if let Some(dispatcher) = self.pools.pools.borrow_mut().get_mut(&self.pool) {
+            dispatcher.on_first_event(ticket, now);
+        }
+    }
+
     /// Releases the slot and marks the endpoint as unreachable.
     pub fn mark_unreachable(self) {
         let (ticket, now) = (self.ticket, clock::now());
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -163,7 +163,10 @@
 ) -> ResponseAction<P> {
     let first = relay::read_first_events(job, &mut response).await;
     match first {
-        Ok(first) => ResponseAction::Serve(Served::Stream(response, first)),
+        Ok(first) => {
+            response.slot.on_first_event();
+            ResponseAction::Serve(Served::Stream(response, first))
+        }
         Err(reason) => {
             let endpoint = response.slot.endpoint.clone();
             job.log("stream_broken", &endpoint, reason);
@@ -188,6 +191,7 @@
             return ResponseAction::Unusable;
         }
     };
+    response.slot.on_first_event();
     let (status, failed) = (response.head.status, response.head.status.is_server_error());
     let mut res = Response::with_body(status, Body::Full(body));
     copy_response_headers(&response.head.headers, res.headers_mut());
--- a/crates/sesamehaven/examples/replay/simulation.rs
+++ b/crates/sesamehaven/examples/replay/simulation.rs
@@ -433,6 +433,9 @@
             None => {
                 req.first_event = Some(self.now);
                 req.is_late |= self.now - req.first_sent > class.objective_ms;
+                self.fronts[req.front]
+                    .dispatcher
+                    .on_first_event(Ticket(id as u64), Instant(self.now));
             }
             Some(_) => req.is_late |= self.now - req.last_event > class.max_gap_ms,
         }
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -74,6 +74,8 @@
     pub deadline: Instant,
     /// The expected time in a slot at an endpoint of average speed, in milliseconds.
     pub slot_ms: f64,
+    /// The expected time to the first event at an endpoint of average speed, in milliseconds.
+    pub first_event_ms: f64,
     /// The session or prefix whose cached prompt the request can reuse.
     pub session: Option<u64>,
     /// The endpoints that have been tried already.
@@ -91,15 +93,19 @@
             objective,
             deadline: arrived.after(Millis(objective.0 * 8)),
             slot_ms: 100.0,
+            first_event_ms: 50.0,
             session: None,
             tried: SmallVec::new(),
         }
     }
 
-    fn demand(&self, ticket: Ticket) -> Demand {
+    fn demand(&self, ticket: Ticket, now: Instant) -> Demand {
+        let due = self.first_sent.after(self.objective);
         Demand {
             session: self.session,
             is_long: self.length().is_long(),
+            first_event_ms: self.first_event_ms,
+            time_left: (due > now).then(|| due.since(now)),
             tie_breaker: ticket.0,
         }
     }
@@ -170,6 +176,7 @@
     endpoint: SmolStr,
     rank: Rank,
     slot_ms: f64,
+    first_event_ms: f64,
     started: Instant,
 }
 
@@ -299,6 +306,14 @@
         self.pending.remove(&ticket);
     }
 
+    /// Records that the first event of a request's response, or the response, has arrived.
+    pub fn on_first_event(&mut self, ticket: Ticket, now: Instant) {
+        if let Some(run) = self.running.get(&ticket) {
+            let factor = now.since(run.started).0 as f64 / run.first_event_ms.max(1.0);
+            self.placement.on_first_event(&run.endpoint, factor);
+        }
+    }
+
     /// Records that a request has ended at its endpoint and starts waiting requests in
     /// the freed slot.
     pub fn on_end(&mut self, ticket: Ticket, outcome: DispatchOutcome, now: Instant) -> Steps {
@@ -371,7 +386,7 @@
             if !starved && free <= self.reserve(work.rank, slots) {
                 continue;
             }
-            let demand = work.demand(ticket);
+            let demand = work.demand(ticket, now);
             // A starved long request is exempt from the cap on slots held by long requests.
             let chosen = Demand {
                 is_long: demand.is_long && !starved,
@@ -389,6 +404,7 @@
                 endpoint: endpoint.clone(),
                 rank: work.rank,
                 slot_ms: work.slot_ms,
+                first_event_ms: work.first_event_ms,
                 started: now,
             };
             self.running.insert(ticket, run);
@@ -402,7 +418,7 @@
     fn expected_wait(&self, ticket: Ticket, work: &Work, now: Instant) -> Millis {
         let slots = self.placement.slots();
         let is_free = self.placement.free() > self.reserve(work.rank, slots);
-        let demand = work.demand(ticket);
+        let demand = work.demand(ticket, now);
         if is_free && self.placement.has_free_slot(&demand, &work.tried, now) {
             return Millis(0);
         }
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -16,6 +16,13 @@
 
 /// The weight of a new sample in the moving averages of an endpoint.
 const SAMPLE_WEIGHT: f64 = 0.2;
+/// The weight of a new sample in the average time to the first event of an endpoint.
+///
+/// It varies more than the time in a slot, as it includes the wait behind other prompts.
+const FIRST_EVENT_WEIGHT: f64 = 0.1;
+/// The time to the first event, relative to the pool median, above which an endpoint gets only
+/// requests that are on time there.
+const SLOW_FIRST_EVENT: f64 = 2.0;
 /// The number of samples before the failure rate of an endpoint is evaluated.
 const MIN_SAMPLES: u32 = 4;
 /// The failure rate, in excess of the pool average, above which an endpoint is ejected.
@@ -80,6 +87,10 @@
     pub session: Option<u64>,
     /// Whether the request holds its slot longer than is typical.
     pub is_long: bool,
+    /// The expected time to its first event on an average endpoint, in milliseconds.
+    pub first_event_ms: f64,
+    /// The time left to its objective, or [`None`] if it is late already.
+    pub time_left: Option<Millis>,
     /// A number, different for each request, that breaks ties between endpoints.
     pub tie_breaker: u64,
 }
@@ -105,6 +116,8 @@
     /// The free slots that this process may claim until the next peer update.
     claimable: u32,
     time_factor: f64,
+    /// The moving average of the ratio of actual to expected time to the first event.
+    first_event_factor: f64,
     failure_rate: f64,
     samples: u32,
     ejected_until: Instant,
@@ -122,6 +135,7 @@
             peer_running: 0,
             claimable: 0,
             time_factor: 1.0,
+            first_event_factor: 1.0,
             failure_rate: 0.0,
             samples: 0,
             ejected_until: Instant(0),
@@ -142,6 +156,14 @@
         self.ejections += 1;
     }
 
+    /// Returns whether the first event of a request is expected in time for its objective.
+    fn is_on_time(&self, demand: &Demand) -> bool {
+        let expected_ms = demand.first_event_ms * self.first_event_factor;
+        demand
+            .time_left
+            .is_none_or(|left| expected_ms <= left.0 as f64)
+    }
+
     fn free(&self) -> u32 {
         (self.listed.slots + QUEUED_AHEAD).saturating_sub(self.load())
     }
@@ -281,10 +303,16 @@
     }
 
     /// Chooses the endpoint of a request, excluding those already tried.
+    ///
+    /// Endpoints of a pool may differ so much in speed that a long prompt is late on the slow ones
+    /// even if it starts at once. While some endpoint can still be on time, the others are left to
+    /// requests for which they are fast enough.
     pub fn choose(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> Option<SmolStr> {
         let last = demand.session.and_then(|s| self.sessions.endpoint(s, now));
         let median = self.median_time_factor();
         let is_contended = self.is_contended();
+        let slow_factor = SLOW_FIRST_EVENT * self.median_first_event_factor();
+        let can_be_on_time = self.can_be_on_time(demand, tried, now);
         let mut best: Option<(f64, &EndpointState)> = None;
         for endpoint in self.ready() {
             let is_open = !is_contended || endpoint.claimable > 0;
@@ -294,6 +322,10 @@
             if !self.has_room(endpoint, demand, median, now) {
                 continue;
             }
+            let is_slow = endpoint.first_event_factor > slow_factor;
+            if is_slow && can_be_on_time && !endpoint.is_on_time(demand) {
+                continue;
+            }
             let score = self.score(endpoint, demand, last);
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, endpoint));
@@ -316,6 +348,16 @@
         }
     }
 
+    /// Records the first event of a response; `factor` is the ratio of the actual to the expected
+    /// time to it.
+    pub fn on_first_event(&mut self, id: &str, factor: f64) {
+        if let Some(endpoint) = self.endpoint(id) {
+            let factor = factor.clamp(TIME_FACTOR_RANGE.0, TIME_FACTOR_RANGE.1);
+            endpoint.first_event_factor +=
+                FIRST_EVENT_WEIGHT * (factor - endpoint.first_event_factor);
+        }
+    }
+
     /// Records that a request has ended; `factor` is the ratio of its actual to its
     /// expected duration.
     pub fn on_end(
@@ -378,6 +420,14 @@
         }
     }
 
+    /// Returns whether some endpoint, free or not, is fast enough for a request to be on time.
+    fn can_be_on_time(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> bool {
+        let is_fit = |e: &EndpointState| {
+            e.ejected_until <= now && !tried.contains(&e.listed.id) && e.is_on_time(demand)
+        };
+        demand.time_left.is_some() && self.ready().any(is_fit)
+    }
+
     /// Returns whether free slots are so scarce that processes have to divide them.
     fn is_contended(&self) -> bool {
         let free = f64::from(self.free());
@@ -431,9 +481,11 @@
     }
 
     fn median_time_factor(&self) -> f64 {
-        let mut factors: SmallVec<[f64; 16]> = self.ready().map(|e| e.time_factor).collect();
-        factors.sort_by(f64::total_cmp);
-        factors.get(factors.len() / 2).copied().unwrap_or(1.0)
+        median(self.ready().map(|e| e.time_factor))
+    }
+
+    fn median_first_event_factor(&self) -> f64 {
+        median(self.ready().map(|e| e.first_event_factor))
     }
 
     fn mean_failure_rate(&self) -> f64 {
@@ -442,6 +494,13 @@
     }
 }
 
+/// Returns the median of factors, or one if there are none.
+fn median(factors: impl Iterator<Item = f64>) -> f64 {
+    let mut factors: SmallVec<[f64; 16]> = factors.collect();
+    factors.sort_by(f64::total_cmp);
+    factors.get(factors.len() / 2).copied().unwrap_or(1.0)
+}
+
 /// Maps a number to the range from 0 to 1.
 fn to_unit_interval(n: u64) -> f64 {
     (n >> 40) as f64 / (1u64 << 24) as f64
--- a/crates/sesamehaven/tests/placement.rs
+++ b/crates/sesamehaven/tests/placement.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use sesamehaven::placement::{Demand, DispatchOutcome, Placement};
-use sesamehaven::unit::Instant;
+use sesamehaven::unit::{Instant, Millis};
 
 use common::listed;
 
@@ -21,6 +21,8 @@
     Demand {
         session,
         is_long: false,
+        first_event_ms: 100.0,
+        time_left: None,
         tie_breaker,
     }
 }
@@ -145,6 +147,45 @@
     assert!(at_b <= 1, "{at_b} requests at the slow endpoint");
 }
 
+/// The first event takes four times as long at one endpoint, as on deployments whose engines are
+/// unlike, and all others are full most of the time.
+#[test]
+fn a_long_prompt_leaves_a_slow_endpoint_to_requests_that_are_on_time_there() {
+    let mut p = placement(6);
+    let now = Instant(0);
+    for _ in 0..60 {
+        for id in IDS {
+            p.on_first_event(id, if id == "d" { 4.0 } else { 1.0 });
+        }
+    }
+    let short = Demand {
+        first_event_ms: 100.0,
+        time_left: Some(Millis(800)),
+        ..demand(None, 1)
+    };
+    let long = Demand {
+        first_event_ms: 300.0,
+        ..short
+    };
+    while let Some(id) = p.choose(&long, &[], now) {
+        assert_ne!(id, "d", "the first event is expected after the objective");
+        p.on_start(&id, &long, now);
+    }
+    assert_eq!(p.choose(&short, &[], now).unwrap(), "d");
+    // A late request has nothing to lose at the slow endpoint.
+    let late = Demand {
+        time_left: None,
+        ..long
+    };
+    assert_eq!(p.choose(&late, &[], now).unwrap(), "d");
+    // The same holds for a prompt that is too long for every endpoint.
+    let too_long = Demand {
+        first_event_ms: 900.0,
+        ..long
+    };
+    assert_eq!(p.choose(&too_long, &[], now).unwrap(), "d");
+}
+
 #[test]
 fn tried_endpoints_are_skipped() {
     let p = placement(6);
