Keep to what is known when the directory comes back from an older copy

Cause: fronts took each list of replicas as the newest. After a restore the copy lists replicas as ready that drain, and some that have left; a front that had acknowledged the drain sent to them again. Replicas that joined since were dropped at once when the store had been away for less than a second, and saved usage was not written again as it had not changed. The configuration never went back before either.

In a new era, entries that are older than what is known, or unknown, count only once their replica has reported anew; missing ones stay for two seconds; usage is saved again; answers of an earlier era change nothing. Fronts that get lists from others get reports and era with them and judge alike.

--- a/crates/sesamehaven-front/src/directory_cache.rs
+++ b/crates/sesamehaven-front/src/directory_cache.rs
@@ -2,11 +2,14 @@
 //! their ages.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use bytes::Bytes;
+use smol_str::SmolStr;
 
 use sesamehaven::digest::hash_of;
+use sesamehaven::restore::Report;
 use sesamehaven::unit::{Instant, Millis};
 
 use crate::error::Result;
@@ -17,8 +20,10 @@
 #[derive(Debug, Default)]
 pub struct ListingCache {
     listing: RefCell<Listing>,
+    reports: RefCell<HashMap<SmolStr, Report>>,
     digest: Cell<u64>,
     confirmed: Cell<Instant>,
+    is_unproven: Cell<bool>,
 }
 
 impl ListingCache {
@@ -32,6 +37,26 @@
         self.digest.get()
     }
 
+    /// Returns the last reports of the endpoints, as of the last list that was read or fetched.
+    pub fn reports(&self) -> HashMap<SmolStr, Report> {
+        self.reports.borrow().clone()
+    }
+
+    /// Stores the last reports of the endpoints.
+    pub fn set_reports(&self, reports: HashMap<SmolStr, Report>) {
+        *self.reports.borrow_mut() = reports;
+    }
+
+    /// Records that the next list may be of an older copy of the directory.
+    pub fn set_unproven(&self) {
+        self.is_unproven.set(true);
+    }
+
+    /// Returns whether the next list may be of an older copy, and resets the mark.
+    pub fn take_unproven(&self) -> bool {
+        self.is_unproven.take()
+    }
+
     /// Returns the time since the endpoint list was last confirmed.
     pub fn age(&self, now: Instant) -> Millis {
         now.since(self.confirmed.get())
--- a/crates/sesamehaven-front/src/front.rs
+++ b/crates/sesamehaven-front/src/front.rs
@@ -10,6 +10,7 @@
 
 use sesamehaven::digest::hash_of;
 use sesamehaven::quarantine::Quarantine;
+use sesamehaven::restore::RestoreGuard;
 use sesamehaven::retry_detector::RetryDetector;
 use sesamehaven::unit::{Instant, Millis};
 
@@ -35,6 +36,8 @@
     pub config: ConfigCache,
     /// The endpoints listed by the directory.
     pub endpoints: ListingCache,
+    /// What is believed of the directory since it came back from an older copy.
+    pub restore_guard: RefCell<RestoreGuard>,
     /// The request queues and endpoint slots of all pools.
     pub pools: Rc<Pools>,
     /// The connections to endpoints.
@@ -75,6 +78,7 @@
         Front {
             config: ConfigCache::default(),
             endpoints: ListingCache::default(),
+            restore_guard: RefCell::default(),
             pools: Rc::new(Pools::new(hash_of(settings.peers.to_string()))),
             connections: ConnectionPool::default(),
             shared_limits: RefCell::new(SharedLimits::default()),
--- a/crates/sesamehaven-front/src/gossip.rs
+++ b/crates/sesamehaven-front/src/gossip.rs
@@ -1,5 +1,6 @@
 //! Gossip between fronts: periodic digests, and state transfer to fronts that lag behind.
 
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,7 +14,7 @@
 use crate::clock;
 use crate::front::Front;
 use crate::peers::{self, DIGEST_MAX_BYTES, Digest, DirectoryState, Proximity, StateResponse};
-use crate::protocol::Protocol;
+use crate::protocol::{ListingRead, Protocol};
 use crate::refresh::{apply_config, apply_listing};
 use crate::shared_limits::{Usage, UsageChanges};
 
@@ -244,7 +245,15 @@
     }
     let confirmed_at = Instant(sent.0.saturating_sub(state.listing_age));
     match state.endpoints {
-        Some(listing) => apply_listing(front, listing, confirmed_at),
+        Some(listing) => {
+            let reports = state.reports;
+            apply_listing(
+                front,
+                ListingRead { listing, reports },
+                state.era,
+                confirmed_at,
+            );
+        }
         None if state.listing_digest == front.endpoints.digest() => {
             front.endpoints.confirm(confirmed_at)
         }
@@ -265,13 +274,19 @@
                 let now = clock::now();
                 let config_version = front.config.version();
                 let listing_digest = front.endpoints.digest();
+                let is_known = listing_digest == known_listing;
                 StateResponse {
                     config_version,
                     config_age: front.config.age(now).0,
                     config: (config_version > known_version).then(|| front.config.raw()),
                     listing_age: front.endpoints.age(now).0,
                     listing_digest,
-                    endpoints: (listing_digest != known_listing).then(|| front.endpoints.listing()),
+                    endpoints: (!is_known).then(|| front.endpoints.listing()),
+                    reports: match is_known {
+                        true => HashMap::new(),
+                        false => front.endpoints.reports(),
+                    },
+                    era: front.restore_guard.borrow().era(),
                 }
             };
             if peers::serve_state(io, current).await.is_err() {
--- a/crates/sesamehaven-front/src/peers.rs
+++ b/crates/sesamehaven-front/src/peers.rs
@@ -13,11 +13,13 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 use sesamehaven::digest::hash_of;
 use sesamehaven::quarantine::Notice;
+use sesamehaven::restore::{Era, Report};
 use sesamehaven::shared_limit::{PeerId, PeerTracker};
 use sesamehaven::unit::{Instant, Millis};
 
@@ -355,6 +357,10 @@
     pub listing_digest: u64,
     /// The endpoint list, if it differs from the requester's.
     pub endpoints: Option<Listing>,
+    /// The last reports of the endpoints in it.
+    pub reports: HashMap<SmolStr, Report>,
+    /// The newest era of the directory that the responder knows.
+    pub era: Option<Era>,
 }
 
 /// Fetches directory state from a peer.
--- a/crates/sesamehaven-front/src/protocol.rs
+++ b/crates/sesamehaven-front/src/protocol.rs
@@ -3,6 +3,7 @@
 //! A protocol translates and makes no decisions. The front is generic over it, so that calls on the
 //! request path are statically dispatched.
 
+use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
 
@@ -12,6 +13,7 @@
 use smol_str::SmolStr;
 
 use sesamehaven::digest::hash_of;
+use sesamehaven::restore::{Era, Report};
 use sesamehaven::unit::Millis;
 use sesamehaven_wire::http1::Head;
 
@@ -103,6 +105,24 @@
     }
 }
 
+/// The endpoints as read from the directory, each with its last report.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ListingRead {
+    /// The endpoints.
+    pub listing: Listing,
+    /// The last report of each endpoint, which changes more often than the listing.
+    pub reports: HashMap<SmolStr, Report>,
+}
+
+/// An answer of the directory, with the era in which it was given.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Reading<T> {
+    /// What the directory answered.
+    pub value: T,
+    /// The era, or [`None`] if the directory has none.
+    pub era: Option<Era>,
+}
+
 /// The request, response and configuration formats of a deployment.
 pub trait Protocol: 'static {
     /// Parses the metadata of a request.
@@ -132,14 +152,18 @@
 /// The directory that holds configurations, endpoints and usage snapshots.
 pub trait Directory: 'static {
     /// Reads the newest configuration in its original format, or [`None`] if there is none yet.
-    fn config(&self) -> impl Future<Output = Result<Option<Bytes>>>;
+    fn config(&self) -> impl Future<Output = Result<Reading<Option<Bytes>>>>;
 
     /// Reads the list of endpoints.
-    fn endpoints(&self) -> impl Future<Output = Result<Listing>>;
+    fn endpoints(&self) -> impl Future<Output = Result<Reading<ListingRead>>>;
 
     /// Reads the usage snapshots of all fronts.
-    fn load_snapshots(&self) -> impl Future<Output = Result<Vec<Bytes>>>;
+    fn load_snapshots(&self) -> impl Future<Output = Result<Reading<Vec<Bytes>>>>;
 
     /// Saves the usage snapshot of a front, replacing its previous one.
-    fn save_snapshot(&self, name: &str, snapshot: Bytes) -> impl Future<Output = Result<()>>;
+    fn save_snapshot(
+        &self,
+        name: &str,
+        snapshot: Bytes,
+    ) -> impl Future<Output = Result<Reading<()>>>;
 }
--- a/crates/sesamehaven-front/src/refresh.rs
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -7,13 +7,14 @@
 use bytes::Bytes;
 use metrics::{counter, gauge};
 
+use sesamehaven::restore::{Era, EraChange, Verdict};
 use sesamehaven::unit::{Instant, Millis};
 
 use crate::clock;
 use crate::directory_cache::should_poll_directory;
 use crate::error::Error;
 use crate::front::Front;
-use crate::protocol::{Directory, Listing, Protocol};
+use crate::protocol::{Directory, Listing, ListingRead, Protocol, Reading};
 use crate::shared_limits::UsageSnapshot;
 
 /// The pause between attempts to load the usage snapshots.
@@ -57,11 +58,13 @@
             continue;
         }
         match directory.config().await {
-            Ok(Some(raw)) => {
+            Ok(Reading { era, .. }) if observe_era(&front, era) == EraChange::Stale => {}
+            Ok(Reading { value, .. }) => {
                 dependency.record(Ok(()));
-                apply_config(&front, raw, sent, "directory");
+                if let Some(raw) = value {
+                    apply_config(&front, raw, sent, "directory");
+                }
             }
-            Ok(None) => dependency.record(Ok(())),
             Err(err) => dependency.record(Err(&err)),
         }
         wait_for_next_poll(&front, sent).await;
@@ -75,6 +78,7 @@
         is_down: false,
     };
     let mut outage_grace = OutageGrace::default();
+    let mut era = None;
     loop {
         let sent = clock::now();
         if !should_poll(&front, front.endpoints.age(sent), sent) {
@@ -82,11 +86,16 @@
             continue;
         }
         match directory.endpoints().await {
-            Ok(listing) => {
+            Ok(reading) => {
                 dependency.record(Ok(()));
-                let listing =
-                    outage_grace.retain_missing(&front.endpoints.listing(), listing, sent);
-                apply_listing(&front, listing, sent);
+                if reading.era > era && era.is_some() {
+                    outage_grace.record_restore(sent);
+                }
+                era = reading.era.max(era);
+                let mut read = reading.value;
+                read.listing =
+                    outage_grace.retain_missing(&front.endpoints.listing(), read.listing, sent);
+                apply_listing(&front, read, reading.era, sent);
             }
             Err(err) => {
                 outage_grace.record_failure(sent);
@@ -97,6 +106,29 @@
     }
 }
 
+/// Records the era of an answer, and reports when the directory has come back from an older copy.
+///
+/// The first one to see a new era doubts the endpoints that the front does not know as they are
+/// listed.
+fn observe_era<P: Protocol>(front: &Front<P>, era: Option<Era>) -> EraChange {
+    let change = front.restore_guard.borrow_mut().on_era(era);
+    if change == EraChange::Stale {
+        counter!("front_directory_stale_answers_total").increment(1);
+    }
+    if let (EraChange::Risen(previous), Some(era)) = (change, era) {
+        counter!("front_directory_restores_total").increment(1);
+        spdlog::warn!("directory restored from an older copy", kv: {
+            previous_era = previous.0,
+            era = era.0,
+            config = front.config.version(),
+            config_age_ms = front.config.age(clock::now()).0,
+            endpoints = front.endpoints.listing().entries.len()
+        });
+        front.endpoints.set_unproven();
+    }
+    change
+}
+
 /// How long endpoints that are missing from the list after an outage are retained.
 const OUTAGE_GRACE_PERIOD: Millis = Millis(2_000);
 /// The minimum outage of the directory during which entries may have expired.
@@ -115,6 +147,12 @@
         self.failing_since.get_or_insert(now);
     }
 
+    /// Records that the directory has lost entries, however short its outage was.
+    fn record_restore(&mut self, now: Instant) {
+        self.failing_since = None;
+        self.grace_until = now.after(OUTAGE_GRACE_PERIOD);
+    }
+
     fn retain_missing(
         &mut self,
         previous: &Listing,
@@ -152,11 +190,18 @@
     tokio::time::sleep(Millis(interval.0.saturating_sub(elapsed.0)).duration()).await;
 }
 
+/// Applies a list of endpoints, but for what is not believed since the directory came back from an
+/// older copy.
 pub(crate) fn apply_listing<P: Protocol>(
     front: &Front<P>,
-    listing: Listing,
+    read: ListingRead,
+    era: Option<Era>,
     confirmed_at: Instant,
 ) {
+    if observe_era(front, era) == EraChange::Stale {
+        return;
+    }
+    let listing = believed_listing(front, read);
     let Some(previous) = front.endpoints.update(listing, confirmed_at) else {
         return;
     };
@@ -188,6 +233,39 @@
     gauge!("front_listed_endpoints").set(listing.entries.len() as f64);
 }
 
+/// Leaves out endpoints, and the end of a drain, that only an older copy of the directory tells of.
+fn believed_listing<P: Protocol>(front: &Front<P>, read: ListingRead) -> Listing {
+    let ListingRead {
+        mut listing,
+        reports,
+    } = read;
+    let mut guard = front.restore_guard.borrow_mut();
+    let known = front.endpoints.listing();
+    let known_entry = |id: &str| known.entries.iter().find(|e| e.id == id);
+    if front.endpoints.take_unproven() && !known.entries.is_empty() {
+        let known_reports = front.endpoints.reports();
+        guard.suspect(&reports, |id| {
+            let report = known_reports.get(id).copied();
+            known_entry(id).map(|_| report.unwrap_or_default())
+        });
+    }
+    guard.retain(|id| reports.contains_key(id));
+    listing.entries.retain_mut(|entry| {
+        let report = reports.get(&entry.id);
+        let verdict = report.map_or(Verdict::AsListed, |r| guard.judge(&entry.id, *r));
+        match (verdict, known_entry(&entry.id)) {
+            (Verdict::AsListed, _) => {}
+            (Verdict::AsKnown, Some(known)) => *entry = known.clone(),
+            (Verdict::AsKnown, None) | (Verdict::Unproven, _) => return false,
+        }
+        true
+    });
+    gauge!("front_unproven_endpoints").set(guard.suspect_count() as f64);
+    drop(guard);
+    front.endpoints.set_reports(reports);
+    listing
+}
+
 pub(crate) fn apply_config<P: Protocol>(
     front: &Front<P>,
     raw: Bytes,
@@ -230,6 +308,7 @@
     restore_usage(&front, &*directory).await;
     let name = front.settings.borrow().name.clone();
     let mut last = UsageSnapshot::default();
+    let mut saved_in = front.restore_guard.borrow().era();
     let mut dependency = Dependency {
         name: "kept_spending",
         is_down: false,
@@ -242,6 +321,11 @@
             true => front.shared_limits.borrow().snapshot(now),
             false => UsageSnapshot::default(),
         };
+        let era = front.restore_guard.borrow().era();
+        if era != saved_in {
+            // The directory may have lost what was saved.
+            (saved_in, last) = (era, UsageSnapshot::default());
+        }
         if snapshot == last {
             continue;
         }
@@ -253,8 +337,10 @@
             }
         };
         let outcome = directory.save_snapshot(&name, json).await;
-        dependency.record(outcome.as_ref().copied());
-        if outcome.is_ok() {
+        dependency.record(outcome.as_ref().map(|_| ()));
+        if let Ok(Reading { era, .. }) = outcome
+            && observe_era(&front, era) == EraChange::Same
+        {
             last = snapshot;
         }
     }
@@ -276,9 +362,10 @@
             continue;
         }
         match directory.load_snapshots().await {
-            Ok(snapshots) => {
+            Ok(Reading { value, era }) => {
+                observe_era(front, era);
                 let snapshots: Vec<UsageSnapshot> =
-                    snapshots.iter().filter_map(parse_snapshot).collect();
+                    value.iter().filter_map(parse_snapshot).collect();
                 front
                     .shared_limits
                     .borrow_mut()
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -6,12 +6,11 @@
 //! that last looked idle. A session returns to the endpoint that recently ran it. See
 //! [`docs/FRONT.md`](../../../docs/FRONT.md#placing).
 
-use std::collections::{HashMap, VecDeque};
-
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
 use crate::digest::hash_of;
+use crate::session_table::SessionTable;
 use crate::unit::{Instant, Millis};
 
 /// The weight of a new sample in the moving averages of an endpoint.
@@ -39,10 +38,6 @@
 /// The score bonus of the endpoint that recently ran the session, in units of a full
 /// endpoint's load.
 const SESSION_BONUS: f64 = 1.2;
-/// How long the prompt of a session is assumed to stay cached.
-const SESSION_RETENTION: Millis = Millis(10_000);
-/// The maximum number of recorded session runs.
-const MAX_SESSIONS: usize = 4_096;
 /// The score bonus of an endpoint in the same data centre, in units of a full
 /// endpoint's load.
 const NEAR_BONUS: f64 = 0.6;
@@ -173,52 +168,20 @@
 #[derive(Debug, Default)]
 pub struct Placement {
     endpoints: Vec<EndpointState>,
-    sessions: Sessions,
+    sessions: SessionTable,
     seed: u64,
     /// Whether other processes dispatch to the same endpoints.
     is_shared: bool,
     peer_updates: u64,
 }
 
-/// The endpoints that recently ran sessions, as a bounded table.
-#[derive(Debug, Default)]
-struct Sessions {
-    endpoints: HashMap<u64, (u64, Instant)>,
-    order: VecDeque<(Instant, u64)>,
-}
-
-impl Sessions {
-    fn endpoint(&self, session: u64, now: Instant) -> Option<u64> {
-        let (endpoint, at) = self.endpoints.get(&session)?;
-        (now.since(*at) <= SESSION_RETENTION).then_some(*endpoint)
-    }
-
-    fn record(&mut self, session: u64, endpoint: u64, now: Instant) {
-        self.endpoints.insert(session, (endpoint, now));
-        self.order.push_back((now, session));
-        while let Some((at, oldest)) = self.order.front().copied()
-            && (now.since(at) > SESSION_RETENTION || self.order.len() > MAX_SESSIONS)
-        {
-            self.order.pop_front();
-            // A session that has run again since has a newer entry in the order.
-            if self
-                .endpoints
-                .get(&oldest)
-                .is_some_and(|(_, last)| *last == at)
-            {
-                self.endpoints.remove(&oldest);
-            }
-        }
-    }
-}
-
 impl Placement {
     /// Creates a placement; the seed determines this process's own preference order of
     /// endpoints.
     pub fn new(seed: u64) -> Self {
         Placement {
             endpoints: Vec::new(),
-            sessions: Sessions::default(),
+            sessions: SessionTable::default(),
             seed,
             is_shared: false,
             peer_updates: 0,
