Know requests that come back by their content and deadline

Cause: the front took a request whose remaining timeout is shorter than the longest seen of its class for one that was refused before. New requests so counted as late, went behind others and lost the placement for those that can be on time.

A request that comes back has the content and the deadline of the refused one.

Ruled out: the remaining timeout with a band for its spread; what comes back within two seconds is inside the band.

--- a/crates/sesamehaven-front/src/admission.rs
+++ b/crates/sesamehaven-front/src/admission.rs
@@ -77,8 +77,8 @@
     check_quarantine(front, &meta, fingerprint, arrived)?;
     let first_sent = match meta.timeout {
         Some(left) => {
-            let mut retry_detector = front.retry_detector.borrow_mut();
-            retry_detector.first_sent(&route.name, left, arrived)
+            let retry_detector = front.retry_detector.borrow();
+            retry_detector.first_sent(fingerprint, arrived.after(left), arrived)
         }
         None => arrived,
     };
--- a/crates/sesamehaven-front/src/front.rs
+++ b/crates/sesamehaven-front/src/front.rs
@@ -46,7 +46,7 @@
     pub shared_limits: RefCell<SharedLimits>,
     /// The other fronts.
     pub peers: RefCell<Peers>,
-    /// Detects retried requests by the remaining timeouts that callers announce.
+    /// Detects requests that callers send again after a refusal.
     pub retry_detector: RefCell<RetryDetector>,
     /// The requests suspected of crashing endpoints.
     pub quarantine: RefCell<Quarantine>,
--- a/crates/sesamehaven-front/src/gossip.rs
+++ b/crates/sesamehaven-front/src/gossip.rs
@@ -9,6 +9,7 @@
 use metrics::counter;
 use tokio::net::{TcpListener, UdpSocket};
 
+use sesamehaven::retry_detector::RefusalReport;
 use sesamehaven::unit::{Instant, Millis};
 
 use crate::clock;
@@ -33,7 +34,7 @@
 /// The maximum number of crash notices in a digest.
 const DIGEST_MAX_NOTICES: usize = 16;
 
-/// The parts that a digest carries beside the load and the versions of the directory's state.
+/// How much a digest carries beside the load and the versions of the directory's state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum DigestDetail {
     /// Nothing else.
@@ -44,6 +45,27 @@
     Full,
 }
 
+/// The parts of a digest that depend on who gets it.
+#[derive(Debug, Clone)]
+struct DigestParts {
+    detail: DigestDetail,
+    usage: Vec<Usage>,
+    refusals: Vec<RefusalReport>,
+    leaving: bool,
+}
+
+impl DigestParts {
+    /// Returns the parts for a front that may know nothing of this one.
+    fn full<P: Protocol>(front: &Front<P>) -> Self {
+        DigestParts {
+            detail: DigestDetail::Full,
+            usage: front.shared_limits.borrow().usage(clock::now()),
+            refusals: Vec::new(),
+            leaving: false,
+        }
+    }
+}
+
 /// What was last sent to a group of fronts, and when.
 #[derive(Debug, Default)]
 struct DigestSchedule {
@@ -75,16 +97,24 @@
     let mut schedule = DigestSchedule::default();
     loop {
         let targets = front.peers.borrow().targets(proximity);
-        let detail = schedule.next(clock::now());
-        let usage = match detail {
-            DigestDetail::Load => Vec::new(),
-            DigestDetail::Changes => {
-                let limits = front.shared_limits.borrow();
-                limits.usage_changes(&mut schedule.changes)
-            }
-            DigestDetail::Full => front.shared_limits.borrow().usage(clock::now()),
+        let now = clock::now();
+        let mut parts = match schedule.next(now) {
+            DigestDetail::Full => DigestParts::full(&front),
+            detail => DigestParts {
+                detail,
+                usage: Vec::new(),
+                refusals: Vec::new(),
+                leaving: false,
+            },
         };
-        send_digest(&front, &socket, &targets, detail, usage, false);
+        if parts.detail == DigestDetail::Changes {
+            let limits = front.shared_limits.borrow();
+            parts.usage = limits.usage_changes(&mut schedule.changes);
+        }
+        if proximity == Proximity::Near {
+            parts.refusals = front.retry_detector.borrow().report(now);
+        }
+        send_digest(&front, &socket, &targets, parts);
         tokio::time::sleep(digest_interval(targets.len()).duration()).await;
     }
 }
@@ -108,17 +138,13 @@
 
 /// Notifies the other fronts that this one is leaving.
 pub fn announce_leave<P: Protocol>(front: &Front<P>, socket: &UdpSocket) {
-    let usage = front.shared_limits.borrow().usage(clock::now());
+    let parts = DigestParts {
+        leaving: true,
+        ..DigestParts::full(front)
+    };
     for proximity in [Proximity::Near, Proximity::Far] {
         let targets = front.peers.borrow().targets(proximity);
-        send_digest(
-            front,
-            socket,
-            &targets,
-            DigestDetail::Full,
-            usage.clone(),
-            true,
-        );
+        send_digest(front, socket, &targets, parts.clone());
     }
 }
 
@@ -126,25 +152,24 @@
     front: &Front<P>,
     socket: &UdpSocket,
     to: &[SocketAddr],
-    detail: DigestDetail,
-    usage: Vec<Usage>,
-    leaving: bool,
+    parts: DigestParts,
 ) {
     let now = clock::now();
     let mut digest = front.peers.borrow_mut().digest(now);
-    digest.leaving = leaving;
+    digest.leaving = parts.leaving;
     digest.config_version = front.config.version();
     digest.config_age = front.config.age(now).0;
     digest.listing_digest = front.endpoints.digest();
     digest.listing_age = front.endpoints.age(now).0;
     digest.load = front.pools.local_load();
-    digest.usage = usage;
-    if detail != DigestDetail::Load {
+    digest.usage = parts.usage;
+    digest.refusals = parts.refusals;
+    if parts.detail != DigestDetail::Load {
         let mut notices = front.quarantine.borrow().summary(now);
         notices.truncate(DIGEST_MAX_NOTICES);
         digest.notices = notices;
     }
-    if detail != DigestDetail::Full {
+    if parts.detail != DigestDetail::Full {
         digest.peers.clear();
     }
     let buf = match peers::encode(&mut digest) {
@@ -202,9 +227,12 @@
     shared_limits.merge_usage(digest.from, &digest.usage, now);
     drop(shared_limits);
     front.quarantine.borrow_mut().merge(&digest.notices, now);
+    front
+        .retry_detector
+        .borrow_mut()
+        .merge(&digest.refusals, now);
     if !unknown.is_empty() {
-        let usage = front.shared_limits.borrow().usage(now);
-        send_digest(front, socket, &unknown, DigestDetail::Full, usage, false);
+        send_digest(front, socket, &unknown, DigestParts::full(front));
     }
 }
 
--- a/crates/sesamehaven-front/src/peers.rs
+++ b/crates/sesamehaven-front/src/peers.rs
@@ -20,6 +20,7 @@
 use sesamehaven::digest::hash_of;
 use sesamehaven::quarantine::Notice;
 use sesamehaven::restore::{Era, Report};
+use sesamehaven::retry_detector::RefusalReport;
 use sesamehaven::shared_limit::{PeerId, PeerTracker};
 use sesamehaven::unit::{Instant, Millis};
 
@@ -120,6 +121,9 @@
     /// The sender's usage of the organisations' limits, or the part of it that has changed.
     #[serde(rename = "drawn")]
     pub usage: Vec<Usage>,
+    /// The sender's latest refusals, for fronts of the same data centre: their callers come back
+    /// there.
+    pub refusals: Vec<RefusalReport>,
     /// Notices about requests suspected of crashing endpoints.
     pub notices: Vec<Notice>,
     /// The addresses of other fronts.
@@ -193,6 +197,7 @@
             listing_age: 0,
             load: Load::default(),
             usage: Vec::new(),
+            refusals: Vec::new(),
             notices: Vec::new(),
             peers: self.peers.keys().take(DIGEST_MAX_PEERS).copied().collect(),
         }
@@ -409,7 +414,7 @@
     result.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
 }
 
-/// Encodes a digest, dropping notices and peers if it would exceed the maximum size.
+/// Encodes a digest, dropping notices, peers and refusals if it would exceed the maximum size.
 ///
 /// The rest is always encoded in full, even if it exceeds the maximum size.
 pub fn encode(digest: &mut Digest) -> postcard::Result<Vec<u8>> {
@@ -419,5 +424,6 @@
     }
     digest.notices.clear();
     digest.peers.clear();
+    digest.refusals.clear();
     postcard::to_stdvec(digest)
 }
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -8,7 +8,7 @@
 
 use sesamehaven::dispatcher::Refusal;
 use sesamehaven::placement::DispatchOutcome;
-use sesamehaven::unit::Millis;
+use sesamehaven::unit::{Instant, Millis};
 
 use crate::admission::{admit, charge};
 use crate::body::Body;
@@ -55,11 +55,13 @@
         shared_limits.record_request(&job.pool, &bounds, now);
     }
     let front = Rc::clone(&job.front);
+    let sent = SentRequest::new(&job);
     let charged = match charge(&job) {
         Ok(charged) => charged,
         Err(failure) => {
             let name = job.organisation.as_ref().map_or("", |o| o.name.as_str());
             job.log("over_limit", "", name);
+            sent.record_refusal(&front, &failure);
             return failure.response();
         }
     };
@@ -85,6 +87,7 @@
         shared_limits.refund(&organisation.name, charged, clock::now());
     }
     job.log("failed", "", failure.code);
+    sent.record_refusal(&front, &failure);
     counter!("front_failures_total", "code" => failure.code).increment(1);
     failure.response()
 }
@@ -95,6 +98,32 @@
     Stream(Box<EndpointResponse<P>>, relay::FirstEvents),
 }
 
+/// What identifies a request when its caller sends it again.
+struct SentRequest {
+    fingerprint: u64,
+    first_sent: Instant,
+    /// When the caller stops waiting, or [`None`] if it does not say.
+    caller_deadline: Option<Instant>,
+}
+
+impl SentRequest {
+    fn new<P: Protocol>(job: &Job<P>) -> Self {
+        SentRequest {
+            fingerprint: job.fingerprint,
+            first_sent: job.first_sent,
+            caller_deadline: job.meta.timeout.map(|t| job.arrived.after(t)),
+        }
+    }
+
+    /// Remembers the request if its caller was told to come back.
+    fn record_refusal<P: Protocol>(&self, front: &Front<P>, failure: &Failure) {
+        if let (Some(deadline), Some(_)) = (self.caller_deadline, failure.retry_after) {
+            let mut detector = front.retry_detector.borrow_mut();
+            detector.on_refused(self.fingerprint, self.first_sent, deadline, clock::now());
+        }
+    }
+}
+
 /// Tries endpoints until one has responded or no further attempt is allowed.
 async fn dispatch<P: Protocol>(job: &mut Job<P>) -> ServeResult<Served<P>> {
     let mut attempts_without_run = 0;
