Let late requests leave places for those that can be on time

Load pattern: a burst in which refused callers come back. Their requests are late whatever is done, and each holds a place for longer than a new request's objective lasts. They now leave the same 14% of places free as the lowest rank, whatever their rank, so that a new request finds one.

Test: fails without the rule: late requests then take all places.

--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -383,7 +383,7 @@
             let Some(work) = self.pending.get(&ticket) else {
                 continue;
             };
-            if !starved && free <= self.reserve(work.rank, slots) {
+            if !starved && free <= self.reserve(work, slots, now) {
                 continue;
             }
             let demand = work.demand(ticket, now);
@@ -417,7 +417,7 @@
     /// Estimates the wait for a slot behind the requests that precede this one.
     fn expected_wait(&self, ticket: Ticket, work: &Work, now: Instant) -> Millis {
         let slots = self.placement.slots();
-        let is_free = self.placement.free() > self.reserve(work.rank, slots);
+        let is_free = self.placement.free() > self.reserve(work, slots, now);
         let demand = work.demand(ticket, now);
         if is_free && self.placement.has_free_slot(&demand, &work.tried, now) {
             return Millis(0);
@@ -446,10 +446,15 @@
         }])
     }
 
-    /// Returns the number of slots that a rank leaves free for higher ranks.
-    fn reserve(&self, rank: Rank, slots: u32) -> u32 {
-        let (above, ranks) = self.backlog.rank_position(rank);
+    /// Returns the number of slots that a request leaves free for others: a rank for higher ranks,
+    /// and a request that is late already for those that can be on time.
+    fn reserve(&self, work: &Work, slots: u32, now: Instant) -> u32 {
+        let (above, ranks) = self.backlog.rank_position(work.rank);
         let lower_ranks = (ranks.max(2) - 1) as f64;
-        (f64::from(slots) * RESERVE_SHARE * above as f64 / lower_ranks).round() as u32
+        let share = match work.latest_on_time_start() < now {
+            true => 1.0,
+            false => above as f64 / lower_ranks,
+        };
+        (f64::from(slots) * RESERVE_SHARE * share).round() as u32
     }
 }
--- a/crates/sesamehaven/tests/dispatcher.rs
+++ b/crates/sesamehaven/tests/dispatcher.rs
@@ -395,3 +395,33 @@
         }
     }
 }
+
+/// Callers that were refused come back into the same burst. Their requests are late, and so would
+/// be the new ones if these found no free slot.
+#[test]
+fn late_requests_leave_slots_free_for_those_that_can_be_on_time() {
+    const SLOTS: u32 = 24;
+    let mut pool = Pool::new(&["a"], SLOTS);
+    pool.now = Instant(10_000);
+    let late = Work {
+        first_sent: Instant(9_000),
+        deadline: Instant(14_000),
+        ..work("brief", 0, 300.0, pool.now)
+    };
+    for n in 0..u64::from(SLOTS) {
+        let steps = pool
+            .dispatcher
+            .on_arrival(Ticket(1_000 + n), late.clone(), pool.now);
+        assert!(steps.iter().all(|s| matches!(s, Step::Start { .. })) || steps.len() <= 1);
+    }
+    let (free, slots) = pool.dispatcher.slots();
+    assert!(free * 10 >= slots, "{free} of {slots} slots are free");
+    pool.send("brief", 0, 300.0);
+    assert_eq!(pool.started, ["brief"]);
+    let later = pool.now.after(Millis(20));
+    pool.dispatcher.on_tick(later);
+    assert!(
+        pool.dispatcher.slots().0 < free,
+        "the new request has a slot"
+    );
+}
