Look up known endpoints only while some entry is not believed

Each read of the list compared every entry with every known one. The lookup is needed only in the first list after a restore and while some entry is not believed; behaviour is the same, the tests of the drill cover it.

--- a/crates/sesamehaven-front/src/refresh.rs
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -108,8 +108,7 @@
 
 /// Records the era of an answer, and reports when the directory has come back from an older copy.
 ///
-/// The first one to see a new era doubts the endpoints that the front does not know as they are
-/// listed.
+/// The next list is then compared with what the front knows.
 fn observe_era<P: Protocol>(front: &Front<P>, era: Option<Era>) -> EraChange {
     let change = front.restore_guard.borrow_mut().on_era(era);
     if change == EraChange::Stale {
@@ -240,9 +239,13 @@
         reports,
     } = read;
     let mut guard = front.restore_guard.borrow_mut();
-    let known = front.endpoints.listing();
+    let is_unproven = front.endpoints.take_unproven();
+    let known = match is_unproven || guard.suspect_count() > 0 {
+        true => front.endpoints.listing(),
+        false => Listing::default(),
+    };
     let known_entry = |id: &str| known.entries.iter().find(|e| e.id == id);
-    if front.endpoints.take_unproven() && !known.entries.is_empty() {
+    if is_unproven && !known.entries.is_empty() {
         let known_reports = front.endpoints.reports();
         guard.suspect(&reports, |id| {
             let report = known_reports.get(id).copied();
@@ -252,13 +255,17 @@
     guard.retain(|id| reports.contains_key(id));
     listing.entries.retain_mut(|entry| {
         let report = reports.get(&entry.id);
-        let verdict = report.map_or(Verdict::AsListed, |r| guard.judge(&entry.id, *r));
-        match (verdict, known_entry(&entry.id)) {
-            (Verdict::AsListed, _) => {}
-            (Verdict::AsKnown, Some(known)) => *entry = known.clone(),
-            (Verdict::AsKnown, None) | (Verdict::Unproven, _) => return false,
+        match report.map_or(Verdict::AsListed, |r| guard.judge(&entry.id, *r)) {
+            Verdict::AsListed => true,
+            Verdict::AsKnown => match known_entry(&entry.id) {
+                Some(known) => {
+                    *entry = known.clone();
+                    true
+                }
+                None => false,
+            },
+            Verdict::Unproven => false,
         }
-        true
     });
     gauge!("front_unproven_endpoints").set(guard.suspect_count() as f64);
     drop(guard);
