Judge the slowness of endpoints only when one of them is not on time

Each choice of an endpoint sorted all of the pool for the median time to the first event and looked for one that is on time, also when every endpoint with room was on time. Both are now done at the first that is not.

--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -6,6 +6,8 @@
 //! that last looked idle. A session returns to the endpoint that recently ran it. See
 //! [`docs/FRONT.md`](../../../docs/FRONT.md#placing).
 
+use std::cell::LazyCell;
+
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
@@ -274,8 +276,11 @@
         let last = demand.session.and_then(|s| self.sessions.endpoint(s, now));
         let median = self.median_time_factor();
         let is_contended = self.is_contended();
-        let slow_factor = SLOW_FIRST_EVENT * self.median_first_event_factor();
-        let can_be_on_time = self.can_be_on_time(demand, tried, now);
+        // Most endpoints are on time, and then neither the median nor the others matter.
+        let slow_factor = LazyCell::new(|| {
+            let can_be_on_time = self.can_be_on_time(demand, tried, now);
+            can_be_on_time.then(|| SLOW_FIRST_EVENT * self.median_first_event_factor())
+        });
         let mut best: Option<(f64, &EndpointState)> = None;
         for endpoint in self.ready() {
             let is_open = !is_contended || endpoint.claimable > 0;
@@ -285,8 +290,8 @@
             if !self.has_room(endpoint, demand, median, now) {
                 continue;
             }
-            let is_slow = endpoint.first_event_factor > slow_factor;
-            if is_slow && can_be_on_time && !endpoint.is_on_time(demand) {
+            let is_slow = || slow_factor.is_some_and(|f| endpoint.first_event_factor > f);
+            if !endpoint.is_on_time(demand) && is_slow() {
                 continue;
             }
             let score = self.score(endpoint, demand, last);
