Count silent and cut streams, and log requests that are left without an answer

For the first incident: a request whose connection went away before its answer left no line, so that a failure of the front looked like a caller that left, and neither silences nor cuts of streams could be counted. Nothing is decided differently.

--- a/crates/sesamehaven-front/src/relay.rs
+++ b/crates/sesamehaven-front/src/relay.rs
@@ -4,6 +4,7 @@
 
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
+use metrics::counter;
 use tokio::sync::mpsc;
 
 use sesamehaven::placement::DispatchOutcome;
@@ -101,6 +102,7 @@
     };
     let result = relaying.await;
     if let Err(reason) = result {
+        counter!("front_streams_cut_total", "reason" => reason).increment(1);
         job.log("stream_cut", "", reason);
         // If the caller has disconnected, there is no receiver for the error.
         let _ = tx.try_send(Some(Err(std::io::ErrorKind::ConnectionAborted.into())));
@@ -185,7 +187,10 @@
         let chunk = match job.route.retry_policy == RetryPolicy::Resume {
             true => match tokio::time::timeout(timeout, next_chunk).await {
                 Ok(chunk) => chunk,
-                Err(_) => return StreamRead::Broken("the stream stalled"),
+                Err(_) => {
+                    counter!("front_streams_silent_total").increment(1);
+                    return StreamRead::Broken("the stream stalled");
+                }
             },
             false => next_chunk.await,
         };
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -5,6 +5,7 @@
 
 use actix_http::{Request, Response, StatusCode};
 use metrics::counter;
+use smol_str::SmolStr;
 
 use sesamehaven::dispatcher::Refusal;
 use sesamehaven::placement::DispatchOutcome;
@@ -35,7 +36,12 @@
     let arrived = clock::now();
     let _active = CounterGuard::new(&front.active_requests);
     let mut res = match admit(&front, req, arrived).await {
-        Ok(job) => serve_job(job).await,
+        Ok(job) => {
+            let unanswered = UnansweredGuard::new(&job);
+            let res = serve_job(job).await;
+            unanswered.disarm();
+            res
+        }
         Err(failure) => failure.response(),
     };
     if front.is_draining.get() {
@@ -92,6 +98,46 @@
     failure.response()
 }
 
+/// Logs an admitted request whose connection is gone before there is a response.
+struct UnansweredGuard<P: Protocol> {
+    front: Rc<Front<P>>,
+    id: SmolStr,
+    arrived: Instant,
+    is_answered: bool,
+}
+
+impl<P: Protocol> UnansweredGuard<P> {
+    fn new(job: &Job<P>) -> Self {
+        UnansweredGuard {
+            front: Rc::clone(&job.front),
+            id: job.meta.id.clone(),
+            arrived: job.arrived,
+            is_answered: false,
+        }
+    }
+
+    fn disarm(mut self) {
+        self.is_answered = true;
+    }
+}
+
+impl<P: Protocol> Drop for UnansweredGuard<P> {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        counter!("front_requests_unanswered_total").increment(1);
+        let now = clock::now();
+        if self.front.log_limiter.try_acquire(now) {
+            spdlog::info!("request unanswered", kv: {
+                id = self.id.as_str(),
+                elapsed_ms = now.since(self.arrived).0,
+                panicking = std::thread::panicking()
+            });
+        }
+    }
+}
+
 /// A response that is ready for the caller.
 enum Served<P: Protocol> {
     Full(Response<Body>),
