Keep a silent stream until another endpoint has taken it over

Callers got a part of a stream and a closed connection, or 502, from endpoints that were sound. Cause: a resumable stream that was silent for its stall timeout (a second or more) was closed first and only then resumed; without another endpoint, attempt or budget it was cut. Now another endpoint is asked while the first connection is kept, and the first to respond has the stream.

Ruled out: the change of the configuration (the tests have none). Attempts are now counted when a request is sent and given back if it did not run, as an attempt may be withdrawn before it has an outcome.

--- a/crates/sesamehaven-front/src/admission.rs
+++ b/crates/sesamehaven-front/src/admission.rs
@@ -1,13 +1,12 @@
 //! Request admission: authentication, routing and body limits, applied before a request is queued.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use actix_http::{HttpMessage, Payload, Request, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use metrics::counter;
-use smallvec::SmallVec;
 use smol_str::SmolStr;
 
 use sesamehaven::backlog::Rank;
@@ -105,8 +104,8 @@
         first_sent,
         deadline: arrived.after(timeout),
         run_status: Cell::new(RunStatus::NotRun),
-        tried: SmallVec::new(),
-        runs: 0,
+        tried: RefCell::default(),
+        runs: Cell::new(0),
         meta,
     };
     Ok(job)
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -1,6 +1,6 @@
 //! An admitted request and its attempts at endpoints.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt::Display;
 use std::rc::Rc;
 
@@ -82,9 +82,9 @@
     /// Whether it may have started to run.
     pub run_status: Cell<RunStatus>,
     /// The endpoints that were tried or could not be reached.
-    pub tried: SmallVec<[SmolStr; 2]>,
-    /// The number of attempts in which it may have run.
-    pub runs: u32,
+    pub tried: RefCell<SmallVec<[SmolStr; 2]>>,
+    /// The number of attempts in which it may have run or may still run.
+    pub runs: Cell<u32>,
 }
 
 /// A response whose head has been read.
@@ -118,24 +118,24 @@
         self.deadline.since(now)
     }
 
-    /// Waits for a slot in the pool.
+    /// Waits for a slot in the pool; the limits of the wait count from `waiting_since`.
     ///
     /// # Errors
     ///
     /// Returns the reason and a retry delay if the pool is unknown or no slot becomes available in
     /// time.
-    pub async fn acquire(&self) -> Result<Slot, Rejection> {
+    pub async fn acquire(&self, waiting_since: Instant) -> Result<Slot, Rejection> {
         let work = Work {
             class: self.route.name.clone(),
             rank: self.rank,
-            arrived: self.arrived,
+            arrived: waiting_since,
             first_sent: self.first_sent,
             objective: self.route.objective,
             deadline: self.deadline,
             slot_ms: self.estimated_slot_ms(),
             first_event_ms: self.estimated_first_event_ms(),
             session: self.meta.session,
-            tried: self.tried.clone(),
+            tried: self.tried.borrow().clone(),
         };
         let started = clock::now();
         let slot = self.front.pools.acquire(&self.pool, work).await;
@@ -180,6 +180,7 @@
     /// Sends the request to an endpoint and reads the response head.
     pub async fn attempt(&self, slot: Slot, last_event_id: Option<u64>) -> Attempt<P> {
         let endpoint = slot.endpoint.clone();
+        self.tried.borrow_mut().push(endpoint.clone());
         let mut conn = match self.front.connections.acquire(&endpoint).await {
             Ok(conn) => conn,
             Err(err) => {
@@ -191,6 +192,7 @@
         let in_flight = self.front.track_in_flight(&endpoint, self.fingerprint);
         let head = self.request_head(&endpoint, last_event_id);
         let run_status = self.run_status.replace(RunStatus::MayHaveRun);
+        let runs = self.runs.replace(self.runs.get() + 1);
         conn.send(head, self.body.clone());
         match self.read_response_head(&mut conn, &endpoint).await {
             Ok((head, ResponseClass::Valid)) => Attempt::Responded(Box::new(EndpointResponse {
@@ -201,6 +203,7 @@
             })),
             Ok((head, ResponseClass::NotRun)) => {
                 self.run_status.set(run_status);
+                self.runs.set(runs);
                 let status = head.status.as_u16();
                 if conn.read_body(DISCARDED_BODY_MAX_BYTES).await.is_ok() {
                     conn.finish(&head);
@@ -221,6 +224,7 @@
             }
             Err(_) if !conn.has_sent() => {
                 self.run_status.set(run_status);
+                self.runs.set(runs);
                 slot.mark_unreachable();
                 Attempt::NotSent
             }
@@ -301,7 +305,7 @@
     /// it to run again and a retry is left.
     pub fn try_acquire_rerun(&self) -> bool {
         self.route.retry_policy != RetryPolicy::Never
-            && self.runs < self.route.max_attempts
+            && self.runs.get() < self.route.max_attempts
             && self.try_acquire_retry()
     }
 
--- a/crates/sesamehaven-front/src/relay.rs
+++ b/crates/sesamehaven-front/src/relay.rs
@@ -84,7 +84,7 @@
 }
 
 async fn relay<P: Protocol>(
-    mut job: Job<P>,
+    job: Job<P>,
     response: EndpointResponse<P>,
     first: FirstEvents,
     tx: mpsc::Sender<Option<Chunk>>,
@@ -95,7 +95,7 @@
     let relaying = async {
         tokio::select! {
             () = tx.closed() => Err("the caller disconnected"),
-            result = tokio::time::timeout(remaining, relay_events(&mut job, response, first, &tx)) => {
+            result = tokio::time::timeout(remaining, relay_events(&job, response, first, &tx)) => {
                 result.unwrap_or(Err("the deadline has passed"))
             }
         }
@@ -111,7 +111,7 @@
 
 /// Relays events until the stream is complete.
 async fn relay_events<P: Protocol>(
-    job: &mut Job<P>,
+    job: &Job<P>,
     mut response: EndpointResponse<P>,
     first: FirstEvents,
     tx: &mpsc::Sender<Option<Chunk>>,
@@ -142,59 +142,118 @@
     }
 }
 
-/// Resumes the stream at another endpoint after the last event that the caller has.
+/// Resumes a broken stream at another endpoint after the last event that the caller has.
 async fn resume<P: Protocol>(
-    job: &mut Job<P>,
+    job: &Job<P>,
     failed: EndpointResponse<P>,
     splitter: &mut Splitter,
 ) -> Option<EndpointResponse<P>> {
-    let EndpointResponse { conn, slot, .. } = failed;
     // Closing the connection ends the run at this endpoint before another one starts.
+    abandon(failed);
+    splitter.discard_partial();
+    let substitute = find_substitute(job, splitter.last_id()).await;
+    substitute.map(|response| *response)
+}
+
+/// Closes the connection to an endpoint that failed, and releases its slot.
+fn abandon<P: Protocol>(failed: EndpointResponse<P>) {
+    let EndpointResponse { conn, slot, .. } = failed;
     drop(conn);
     slot.complete(DispatchOutcome::Failure);
-    splitter.discard_partial();
+}
+
+/// Sends the request to other endpoints, while attempts are left, until one goes on after the event
+/// `last_id`.
+async fn find_substitute<P: Protocol>(
+    job: &Job<P>,
+    last_id: Option<u64>,
+) -> Option<Box<EndpointResponse<P>>> {
     while job.route.retry_policy == RetryPolicy::Resume && job.try_acquire_rerun() {
-        let slot = job.acquire().await.ok()?;
-        let endpoint = slot.endpoint.clone();
-        job.log("resume", &endpoint, splitter.last_id().unwrap_or_default());
-        job.tried.push(endpoint);
-        match job.attempt(slot, splitter.last_id()).await {
+        let slot = job.acquire(job.arrived).await.ok()?;
+        job.log("resume", &slot.endpoint, last_id.unwrap_or_default());
+        match job.attempt(slot, last_id).await {
             Attempt::Responded(response) if response.head.status.is_success() => {
-                job.runs += 1;
-                return Some(*response);
+                return Some(response);
             }
-            Attempt::Responded(response) => {
-                job.runs += 1;
-                response.slot.complete(DispatchOutcome::Failure);
-            }
-            Attempt::Unknown(_) => job.runs += 1,
-            Attempt::NotSent | Attempt::NotRun => {}
+            Attempt::Responded(response) => response.slot.complete(DispatchOutcome::Failure),
+            Attempt::Unknown(_) | Attempt::NotSent | Attempt::NotRun => {}
         }
     }
     None
 }
 
-/// Reads until at least one event is complete.
+/// Reads until at least one event is complete, also from another endpoint if this one is silent.
 async fn read_events<P: Protocol>(
     job: &Job<P>,
     response: &mut EndpointResponse<P>,
     splitter: &mut Splitter,
 ) -> StreamRead {
+    if job.route.retry_policy != RetryPolicy::Resume {
+        return read_from(job, response, splitter).await;
+    }
     let timeout = stall_timeout(&job.route);
     loop {
-        let next_chunk = response.conn.read_part();
-        // Only a stream that can be resumed elsewhere benefits from abandoning a stalled endpoint.
-        let chunk = match job.route.retry_policy == RetryPolicy::Resume {
-            true => match tokio::time::timeout(timeout, next_chunk).await {
-                Ok(chunk) => chunk,
-                Err(_) => {
-                    counter!("front_streams_silent_total").increment(1);
-                    return StreamRead::Broken("the stream stalled");
-                }
-            },
-            false => next_chunk.await,
-        };
-        match chunk {
+        let reading = read_from(job, response, splitter);
+        if let Ok(read) = tokio::time::timeout(timeout, reading).await {
+            return read;
+        }
+        counter!("front_streams_silent_total").increment(1);
+        job.log(
+            "stream_silent",
+            &response.slot.endpoint,
+            timeout.as_millis(),
+        );
+        match race_substitute(job, response, splitter).await {
+            Some(Winner::Current(read)) => return read,
+            Some(Winner::Substitute(substitute)) => {
+                job.log("substituted", &substitute.slot.endpoint, "");
+                abandon(std::mem::replace(response, *substitute));
+                splitter.discard_partial();
+            }
+            None => {}
+        }
+    }
+}
+
+/// The endpoint that serves the rest of a stream after a silence.
+enum Winner<P: Protocol> {
+    /// The one that was silent, with what was read from it.
+    Current(StreamRead),
+    /// Another one, which has started to respond.
+    Substitute(Box<EndpointResponse<P>>),
+}
+
+/// Looks for another endpoint to go on with a silent stream, until either of the two responds.
+///
+/// A sound endpoint may be silent for a moment, so its connection is kept until another endpoint has
+/// taken over. Returns [`None`] if no other endpoint takes over and this one is still silent.
+async fn race_substitute<P: Protocol>(
+    job: &Job<P>,
+    response: &mut EndpointResponse<P>,
+    splitter: &mut Splitter,
+) -> Option<Winner<P>> {
+    let substitute = find_substitute(job, splitter.last_id());
+    tokio::pin!(substitute);
+    let read = tokio::select! {
+        biased;
+        read = read_from(job, response, splitter) => read,
+        found = &mut substitute => return found.map(Winner::Substitute),
+    };
+    let found = match read {
+        StreamRead::Broken(_) => substitute.await,
+        StreamRead::Events(_) | StreamRead::Complete => None,
+    };
+    Some(found.map_or(Winner::Current(read), Winner::Substitute))
+}
+
+/// Reads from the endpoint until at least one event is complete.
+async fn read_from<P: Protocol>(
+    job: &Job<P>,
+    response: &mut EndpointResponse<P>,
+    splitter: &mut Splitter,
+) -> StreamRead {
+    loop {
+        match response.conn.read_part().await {
             Ok(Some(bytes)) => match splitter.push(&bytes) {
                 Ok(Some(events)) => return StreamRead::Events(events),
                 Ok(None) => {}
@@ -212,7 +271,7 @@
     }
 }
 
-/// Returns how long a resumable stream may be silent before it fails over.
+/// Returns how long a resumable stream may be silent before another endpoint is asked to go on with it.
 ///
 /// The timeout is derived from the objectives, so as to fail over well before callers time out; their
 /// deadlines are not considered.
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -53,7 +53,7 @@
 }
 
 /// Handles an admitted request.
-async fn serve_job<P: Protocol>(mut job: Job<P>) -> Response<Body> {
+async fn serve_job<P: Protocol>(job: Job<P>) -> Response<Body> {
     let now = clock::now();
     {
         let bounds = job.front.settings.borrow().bounds;
@@ -74,7 +74,7 @@
     let organisation = job.organisation.clone();
     let held = BodyMemoryGuard::new(&front.body_bytes, job.body.len() as u64);
     let remaining = job.remaining(now).duration();
-    let result = tokio::time::timeout(remaining, dispatch(&mut job)).await;
+    let result = tokio::time::timeout(remaining, dispatch(&job)).await;
     drop(held);
     let failure = match result {
         Ok(Ok(Served::Full(res))) => {
@@ -171,20 +171,19 @@
 }
 
 /// Tries endpoints until one has responded or no further attempt is allowed.
-async fn dispatch<P: Protocol>(job: &mut Job<P>) -> ServeResult<Served<P>> {
+async fn dispatch<P: Protocol>(job: &Job<P>) -> ServeResult<Served<P>> {
     let mut attempts_without_run = 0;
     loop {
-        let slot = match job.acquire().await {
+        let slot = match job.acquire(job.arrived).await {
             Ok(slot) => slot,
-            Err(rejection) if job.runs == 0 => {
+            Err(rejection) if job.runs.get() == 0 => {
                 return Err(rejected(rejection.reason, rejection.retry_after));
             }
             Err(_) => return Err(endpoint_failed()),
         };
         let endpoint = slot.endpoint.clone();
-        job.log("dispatch", &endpoint, job.runs);
+        job.log("dispatch", &endpoint, job.runs.get());
         let attempt = job.attempt(slot, job.meta.last_event_id).await;
-        job.tried.push(endpoint.clone());
         let response = match attempt {
             Attempt::Responded(response) => response,
             Attempt::NotSent | Attempt::NotRun => {
@@ -193,7 +192,7 @@
                 if attempts_without_run > MAX_ATTEMPTS_WITHOUT_RUN
                     || (was_sent && !job.try_acquire_retry())
                 {
-                    return Err(match job.runs {
+                    return Err(match job.runs.get() {
                         0 => all_rejected(),
                         _ => endpoint_failed(),
                     });
@@ -201,14 +200,12 @@
                 continue;
             }
             Attempt::Unknown(_) => {
-                job.runs += 1;
                 if job.try_acquire_rerun() {
                     continue;
                 }
                 return Err(endpoint_failed());
             }
         };
-        job.runs += 1;
         let served = match job.route.is_stream && response.head.status.is_success() {
             true => read_first_events(job, response).await,
             false => read_full_response(job, *response).await,
@@ -289,7 +286,8 @@
 impl<P: Protocol> Job<P> {
     /// Returns whether a failed request has an attempt left and enough time for it.
     fn has_time_for_retry(&self) -> bool {
-        self.runs < self.route.max_attempts && self.remaining(clock::now()) > self.route.objective
+        self.runs.get() < self.route.max_attempts
+            && self.remaining(clock::now()) > self.route.objective
     }
 }
 
