--- a/crates/sesamehaven-front/src/protocol.rs
+++ b/crates/sesamehaven-front/src/protocol.rs
@@ -14,6 +14,7 @@
 
 use sesamehaven::digest::hash_of;
 use sesamehaven::restore::{Era, Report};
+use sesamehaven::software_version::SoftwareVersion;
 use sesamehaven::unit::Millis;
 use sesamehaven_wire::http1::Head;
 
@@ -39,6 +40,8 @@
     pub session: Option<u64>,
     /// The id of the last event that the caller has, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// The id of the request that brought the first event of that stream, if the caller names it.
+    pub resumes: Option<SmolStr>,
 }
 
 /// Metadata that the front adds to a forwarded request.
@@ -79,6 +82,8 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: SmolStr,
+    /// The version of its software.
+    pub version: SoftwareVersion,
     /// The number of requests that it runs concurrently.
     // Fronts compare hashes of the JSON form, so its names are part of their wire format.
     #[serde(rename = "places")]
--- a/crates/sesamehaven-front/src/refresh.rs
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -211,6 +211,7 @@
                 endpoint = entry.id.as_str(),
                 pool = entry.pool.as_str(),
                 address = entry.address.to_string(),
+                version = entry.version.to_string(),
                 ready = entry.is_ready,
                 places = entry.slots
             });
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -37,6 +37,7 @@
     let _active = CounterGuard::new(&front.active_requests);
     let mut res = match admit(&front, req, arrived).await {
         Ok(job) => {
+            log_take_up(&job);
             let unanswered = UnansweredGuard::new(&job);
             let res = serve_job(job).await;
             unanswered.disarm();
@@ -98,6 +99,16 @@
     failure.response()
 }
 
+/// Logs and counts a request that takes up a stream again.
+fn log_take_up<P: Protocol>(job: &Job<P>) {
+    let Some(last) = job.meta.last_event_id else {
+        return;
+    };
+    counter!("front_streams_taken_up_total").increment(1);
+    let first = job.meta.resumes.as_deref().unwrap_or_default();
+    job.log("taken_up", "", format_args!("{first} after event {last}"));
+}
+
 /// Logs an admitted request whose connection is gone before there is a response.
 struct UnansweredGuard<P: Protocol> {
     front: Rc<Front<P>>,
--- a/crates/sesamehaven-front/tests/directory_cache.rs
+++ b/crates/sesamehaven-front/tests/directory_cache.rs
@@ -82,6 +82,7 @@
         pool: "pool".into(),
         address: "10.0.0.1:80".parse().unwrap_or_else(|_| unreachable!()),
         data_centre: "a".into(),
+        version: "v1".parse().unwrap_or_else(|_| unreachable!()),
         slots: 6,
         is_ready: true,
     });
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -61,6 +61,7 @@
 mod session_table;
 pub mod shared_limit;
 mod slot_state;
+pub mod software_version;
 pub mod tier;
 pub mod unit;
 
