Resume a stream only at the software version that began it

Callers got streams with events of two versions of an engine. Cause: a front looked for any endpoint of the pool to go on with a broken stream; it did not know versions at all. Class of fault: a decision rests on an identity (the pool) that is coarser than what must not be mixed.

Versions come with the list of endpoints. A stream is bound to that of its endpoint when its first event goes out, and the dispatcher places it there only.

--- a/crates/sesamehaven-front/src/admission.rs
+++ b/crates/sesamehaven-front/src/admission.rs
@@ -104,6 +104,7 @@
         first_sent,
         deadline: arrived.after(timeout),
         run_status: Cell::new(RunStatus::NotRun),
+        version: Cell::new(None),
         tried: RefCell::default(),
         runs: Cell::new(0),
         meta,
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -13,6 +13,7 @@
 use sesamehaven::backlog::Rank;
 use sesamehaven::dispatcher::Work;
 use sesamehaven::placement::DispatchOutcome;
+use sesamehaven::software_version::PoolVersion;
 use sesamehaven::unit::{Instant, Millis};
 use sesamehaven_wire::http1::{Connection, Error as WireError, Head};
 
@@ -81,6 +82,8 @@
     pub deadline: Instant,
     /// Whether it may have started to run.
     pub run_status: Cell<RunStatus>,
+    /// The software version that began the stream, once the caller has an event of it.
+    pub version: Cell<Option<PoolVersion>>,
     /// The endpoints that were tried or could not be reached.
     pub tried: RefCell<SmallVec<[SmolStr; 2]>>,
     /// The number of attempts in which it may have run or may still run.
@@ -136,6 +139,7 @@
             first_event_ms: self.estimated_first_event_ms(),
             session: self.meta.session,
             tried: self.tried.borrow().clone(),
+            version: self.version.get(),
         };
         let started = clock::now();
         let slot = self.front.pools.acquire(&self.pool, work).await;
--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -13,6 +13,7 @@
 use sesamehaven::digest::hash_of;
 use sesamehaven::dispatcher::{Dispatcher, Refusal, Step, Work};
 use sesamehaven::placement::{DispatchOutcome, ListedEndpoint};
+use sesamehaven::software_version::PoolVersion;
 use sesamehaven::unit::Millis;
 
 use crate::clock;
@@ -51,6 +52,8 @@
     ticket: Ticket,
     /// The incarnation of the endpoint.
     pub endpoint: SmolStr,
+    /// The version of its software when the slot was assigned.
+    pub version: Option<PoolVersion>,
     outcome: Option<DispatchOutcome>,
 }
 
@@ -135,6 +138,7 @@
                     slots: entry.slots,
                     is_near: entry.data_centre == data_centre,
                     is_ready: entry.is_ready,
+                    version: PoolVersion::new(&entry.pool, &entry.version),
                 });
         }
         {
@@ -216,11 +220,15 @@
         let assignment = (&mut queued.assignment).await;
         queued.is_resolved = true;
         let endpoint = assignment.unwrap_or(Err(no_endpoint))?;
+        let pools = self.pools.borrow();
+        let version = pools.get(pool).and_then(|d| d.version(&endpoint));
+        drop(pools);
         Ok(Slot {
             pools: Rc::clone(self),
             pool: pool.clone(),
             ticket,
             endpoint,
+            version,
             outcome: None,
         })
     }
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -248,6 +248,7 @@
     match first {
         Ok(first) => {
             response.slot.on_first_event();
+            job.version.set(response.slot.version);
             ResponseAction::Serve(Served::Stream(response, first))
         }
         Err(reason) => {
@@ -318,6 +319,7 @@
         Refusal::Overload => "more is waiting than can be served in time",
         Refusal::Overdue => "no endpoint became free in time",
         Refusal::NoEndpoint => "no endpoint takes work",
+        Refusal::NoVersion => "no endpoint of the version that began the stream takes work",
     };
     Failure::unavailable(reason.as_str(), message, retry_after)
 }
--- a/crates/sesamehaven/examples/replay/caller.rs
+++ b/crates/sesamehaven/examples/replay/caller.rs
@@ -175,5 +175,6 @@
         first_event_ms: EXPECTED_PREPARE_MS + tokens.0 * EXPECTED_TOKEN_MS.0,
         session: Some(req.session),
         tried: req.tried.clone(),
+        version: None,
     }
 }
--- a/crates/sesamehaven/examples/replay/simulation.rs
+++ b/crates/sesamehaven/examples/replay/simulation.rs
@@ -10,6 +10,7 @@
 use sesamehaven::digest::hash_of;
 use sesamehaven::dispatcher::{Dispatcher, Step, Steps};
 use sesamehaven::placement::{DispatchOutcome, ListedEndpoint};
+use sesamehaven::software_version::PoolVersion;
 use sesamehaven::unit::{Instant, Millis};
 
 use crate::caller::{Request, work};
@@ -163,6 +164,7 @@
             .iter()
             .zip(&self.engines)
             .map(|(id, engine)| ListedEndpoint {
+                version: PoolVersion::default(),
                 id: id.clone(),
                 slots: engine.slots as u32,
                 is_near: true,
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -12,11 +12,13 @@
 //! use sesamehaven::backlog::Ticket;
 //! use sesamehaven::dispatcher::{Dispatcher, Step, Work};
 //! use sesamehaven::placement::ListedEndpoint;
+//! use sesamehaven::software_version::PoolVersion;
 //! use sesamehaven::unit::{Instant, Millis};
 //!
 //! let mut pool = Dispatcher::default();
 //! let id = "engine-1".into();
-//! pool.set_endpoints([ListedEndpoint { id, slots: 4, is_near: true, is_ready: true }]);
+//! let version = PoolVersion::default();
+//! pool.set_endpoints([ListedEndpoint { id, slots: 4, is_near: true, is_ready: true, version }]);
 //! let work = Work::new("brief", Tier::MOST_URGENT, Millis(500), Instant(0));
 //! let steps = pool.on_arrival(Ticket(1), work, Instant(0));
 //! assert!(matches!(&steps[..], [Step::Start { .. }]));
@@ -25,10 +27,11 @@
 use std::collections::HashMap;
 
 use smallvec::SmallVec;
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 
 use crate::backlog::{Backlog, Length, Rank, Ticket, WaitingRequest, drain_time};
 use crate::placement::{Demand, DispatchOutcome, ListedEndpoint, Placement};
+use crate::software_version::PoolVersion;
 use crate::tier::Tier;
 use crate::unit::{Instant, Millis};
 
@@ -80,6 +83,8 @@
     pub session: Option<u64>,
     /// The endpoints that have been tried already.
     pub tried: SmallVec<[SmolStr; 2]>,
+    /// The software version that began its stream, if it goes on with one; it runs only there.
+    pub version: Option<PoolVersion>,
 }
 
 impl Work {
@@ -96,6 +101,7 @@
             first_event_ms: 50.0,
             session: None,
             tried: SmallVec::new(),
+            version: None,
         }
     }
 
@@ -107,6 +113,18 @@
             first_event_ms: self.first_event_ms,
             time_left: (due > now).then(|| due.since(now)),
             tie_breaker: ticket.0,
+            version: self.version,
+        }
+    }
+
+    /// Returns the class in which the request waits.
+    ///
+    /// Streams that go on at one version wait apart, so that they never hold up requests that may
+    /// start anywhere.
+    fn queue_class(&self) -> SmolStr {
+        match self.version {
+            Some(version) => format_smolstr!("{}@{version}", self.class),
+            None => self.class.clone(),
         }
     }
 
@@ -134,6 +152,8 @@
     Overdue,
     /// No endpoint accepts requests.
     NoEndpoint,
+    /// No endpoint of the software version that began the stream accepts requests.
+    NoVersion,
 }
 
 impl Refusal {
@@ -143,6 +163,7 @@
             Refusal::Overload => "overload",
             Refusal::Overdue => "overdue",
             Refusal::NoEndpoint => "no_endpoint",
+            Refusal::NoVersion => "no_version",
         }
     }
 }
@@ -248,6 +269,11 @@
         self.placement.running()
     }
 
+    /// Returns the software version of an endpoint.
+    pub fn version(&self, endpoint: &str) -> Option<PoolVersion> {
+        self.placement.version(endpoint)
+    }
+
     /// Returns the number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.backlog.len()
@@ -265,9 +291,12 @@
     /// Requests of starved classes and requests that have been dispatched before are queued
     /// regardless of the wait.
     pub fn on_arrival(&mut self, ticket: Ticket, work: Work, now: Instant) -> Steps {
-        if !self.placement.has_ready() {
+        if !self.placement.has_ready(None) {
             return self.refuse(ticket, Refusal::NoEndpoint, work.arrived, now);
         }
+        if !self.placement.has_ready(work.version) {
+            return self.refuse(ticket, Refusal::NoVersion, work.arrived, now);
+        }
         let wait = self.expected_wait(ticket, &work, now);
         let waited = now.since(work.arrived);
         let is_urgent = self.backlog.rank_position(work.rank).0 == 0;
@@ -277,17 +306,17 @@
         };
         let max_wait = work.share_of_objective(wait_share);
         let length = work.length();
-        let is_starved = self.backlog.is_starved(&work.class, length, work.rank);
+        let class = work.queue_class();
+        let is_starved = self.backlog.is_starved(&class, length, work.rank);
         let is_too_late = wait.0 > 0 && wait.0 + waited.0 > max_wait.0;
         if is_too_late && !is_starved && work.tried.is_empty() {
-            self.backlog
-                .count_refused(&work.class, length, work.rank, now);
+            self.backlog.count_refused(&class, length, work.rank, now);
             return self.refuse(ticket, Refusal::Overload, now.after(wait), now);
         }
         let give_up_at = work.arrived.after(work.share_of_objective(give_up_share));
         let waiting = WaitingRequest {
             ticket,
-            class: work.class.clone(),
+            class,
             length,
             rank: work.rank,
             arrived: work.arrived,
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -13,6 +13,7 @@
 
 use crate::digest::hash_of;
 use crate::session_table::SessionTable;
+use crate::software_version::PoolVersion;
 use crate::unit::{Instant, Millis};
 
 /// The weight of a new sample in the moving averages of an endpoint.
@@ -75,6 +76,8 @@
     pub is_near: bool,
     /// Whether it accepts new requests.
     pub is_ready: bool,
+    /// The version of its software.
+    pub version: PoolVersion,
 }
 
 /// The properties of a request that placement decides by.
@@ -90,6 +93,14 @@
     pub time_left: Option<Millis>,
     /// A number, different for each request, that breaks ties between endpoints.
     pub tie_breaker: u64,
+    /// The software version that began its stream, if it goes on with one.
+    pub version: Option<PoolVersion>,
+}
+
+impl Demand {
+    fn allows(&self, endpoint: &EndpointState) -> bool {
+        self.version.is_none_or(|v| v == endpoint.listed.version)
+    }
 }
 
 /// The outcome of a dispatched request, as it counts for its endpoint.
@@ -252,9 +263,16 @@
         self.ready().map(EndpointState::free).sum()
     }
 
-    /// Returns whether any endpoint accepts requests.
-    pub fn has_ready(&self) -> bool {
-        self.ready().next().is_some()
+    /// Returns whether any endpoint accepts requests, or only one of a version if it is given.
+    pub fn has_ready(&self, version: Option<PoolVersion>) -> bool {
+        self.ready()
+            .any(|e| version.is_none_or(|v| v == e.listed.version))
+    }
+
+    /// Returns the software version of an endpoint.
+    pub fn version(&self, id: &str) -> Option<PoolVersion> {
+        let endpoint = self.endpoints.iter().find(|e| e.listed.id == id);
+        endpoint.map(|e| e.listed.version)
     }
 
     /// Returns whether any endpoint has a free slot for a request, regardless of which
@@ -262,7 +280,9 @@
     pub fn has_free_slot(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> bool {
         let median = self.median_time_factor();
         let is_fit = |e: &EndpointState| {
-            !tried.contains(&e.listed.id) && self.has_room(e, demand, median, now)
+            !tried.contains(&e.listed.id)
+                && demand.allows(e)
+                && self.has_room(e, demand, median, now)
         };
         self.ready().any(is_fit)
     }
@@ -283,8 +303,9 @@
         });
         let mut best: Option<(f64, &EndpointState)> = None;
         for endpoint in self.ready() {
-            let is_open = !is_contended || endpoint.claimable > 0;
-            if !is_open || tried.contains(&endpoint.listed.id) {
+            // A stream that goes on has few endpoints to choose from, so it takes any free slot there.
+            let is_open = !is_contended || endpoint.claimable > 0 || demand.version.is_some();
+            if !is_open || !demand.allows(endpoint) || tried.contains(&endpoint.listed.id) {
                 continue;
             }
             if !self.has_room(endpoint, demand, median, now) {
@@ -391,7 +412,10 @@
     /// Returns whether some endpoint, free or not, is fast enough for a request to be on time.
     fn can_be_on_time(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> bool {
         let is_fit = |e: &EndpointState| {
-            e.ejected_until <= now && !tried.contains(&e.listed.id) && e.is_on_time(demand)
+            e.ejected_until <= now
+                && !tried.contains(&e.listed.id)
+                && demand.allows(e)
+                && e.is_on_time(demand)
         };
         demand.time_left.is_some() && self.ready().any(is_fit)
     }
--- a/crates/sesamehaven/tests/common/mod.rs
+++ b/crates/sesamehaven/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! What several tests need.
 
 use sesamehaven::placement::ListedEndpoint;
+use sesamehaven::software_version::PoolVersion;
 
 /// An endpoint that stands near and takes work.
 pub(crate) fn listed(id: &str, slots: u32) -> ListedEndpoint {
@@ -9,5 +10,6 @@
         slots,
         is_near: true,
         is_ready: true,
+        version: PoolVersion(1),
     }
 }
--- a/crates/sesamehaven/tests/placement.rs
+++ b/crates/sesamehaven/tests/placement.rs
@@ -24,6 +24,7 @@
         first_event_ms: 100.0,
         time_left: None,
         tie_breaker,
+        version: None,
     }
 }
 
