Take up streams only at the software version that began them

Callers that took up a broken stream got the rest from another version of the engine. Cause: the front that they came to sent the request anywhere; no front knew which version had begun a stream of another one.

Ruled out: the directory (4,800 writes a second at the target) and telling all fronts (96 KB a second each, calculated).

--- a/crates/sesamehaven-front/src/failure.rs
+++ b/crates/sesamehaven-front/src/failure.rs
@@ -54,6 +54,17 @@
         }
     }
 
+    /// Creates a 503 for a request that has not run and would not run later either.
+    pub fn not_resumable(code: &'static str, message: &'static str) -> Self {
+        Failure {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            code,
+            message,
+            may_have_run: false,
+            retry_after: None,
+        }
+    }
+
     /// Creates the response to an invalid request.
     pub fn client_error(status: StatusCode, code: &'static str, message: &'static str) -> Self {
         Failure {
--- a/crates/sesamehaven-front/src/front.rs
+++ b/crates/sesamehaven-front/src/front.rs
@@ -18,6 +18,7 @@
 use crate::connection_pool::ConnectionPool;
 use crate::directory_cache::{ConfigCache, ListingCache};
 use crate::logging::LogRateLimiter;
+use crate::origins::Origins;
 use crate::peers::Peers;
 use crate::pools::Pools;
 use crate::protocol::Protocol;
@@ -44,6 +45,8 @@
     pub connections: ConnectionPool,
     /// The limits shared by all fronts.
     pub shared_limits: RefCell<SharedLimits>,
+    /// The software versions that began streams.
+    pub origins: Origins,
     /// The other fronts.
     pub peers: RefCell<Peers>,
     /// Detects requests that callers send again after a refusal.
@@ -82,6 +85,7 @@
             pools: Rc::new(Pools::new(hash_of(settings.peers.to_string()))),
             connections: ConnectionPool::default(),
             shared_limits: RefCell::new(SharedLimits::default()),
+            origins: Origins::default(),
             settings: RefCell::new(settings),
             peers: RefCell::new(peers),
             retry_detector: RefCell::default(),
--- a/crates/sesamehaven-front/src/gossip.rs
+++ b/crates/sesamehaven-front/src/gossip.rs
@@ -14,6 +14,7 @@
 
 use crate::clock;
 use crate::front::Front;
+use crate::origins::{self, OriginMessage};
 use crate::peers::{self, DIGEST_MAX_BYTES, Digest, DirectoryState, Proximity, StateResponse};
 use crate::protocol::{ListingRead, Protocol};
 use crate::refresh::{apply_config, apply_listing};
@@ -201,6 +202,13 @@
                 continue;
             }
         };
+        if buf[..len].first() == Some(&origins::MESSAGE_TAG) {
+            match postcard::from_bytes::<OriginMessage>(&buf[..len]) {
+                Ok(message) => origins::on_message(&front, &socket, from, &message),
+                Err(_) => counter!("front_digests_unread_total").increment(1),
+            }
+            continue;
+        }
         let Ok(digest) = postcard::from_bytes::<Digest>(&buf[..len]) else {
             counter!("front_digests_unread_total").increment(1);
             continue;
--- a/crates/sesamehaven-front/src/lib.rs
+++ b/crates/sesamehaven-front/src/lib.rs
@@ -21,6 +21,7 @@
 mod headers;
 pub mod job;
 pub mod logging;
+pub mod origins;
 pub mod peers;
 pub mod pools;
 pub mod protocol;
--- /dev/null
+++ b/crates/sesamehaven-front/src/origins.rs
@@ -0,0 +1,275 @@
+//! The software versions that began streams, as fronts remember them together.
+//!
+//! A front tells a few others of each stream that it begins, by UDP, and asks all others about a
+//! stream that a caller takes up and that it does not know. The decisions are in
+//! [`sesamehaven::stream_origin`]; see
+//! [`docs/FRONT.md`](../../../docs/FRONT.md#streams-and-versions).
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use metrics::{counter, gauge};
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use smol_str::SmolStr;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+use sesamehaven::software_version::PoolVersion;
+use sesamehaven::stream_origin::{
+    Continuation, StreamId, StreamOrigin, StreamOrigins, VersionHistory,
+};
+use sesamehaven::unit::Instant;
+
+use crate::clock;
+use crate::failure::{Failure, ServeResult};
+use crate::front::Front;
+use crate::job::Job;
+use crate::peers::Proximity;
+use crate::protocol::{Listing, Protocol};
+use crate::routing_table::{RetryPolicy, Route};
+
+/// The first byte of messages about origins, which digests never have.
+pub(crate) const MESSAGE_TAG: u8 = 0xa1;
+/// The maximum number of streams in a message, so that it fits into one datagram.
+const MESSAGE_MAX_STREAMS: usize = 256;
+/// The interval in which new origins and questions are collected for one message.
+const SEND_INTERVAL: Duration = Duration::from_millis(20);
+/// The interval in which origins are offered again while no front can remember them.
+const UNSENT_INTERVAL: Duration = Duration::from_millis(200);
+/// How long the other fronts have to answer a question.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
+/// How often a question is asked, as datagrams may be lost.
+const MAX_QUESTIONS: usize = 2;
+
+/// Origins that the sender knows, and streams that it asks about.
+///
+/// Encoded by position with postcard: the order and the types of the fields are the wire format.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct OriginMessage {
+    tag: u8,
+    known: Vec<StreamOrigin>,
+    asked: Vec<StreamId>,
+}
+
+/// What a front remembers of the origins of streams and of the versions that serve.
+#[derive(Debug, Default)]
+pub struct Origins {
+    streams: RefCell<StreamOrigins>,
+    history: RefCell<HashMap<SmolStr, VersionHistory>>,
+    new: RefCell<Vec<StreamOrigin>>,
+    asked: RefCell<Vec<StreamId>>,
+    has_outgoing: Notify,
+    has_learned: Notify,
+}
+
+impl Origins {
+    /// Records the versions that are listed now.
+    pub fn on_listing(&self, listing: &Listing, now: Instant) {
+        let mut listed: HashMap<&SmolStr, Vec<PoolVersion>> = HashMap::new();
+        for entry in &listing.entries {
+            let version = PoolVersion::new(&entry.pool, &entry.version);
+            listed.entry(&entry.pool).or_default().push(version);
+        }
+        let mut history = self.history.borrow_mut();
+        for (pool, known) in history.iter_mut() {
+            known.on_listing(listed.remove(pool).unwrap_or_default(), now);
+        }
+        for (pool, versions) in listed {
+            let known = history.entry(pool.clone()).or_default();
+            known.on_listing(versions, now);
+        }
+    }
+
+    /// Records a stream that this front has begun, and tells others of it.
+    pub fn record(&self, origin: StreamOrigin) {
+        self.learn(&[origin]);
+        self.new.borrow_mut().push(origin);
+        self.has_outgoing.notify_one();
+    }
+
+    fn learn(&self, origins: &[StreamOrigin]) {
+        let now = clock::now();
+        let mut streams = self.streams.borrow_mut();
+        origins.iter().for_each(|o| streams.record(*o, now));
+        gauge!("front_stream_origin_requests").set(streams.len() as f64);
+        drop(streams);
+        self.has_learned.notify_waiters();
+    }
+
+    /// Returns the version that began a stream, asking the other fronts if need be.
+    async fn find(&self, stream: StreamId) -> Option<PoolVersion> {
+        for _ in 0..MAX_QUESTIONS {
+            let answered = async {
+                loop {
+                    let mut learned = pin!(self.has_learned.notified());
+                    learned.as_mut().enable();
+                    if let Some(version) = self.known(stream) {
+                        return version;
+                    }
+                    learned.await;
+                }
+            };
+            if let Some(version) = self.known(stream) {
+                return Some(version);
+            }
+            self.asked.borrow_mut().push(stream);
+            self.has_outgoing.notify_one();
+            if let Ok(version) = tokio::time::timeout(ANSWER_TIMEOUT, answered).await {
+                return Some(version);
+            }
+        }
+        None
+    }
+
+    fn known(&self, stream: StreamId) -> Option<PoolVersion> {
+        self.streams.borrow().find(stream, clock::now())
+    }
+
+    /// Returns the versions of a route's pools that have served lately, each with its pool.
+    fn recent(&self, route: &Route) -> SmallVec<[(SmolStr, PoolVersion); 4]> {
+        let now = clock::now();
+        let history = self.history.borrow();
+        let mut recent = SmallVec::new();
+        for (pool, _) in &route.pools {
+            let Some(known) = history.get(pool) else {
+                continue;
+            };
+            recent.extend(known.recent(now).map(|v| (pool.clone(), v)));
+        }
+        recent
+    }
+}
+
+/// Returns the pool and the software version at which the stream goes on that a request takes up, or
+/// [`None`] if the request takes up no stream.
+///
+/// # Errors
+///
+/// Fails if the version serves no more, or if nobody knows it and it could be one of several. The
+/// request has not run then.
+pub(crate) async fn continuation<P: Protocol>(
+    job: &Job<P>,
+) -> ServeResult<Option<(SmolStr, PoolVersion)>> {
+    if job.meta.last_event_id.is_none() || job.route.retry_policy != RetryPolicy::Resume {
+        return Ok(None);
+    }
+    let origins = &job.front.origins;
+    let origin = match &job.meta.resumes {
+        Some(first) => origins.find(StreamId::new(first)).await,
+        None => None,
+    };
+    let recent = origins.recent(&job.route);
+    let serves = |(pool, version): &&(SmolStr, PoolVersion)| job.front.pools.serves(pool, *version);
+    let all: SmallVec<[PoolVersion; 4]> = recent.iter().map(|(_, v)| *v).collect();
+    let serving: SmallVec<[PoolVersion; 4]> =
+        recent.iter().filter(serves).map(|(_, v)| *v).collect();
+    let decision = Continuation::decide(origin, &all, &serving);
+    let origin = origin.map_or_else(SmolStr::default, |v| SmolStr::new(v.to_string()));
+    let (label, detail) = match decision {
+        Continuation::At(_) => ("goes_on", ""),
+        Continuation::Gone => ("version_gone", "the version serves no more"),
+        Continuation::Unknown => ("origin_unknown", "the version is not known"),
+    };
+    counter!("front_streams_taken_up_total", "outcome" => label).increment(1);
+    job.log(
+        "taken_up",
+        "",
+        format_args!(
+            "{} after event {}: {label}, origin {origin}, {} of {} recent versions serve",
+            job.meta.resumes.as_deref().unwrap_or_default(),
+            job.meta.last_event_id.unwrap_or_default(),
+            serving.len(),
+            all.len()
+        ),
+    );
+    let Continuation::At(version) = decision else {
+        return Err(Failure::not_resumable(label, detail));
+    };
+    let found = recent.into_iter().find(|(_, v)| *v == version);
+    Ok(found)
+}
+
+/// Sends new origins to the fronts that remember them for this one, and questions to all.
+pub async fn send_origins<P: Protocol>(front: Rc<Front<P>>, socket: Rc<UdpSocket>) {
+    let origins = &front.origins;
+    loop {
+        let outgoing = origins.has_outgoing.notified();
+        let has_unsent = !origins.new.borrow().is_empty();
+        match has_unsent {
+            // Origins wait for the first front that can remember them.
+            true => drop(tokio::time::timeout(UNSENT_INTERVAL, outgoing).await),
+            false => outgoing.await,
+        }
+        let asked = origins.asked.take();
+        let (keepers, all) = {
+            let peers = front.peers.borrow();
+            let mut all = peers.targets(Proximity::Near);
+            all.extend(peers.targets(Proximity::Far));
+            (peers.keepers(clock::now()), all)
+        };
+        let mut new = origins.new.take();
+        if keepers.is_empty() {
+            let excess = new.len().saturating_sub(MESSAGE_MAX_STREAMS);
+            new.drain(..excess);
+            origins.new.replace(std::mem::take(&mut new));
+        }
+        for known in new.chunks(MESSAGE_MAX_STREAMS) {
+            send(&socket, &keepers, known, &[]);
+        }
+        for asked in asked.chunks(MESSAGE_MAX_STREAMS) {
+            send(&socket, &all, &[], asked);
+        }
+        tokio::time::sleep(SEND_INTERVAL).await;
+    }
+}
+
+/// Applies a message of another front, and answers its questions as far as this front can.
+pub(crate) fn on_message<P: Protocol>(
+    front: &Front<P>,
+    socket: &UdpSocket,
+    from: SocketAddr,
+    message: &OriginMessage,
+) {
+    if !message.known.is_empty() {
+        front.origins.learn(&message.known);
+    }
+    let asked = message.asked.iter().take(MESSAGE_MAX_STREAMS);
+    let answers: Vec<StreamOrigin> = asked
+        .filter_map(|stream| {
+            let version = front.origins.known(*stream)?;
+            Some(StreamOrigin {
+                stream: *stream,
+                version,
+            })
+        })
+        .collect();
+    if !answers.is_empty() {
+        send(socket, &[from], &answers, &[]);
+    }
+}
+
+fn send(socket: &UdpSocket, to: &[SocketAddr], known: &[StreamOrigin], asked: &[StreamId]) {
+    let message = OriginMessage {
+        tag: MESSAGE_TAG,
+        known: known.to_vec(),
+        asked: asked.to_vec(),
+    };
+    let buf = match postcard::to_stdvec(&message) {
+        Ok(buf) => buf,
+        Err(err) => {
+            spdlog::error!("failed to encode origins of streams", kv: { reason = err.to_string() });
+            return;
+        }
+    };
+    for peer in to {
+        // Origins go to several fronts, and questions are repeated.
+        if socket.try_send_to(&buf, *peer).is_err() {
+            counter!("front_origins_unsent_total").increment(1);
+        }
+    }
+}
--- a/crates/sesamehaven-front/src/peers.rs
+++ b/crates/sesamehaven-front/src/peers.rs
@@ -42,6 +42,10 @@
 const STATE_EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
 /// The maximum size of a state response, in bytes.
 const STATE_MAX_BYTES: u32 = 8 << 20;
+/// The number of fronts in the same data centre that remember the origins of a front's streams.
+const NEAR_KEEPERS: usize = 3;
+/// The number of fronts in other data centres that do.
+const FAR_KEEPERS: usize = 2;
 /// The maximum number of peers listed in a digest.
 const DIGEST_MAX_PEERS: usize = 24;
 
@@ -293,6 +297,25 @@
         live.filter(|(address, _)| **address < self.own).count()
     }
 
+    /// Returns the live fronts that remember the origins of this one's streams: the next few by
+    /// address in this data centre and in the others.
+    pub fn keepers(&self, now: Instant) -> Vec<SocketAddr> {
+        let mut keepers = Vec::new();
+        for (proximity, count) in [
+            (Proximity::Near, NEAR_KEEPERS),
+            (Proximity::Far, FAR_KEEPERS),
+        ] {
+            let live = self.seen_within(LIVENESS_TIMEOUT, now);
+            let mut next: Vec<SocketAddr> = live
+                .filter(|(_, p)| self.proximity(p) == proximity)
+                .map(|(address, _)| *address)
+                .collect();
+            next.sort_by_key(|address| (*address < self.own, *address));
+            keepers.extend(next.into_iter().take(count));
+        }
+        keepers
+    }
+
     /// Returns the aggregate load of the other fronts.
     pub fn loads(&self, now: Instant) -> Loads {
         let mut loads = Loads::default();
--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -191,6 +191,12 @@
         (free, slots, pool.waiting())
     }
 
+    /// Returns whether an endpoint of a software version accepts requests.
+    pub fn serves(&self, pool: &str, version: PoolVersion) -> bool {
+        let pools = self.pools.borrow();
+        pools.get(pool).is_some_and(|d| d.serves(version))
+    }
+
     /// Waits for a slot at an endpoint.
     ///
     /// # Errors
--- a/crates/sesamehaven-front/src/refresh.rs
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -205,6 +205,7 @@
         return;
     };
     let listing = front.endpoints.listing();
+    front.origins.on_listing(&listing, clock::now());
     for entry in &listing.entries {
         if !previous.entries.contains(entry) {
             spdlog::info!("endpoint listed", kv: {
--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -21,6 +21,7 @@
 use crate::clock;
 use crate::front::Front;
 use crate::gossip;
+use crate::origins;
 use crate::peers::Proximity;
 use crate::protocol::{Directory, Protocol};
 use crate::refresh;
@@ -104,6 +105,7 @@
     actix_rt::spawn(gossip::apply_peer_loads(Rc::clone(&front)));
     actix_rt::spawn(gossip::receive_digests(Rc::clone(&front), Rc::clone(&udp)));
     actix_rt::spawn(gossip::sync_from_peers(Rc::clone(&front)));
+    actix_rt::spawn(origins::send_origins(Rc::clone(&front), Rc::clone(&udp)));
     actix_rt::spawn(gossip::serve_state(Rc::clone(&front), tcp));
     actix_rt::spawn(reload_settings(Rc::clone(&front), hangup, reload));
     let pools = Rc::clone(&front.pools);
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -9,6 +9,8 @@
 
 use sesamehaven::dispatcher::Refusal;
 use sesamehaven::placement::DispatchOutcome;
+use sesamehaven::software_version::PoolVersion;
+use sesamehaven::stream_origin::{StreamId, StreamOrigin};
 use sesamehaven::unit::{Instant, Millis};
 
 use crate::admission::{admit, charge};
@@ -18,6 +20,7 @@
 use crate::front::{CounterGuard, Front};
 use crate::headers::copy_response_headers;
 use crate::job::{Attempt, EndpointResponse, Job, RunStatus};
+use crate::origins;
 use crate::protocol::Protocol;
 use crate::relay;
 use crate::routing_table::RetryPolicy;
@@ -37,7 +40,6 @@
     let _active = CounterGuard::new(&front.active_requests);
     let mut res = match admit(&front, req, arrived).await {
         Ok(job) => {
-            log_take_up(&job);
             let unanswered = UnansweredGuard::new(&job);
             let res = serve_job(job).await;
             unanswered.disarm();
@@ -54,7 +56,18 @@
 }
 
 /// Handles an admitted request.
-async fn serve_job<P: Protocol>(job: Job<P>) -> Response<Body> {
+async fn serve_job<P: Protocol>(mut job: Job<P>) -> Response<Body> {
+    match origins::continuation(&job).await {
+        Ok(None) => {}
+        Ok(Some((pool, version))) => {
+            job.pool = pool;
+            job.version.set(Some(version));
+        }
+        Err(failure) => {
+            counter!("front_failures_total", "code" => failure.code).increment(1);
+            return failure.response();
+        }
+    }
     let now = clock::now();
     {
         let bounds = job.front.settings.borrow().bounds;
@@ -99,16 +112,6 @@
     failure.response()
 }
 
-/// Logs and counts a request that takes up a stream again.
-fn log_take_up<P: Protocol>(job: &Job<P>) {
-    let Some(last) = job.meta.last_event_id else {
-        return;
-    };
-    counter!("front_streams_taken_up_total").increment(1);
-    let first = job.meta.resumes.as_deref().unwrap_or_default();
-    job.log("taken_up", "", format_args!("{first} after event {last}"));
-}
-
 /// Logs an admitted request whose connection is gone before there is a response.
 struct UnansweredGuard<P: Protocol> {
     front: Rc<Front<P>>,
@@ -248,7 +251,7 @@
     match first {
         Ok(first) => {
             response.slot.on_first_event();
-            job.version.set(response.slot.version);
+            bind_version(job, response.slot.version);
             ResponseAction::Serve(Served::Stream(response, first))
         }
         Err(reason) => {
@@ -260,6 +263,18 @@
     }
 }
 
+/// Binds a stream to the version of the endpoint that began it, and remembers it for its caller.
+fn bind_version<P: Protocol>(job: &Job<P>, version: Option<PoolVersion>) {
+    let (None, Some(version)) = (job.version.get(), version) else {
+        return;
+    };
+    job.version.set(Some(version));
+    if job.route.retry_policy == RetryPolicy::Resume {
+        let stream = StreamId::new(&job.meta.id);
+        job.front.origins.record(StreamOrigin { stream, version });
+    }
+}
+
 /// Reads a complete response.
 async fn read_full_response<P: Protocol>(
     job: &Job<P>,
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -274,6 +274,11 @@
         self.placement.version(endpoint)
     }
 
+    /// Returns whether an endpoint of a software version accepts requests.
+    pub fn serves(&self, version: PoolVersion) -> bool {
+        self.placement.has_ready(Some(version))
+    }
+
     /// Returns the number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.backlog.len()
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod shared_limit;
 mod slot_state;
 pub mod software_version;
+pub mod stream_origin;
 pub mod tier;
 pub mod unit;
 
--- a/crates/sesamehaven/src/software_version.rs
+++ b/crates/sesamehaven/src/software_version.rs
@@ -44,7 +44,9 @@
 /// assert_ne!(PoolVersion::new("drafting", &version), PoolVersion::new("tagging", &version));
 /// # Ok::<(), std::convert::Infallible>(())
 /// ```
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct PoolVersion(pub u64);
 
 impl PoolVersion {
