Close a stream that is of no more use before its substitute responds

When a silent endpoint failed while another one was being asked, its connection and slot were kept until that one responded, so that two endpoints could work on one request. Found in the review; its test failed before and passes now.

--- a/crates/sesamehaven-front/src/relay.rs
+++ b/crates/sesamehaven-front/src/relay.rs
@@ -244,9 +244,8 @@
         Err(reason) => reason,
     };
     job.log("stream_broken", silent.endpoint(), reason);
-    let found = substitute.await;
     silent.abandon();
-    let (source, read) = found.ok_or(reason)?;
+    let (source, read) = substitute.await.ok_or(reason)?;
     Ok((source, Some(read)))
 }
 
