Let a substitute that was withdrawn be asked again

An endpoint that was asked to go on with a silent stream, and withdrawn as the stream went on by itself, counted as tried and as an attempt. With two attempts, a silence that ended by itself left the stream without any for a crash later on. An attempt that is dropped before it has an outcome gives back what it took.

--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -102,6 +102,40 @@
     _in_flight: InFlightGuard<P>,
 }
 
+/// An attempt that may be withdrawn; the endpoint can be asked again then.
+struct PendingAttempt<'a, P: Protocol> {
+    job: &'a Job<P>,
+    endpoint: &'a str,
+    /// The number of attempts before.
+    runs: u32,
+    is_settled: bool,
+}
+
+impl<'a, P: Protocol> PendingAttempt<'a, P> {
+    fn new(job: &'a Job<P>, endpoint: &'a str) -> Self {
+        job.tried.borrow_mut().push(endpoint.into());
+        PendingAttempt {
+            job,
+            endpoint,
+            runs: job.runs.get(),
+            is_settled: false,
+        }
+    }
+
+    fn settle(mut self) {
+        self.is_settled = true;
+    }
+}
+
+impl<P: Protocol> Drop for PendingAttempt<'_, P> {
+    fn drop(&mut self) {
+        if !self.is_settled {
+            self.job.runs.set(self.runs);
+            self.job.tried.borrow_mut().retain(|e| e != self.endpoint);
+        }
+    }
+}
+
 /// The outcome of an attempt at one endpoint.
 #[derive(Debug)]
 pub enum Attempt<P: Protocol> {
@@ -184,10 +218,11 @@
     /// Sends the request to an endpoint and reads the response head.
     pub async fn attempt(&self, slot: Slot, last_event_id: Option<u64>) -> Attempt<P> {
         let endpoint = slot.endpoint.clone();
-        self.tried.borrow_mut().push(endpoint.clone());
+        let pending = PendingAttempt::new(self, &endpoint);
         let mut conn = match self.front.connections.acquire(&endpoint).await {
             Ok(conn) => conn,
             Err(err) => {
+                pending.settle();
                 self.log("unreachable", &endpoint, err.to_string());
                 slot.mark_unreachable();
                 return Attempt::NotSent;
@@ -198,7 +233,9 @@
         let run_status = self.run_status.replace(RunStatus::MayHaveRun);
         let runs = self.runs.replace(self.runs.get() + 1);
         conn.send(head, self.body.clone());
-        match self.read_response_head(&mut conn, &endpoint).await {
+        let head = self.read_response_head(&mut conn, &endpoint).await;
+        pending.settle();
+        match head {
             Ok((head, ResponseClass::Valid)) => Attempt::Responded(Box::new(EndpointResponse {
                 head,
                 conn,
