Charge the retry budget for what is sent, not for a search in vain

Each silence of a stream took a retry from the budget of the pool, also when no other endpoint was there to be asked; 40 streams that were silent twice left none for a request whose connection dropped, which got 502.

--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -346,10 +346,15 @@
     /// it to run again and a retry is left.
     pub fn try_acquire_rerun(&self) -> bool {
         self.route.retry_policy != RetryPolicy::Never
-            && self.runs.get() < self.route.max_attempts
+            && self.has_attempts()
             && self.try_acquire_retry()
     }
 
+    /// Returns whether the request may run at one more endpoint.
+    pub fn has_attempts(&self) -> bool {
+        self.runs.get() < self.route.max_attempts
+    }
+
     /// Consumes one retry from the retry budget, if one is left.
     pub fn try_acquire_retry(&self) -> bool {
         let now = clock::now();
--- a/crates/sesamehaven-front/src/relay.rs
+++ b/crates/sesamehaven-front/src/relay.rs
@@ -272,8 +272,12 @@
     job: &Job<P>,
     last_id: Option<u64>,
 ) -> Option<Box<EndpointResponse<P>>> {
-    while job.route.retry_policy == RetryPolicy::Resume && job.try_acquire_rerun() {
+    while job.route.retry_policy == RetryPolicy::Resume && job.has_attempts() {
         let slot = job.acquire(job.arrived).await.ok()?;
+        // Only what is sent is taken from the budget, not a search in vain.
+        if !job.try_acquire_retry() {
+            return None;
+        }
         job.log("resume", &slot.endpoint, last_id.unwrap_or_default());
         match job.attempt(slot, last_id).await {
             Attempt::Responded(response) if response.head.status.is_success() => {
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -306,8 +306,7 @@
 impl<P: Protocol> Job<P> {
     /// Returns whether a failed request has an attempt left and enough time for it.
     fn has_time_for_retry(&self) -> bool {
-        self.runs.get() < self.route.max_attempts
-            && self.remaining(clock::now()) > self.route.objective
+        self.has_attempts() && self.remaining(clock::now()) > self.route.objective
     }
 }
 
