Count the wait of a request that has run before from the moment it waits

A stream that broke a second or more after its request had arrived was refused a place within 20 ms, also when one became free soon: the longest wait counted from the arrival. The same held for lookups that are sent again.

--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -155,13 +155,19 @@
         self.deadline.since(now)
     }
 
-    /// Waits for a slot in the pool; the limits of the wait count from `waiting_since`.
+    /// Waits for a slot in the pool.
+    ///
+    /// How long it waits counts from the arrival of the request, or from now if it has run before.
     ///
     /// # Errors
     ///
     /// Returns the reason and a retry delay if the pool is unknown or no slot becomes available in
     /// time.
-    pub async fn acquire(&self, waiting_since: Instant) -> Result<Slot, Rejection> {
+    pub async fn acquire(&self) -> Result<Slot, Rejection> {
+        let waiting_since = match self.runs.get() {
+            0 => self.arrived,
+            _ => clock::now(),
+        };
         let work = Work {
             class: self.route.name.clone(),
             rank: self.rank,
--- a/crates/sesamehaven-front/src/relay.rs
+++ b/crates/sesamehaven-front/src/relay.rs
@@ -273,7 +273,7 @@
     last_id: Option<u64>,
 ) -> Option<Box<EndpointResponse<P>>> {
     while job.route.retry_policy == RetryPolicy::Resume && job.has_attempts() {
-        let slot = job.acquire(job.arrived).await.ok()?;
+        let slot = job.acquire().await.ok()?;
         // Only what is sent is taken from the budget, not a search in vain.
         if !job.try_acquire_retry() {
             return None;
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -188,7 +188,7 @@
 async fn dispatch<P: Protocol>(job: &Job<P>) -> ServeResult<Served<P>> {
     let mut attempts_without_run = 0;
     loop {
-        let slot = match job.acquire(job.arrived).await {
+        let slot = match job.acquire().await {
             Ok(slot) => slot,
             Err(rejection) if job.runs.get() == 0 => {
                 return Err(rejected(rejection.reason, rejection.retry_after));
