Pass on the events before one that is out of order

Events that arrived in one part with an event out of order were dropped, though the position of the stream had moved past them: the caller got a stream without them that ended as complete.

--- a/crates/sesamehaven-front/src/events.rs
+++ b/crates/sesamehaven-front/src/events.rs
@@ -9,6 +9,8 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     buf: BytesMut,
+    /// The events that are complete and not handed out yet.
+    complete: BytesMut,
     /// The id of the last event that the caller has; events up to it are dropped.
     last_id: Option<u64>,
 }
@@ -27,6 +29,7 @@
     pub fn resume_after(last_id: Option<u64>) -> Self {
         Splitter {
             buf: BytesMut::new(),
+            complete: BytesMut::new(),
             last_id,
         }
     }
@@ -45,10 +48,10 @@
     ///
     /// # Errors
     ///
-    /// Fails if an event is missing or exceeds the maximum length.
+    /// Fails if an event is missing or exceeds the maximum length; the events before it are left to
+    /// [`take_complete`](Splitter::take_complete).
     pub fn push(&mut self, chunk: &Bytes) -> Result<Option<Bytes>, EventError> {
         self.buf.extend_from_slice(chunk);
-        let mut complete = BytesMut::new();
         while let Some(len) = event_len(&self.buf) {
             let event = self.buf.split_to(len);
             match (event_id(&event), self.last_id) {
@@ -57,16 +60,22 @@
                 (Some(id), _) => self.last_id = Some(id),
                 (None, _) => {}
             }
-            if complete.is_empty() {
-                complete = event;
+            if self.complete.is_empty() {
+                self.complete = event;
             } else {
-                complete.extend_from_slice(&event);
+                self.complete.extend_from_slice(&event);
             }
         }
         if self.buf.len() > EVENT_MAX_BYTES {
             return Err(EventError::TooLong);
         }
-        Ok((!complete.is_empty()).then(|| complete.freeze()))
+        Ok(self.take_complete())
+    }
+
+    /// Takes the events that are complete and have not been handed out.
+    pub fn take_complete(&mut self) -> Option<Bytes> {
+        let complete = std::mem::take(&mut self.complete);
+        (!complete.is_empty()).then(|| complete.freeze())
     }
 }
 
--- a/crates/sesamehaven-front/src/relay.rs
+++ b/crates/sesamehaven-front/src/relay.rs
@@ -36,6 +36,8 @@
 struct Source<P: Protocol> {
     response: Box<EndpointResponse<P>>,
     splitter: Splitter,
+    /// Why nothing more can be read.
+    failure: Option<&'static str>,
 }
 
 /// What was read from a stream.
@@ -50,6 +52,7 @@
         Source {
             response,
             splitter: Splitter::resume_after(last_id),
+            failure: None,
         }
     }
 
@@ -59,12 +62,20 @@
 
     /// Reads until at least one event is complete.
     async fn read(&mut self, job: &Job<P>) -> Result<StreamRead, &'static str> {
+        if let Some(reason) = self.failure {
+            return Err(reason);
+        }
         loop {
             match self.response.conn.read_part().await {
                 Ok(Some(bytes)) => match self.splitter.push(&bytes) {
                     Ok(Some(events)) => return Ok(StreamRead::Events(events)),
                     Ok(None) => {}
-                    Err(_) => return Err("an event is missing or too long"),
+                    Err(_) => {
+                        const REASON: &str = "an event is missing or too long";
+                        self.failure = Some(REASON);
+                        let before = self.splitter.take_complete();
+                        return before.map(StreamRead::Events).ok_or(REASON);
+                    }
                 },
                 Ok(None) if self.splitter.has_partial_event() => {
                     return Err("the stream ended inside an event");
