Drain until the responses are written to their callers

A front that stopped counted a request as ended once its response was made; a caller that read a long answer slowly got a part of it. The front now waits until the connections of callers have ended, or the grace period nearly has.

--- a/crates/sesamehaven-front/src/front.rs
+++ b/crates/sesamehaven-front/src/front.rs
@@ -61,6 +61,8 @@
     pub is_draining: Cell<bool>,
     /// The number of requests being served.
     pub active_requests: Cell<u32>,
+    /// The number of open connections of callers.
+    pub caller_connections: Rc<Cell<u32>>,
     /// The total size of the bodies of requests being dispatched, in bytes. Bodies still being read
     /// and those of relayed streams are not included.
     pub body_bytes: Cell<u64>,
@@ -94,6 +96,7 @@
             in_flight: RefCell::new(HashMap::new()),
             is_draining: Cell::new(false),
             active_requests: Cell::new(0),
+            caller_connections: Rc::default(),
             body_bytes: Cell::new(0),
             log_limiter: LogRateLimiter::default(),
             protocol: PhantomData,
--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -1,5 +1,6 @@
 //! The lifecycle of a front process: listeners, signals and draining.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
@@ -19,7 +20,7 @@
 
 use crate::body::Body;
 use crate::clock;
-use crate::front::Front;
+use crate::front::{CounterGuard, Front};
 use crate::gossip;
 use crate::origins;
 use crate::peers::Proximity;
@@ -124,7 +125,8 @@
 /// Waits until the requests in flight have finished or the grace period is nearly over.
 ///
 /// Requests that the load balancer still sends are served until it has noticed. Then idle
-/// connections are closed, so that no request arrives too late to finish.
+/// connections are closed, so that no request arrives too late to finish, and the others once their
+/// responses are written.
 async fn drain<P: Protocol>(front: &Front<P>, shutdown: watch::Sender<bool>) {
     let started = clock::now();
     front.is_draining.set(true);
@@ -137,11 +139,14 @@
         if now.since(started) >= BALANCER_REACTION_TIME {
             shutdown.send_replace(true);
         }
-        match front.active_requests.get() {
-            0 => {
+        // A response is on its way to the caller until its connection has ended.
+        let is_idle = front.active_requests.get() == 0
+            && (!*shutdown.borrow() || front.caller_connections.get() == 0);
+        match is_idle {
+            true => {
                 idle_since.get_or_insert(now);
             }
-            _ => idle_since = None,
+            false => idle_since = None,
         }
         let is_settled = idle_since.is_some_and(|at| now.since(at) >= DRAIN_IDLE_TIME);
         if now >= deadline || (is_settled && *shutdown.borrow()) {
@@ -183,12 +188,13 @@
     shutdown: watch::Receiver<bool>,
 ) -> io::Result<()> {
     let listener = bind(settings.listen)?;
+    let connections = Rc::clone(&front.caller_connections);
     let front = Rc::clone(front);
     let handler = move |req: Request| {
         let front = Rc::clone(&front);
         async move { Ok::<_, Infallible>(serve(front, req).await) }
     };
-    actix_rt::spawn(accept(listener, handler, shutdown));
+    actix_rt::spawn(accept(listener, handler, shutdown, connections));
     Ok(())
 }
 
@@ -208,7 +214,14 @@
     };
     // Health checks and metrics are served until the process exits.
     let (_, never) = watch::channel(false);
-    actix_rt::spawn(accept(bind(settings.ready)?, ready, never.clone()));
+    let connections = Rc::default();
+    let listener = bind(settings.ready)?;
+    actix_rt::spawn(accept(
+        listener,
+        ready,
+        never.clone(),
+        Rc::clone(&connections),
+    ));
     let Some(admin) = settings.admin else {
         return Ok(());
     };
@@ -220,7 +233,7 @@
     };
     match bind(admin) {
         Ok(listener) => {
-            actix_rt::spawn(accept(listener, page, never));
+            actix_rt::spawn(accept(listener, page, never, connections));
         }
         // The front also serves requests without metrics.
         Err(err) => {
@@ -255,8 +268,12 @@
 ///
 /// A half-closed connection counts as disconnected: a caller that closes its side no longer needs
 /// the response.
-async fn accept<H, F>(listener: TcpListener, handler: H, shutdown: watch::Receiver<bool>)
-where
+async fn accept<H, F>(
+    listener: TcpListener,
+    handler: H,
+    shutdown: watch::Receiver<bool>,
+    connections: Rc<Cell<u32>>,
+) where
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Result<Response<Body>, Infallible>> + 'static,
 {
@@ -281,7 +298,12 @@
         };
         match accepted {
             Ok((io, _)) => {
-                actix_rt::spawn(service.call(io));
+                let serving = service.call(io);
+                let connections = Rc::clone(&connections);
+                actix_rt::spawn(async move {
+                    let _open = CounterGuard::new(&connections);
+                    serving.await
+                });
             }
             Err(err) => {
                 metrics::counter!("front_accept_errors_total").increment(1);
