Cut a broken stream at once when its version was tried everywhere

With each endpoint of its version tried, a stream waited for a place until the longest wait was over, six seconds in a test, though none could come. Its caller can take it up sooner now. The new test of tests/software_version.rs failed before.

--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -276,7 +276,7 @@
 
     /// Returns whether an endpoint of a software version accepts requests.
     pub fn serves(&self, version: PoolVersion) -> bool {
-        self.placement.has_ready(Some(version))
+        self.placement.has_version(version, &[])
     }
 
     /// Returns the number of waiting requests.
@@ -296,10 +296,11 @@
     /// Requests of starved classes and requests that have been dispatched before are queued
     /// regardless of the wait.
     pub fn on_arrival(&mut self, ticket: Ticket, work: Work, now: Instant) -> Steps {
-        if !self.placement.has_ready(None) {
+        if !self.placement.has_ready() {
             return self.refuse(ticket, Refusal::NoEndpoint, work.arrived, now);
         }
-        if !self.placement.has_ready(work.version) {
+        let has_version = |v| self.placement.has_version(v, &work.tried);
+        if !work.version.is_none_or(has_version) {
             return self.refuse(ticket, Refusal::NoVersion, work.arrived, now);
         }
         let wait = self.expected_wait(ticket, &work, now);
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -263,10 +263,15 @@
         self.ready().map(EndpointState::free).sum()
     }
 
-    /// Returns whether any endpoint accepts requests, or only one of a version if it is given.
-    pub fn has_ready(&self, version: Option<PoolVersion>) -> bool {
-        self.ready()
-            .any(|e| version.is_none_or(|v| v == e.listed.version))
+    /// Returns whether any endpoint accepts requests.
+    pub fn has_ready(&self) -> bool {
+        self.ready().next().is_some()
+    }
+
+    /// Returns whether an endpoint of a software version accepts requests, beside those already tried.
+    pub fn has_version(&self, version: PoolVersion, tried: &[SmolStr]) -> bool {
+        let mut ready = self.ready();
+        ready.any(|e| e.listed.version == version && !tried.contains(&e.listed.id))
     }
 
     /// Returns the software version of an endpoint.
--- a/crates/sesamehaven/tests/software_version.rs
+++ b/crates/sesamehaven/tests/software_version.rs
@@ -95,3 +95,16 @@
     let steps = pool.on_arrival(Ticket(1), work(Some(OLD)), NOW);
     assert_eq!(started(&steps).len(), 1);
 }
+
+#[test]
+fn a_stream_that_was_tried_at_all_endpoints_of_its_version_is_refused_at_once() {
+    let tried = Work {
+        tried: ["a", "b"].map(Into::into).into_iter().collect(),
+        ..work(Some(OLD))
+    };
+    let steps = pool().on_arrival(Ticket(1), tried, NOW);
+    let Some(Step::Refuse { reason, .. }) = steps.first() else {
+        panic!("{steps:?}");
+    };
+    assert_eq!(*reason, Refusal::NoVersion);
+}
