Read the usage from before a start beside the configuration

Callers were told 429 for 0.3 s after all fronts had been lost: a front took each limit for used up until it had read the usage, looked for the configuration first, and slept 300 ms when there was none yet.

--- a/crates/sesamehaven-front/src/directory_cache.rs
+++ b/crates/sesamehaven-front/src/directory_cache.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use smol_str::SmolStr;
+use tokio::sync::Notify;
 
 use sesamehaven::digest::hash_of;
 use sesamehaven::restore::Report;
@@ -108,6 +109,7 @@
     raw: RefCell<Bytes>,
     confirmed: Cell<Instant>,
     last_rejected: Cell<u64>,
+    changed: Notify,
 }
 
 impl ConfigCache {
@@ -116,6 +118,14 @@
         self.table.borrow().clone()
     }
 
+    /// Waits until there is a configuration.
+    pub async fn wait_for_first(&self) {
+        let changed = self.changed.notified();
+        if self.table.borrow().is_none() {
+            changed.await;
+        }
+    }
+
     /// Returns the version in force, or zero before there is one.
     pub fn version(&self) -> u64 {
         self.table.borrow().as_ref().map_or(0, |t| t.version)
@@ -153,6 +163,7 @@
         let is_new = table.version > current;
         if is_new {
             *self.table.borrow_mut() = Some(Rc::new(table));
+            self.changed.notify_waiters();
         }
         Ok(is_new)
     }
--- a/crates/sesamehaven-front/src/lib.rs
+++ b/crates/sesamehaven-front/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod serve;
 pub mod settings;
 pub mod shared_limits;
+mod snapshot;
 
 pub use crate::error::{Error, Result};
--- a/crates/sesamehaven-front/src/refresh.rs
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -1,8 +1,6 @@
-//! Background tasks that poll the directory for configuration and endpoints, and save usage
-//! snapshots.
+//! Background tasks that poll the directory for configuration and endpoints.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use metrics::{counter, gauge};
@@ -15,20 +13,16 @@
 use crate::error::Error;
 use crate::front::Front;
 use crate::protocol::{Directory, Listing, ListingRead, Protocol, Reading};
-use crate::shared_limits::UsageSnapshot;
-
-/// The pause between attempts to load the usage snapshots.
-const SNAPSHOT_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Tracks the availability of a dependency, to log each change once.
 #[derive(Debug, Default)]
-struct Dependency {
-    name: &'static str,
-    is_down: bool,
+pub(crate) struct Dependency {
+    pub(crate) name: &'static str,
+    pub(crate) is_down: bool,
 }
 
 impl Dependency {
-    fn record(&mut self, outcome: Result<(), &Error>) {
+    pub(crate) fn record(&mut self, outcome: Result<(), &Error>) {
         let label = if outcome.is_ok() { "ok" } else { "failed" };
         counter!("front_directory_calls_total", "what" => self.name, "outcome" => label)
             .increment(1);
@@ -109,7 +103,7 @@
 /// Records the era of an answer, and reports when the directory has come back from an older copy.
 ///
 /// The next list is then compared with what the front knows.
-fn observe_era<P: Protocol>(front: &Front<P>, era: Option<Era>) -> EraChange {
+pub(crate) fn observe_era<P: Protocol>(front: &Front<P>, era: Option<Era>) -> EraChange {
     let change = front.restore_guard.borrow_mut().on_era(era);
     if change == EraChange::Stale {
         counter!("front_directory_stale_answers_total").increment(1);
@@ -311,91 +305,3 @@
         }
     }
 }
-
-/// Saves the usage of limits that are nearly exhausted, because it is lost if all fronts restart.
-pub async fn save_usage<P: Protocol>(front: Rc<Front<P>>, directory: Rc<impl Directory>) {
-    restore_usage(&front, &*directory).await;
-    let name = front.settings.borrow().name.clone();
-    let mut last = UsageSnapshot::default();
-    let mut saved_in = front.restore_guard.borrow().era();
-    let mut dependency = Dependency {
-        name: "kept_spending",
-        is_down: false,
-    };
-    loop {
-        tokio::time::sleep(SNAPSHOT_INTERVAL).await;
-        let now = clock::now();
-        let is_writer = front.peers.borrow().rank(now) < SNAPSHOT_WRITERS;
-        let snapshot = match is_writer {
-            true => front.shared_limits.borrow().snapshot(now),
-            false => UsageSnapshot::default(),
-        };
-        let era = front.restore_guard.borrow().era();
-        if era != saved_in {
-            // The directory may have lost what was saved.
-            (saved_in, last) = (era, UsageSnapshot::default());
-        }
-        if snapshot == last {
-            continue;
-        }
-        let json = match serde_json::to_vec(&snapshot) {
-            Ok(json) => Bytes::from(json),
-            Err(err) => {
-                spdlog::error!("failed to encode usage snapshot", kv: { reason = err.to_string() });
-                continue;
-            }
-        };
-        let outcome = directory.save_snapshot(&name, json).await;
-        dependency.record(outcome.as_ref().map(|_| ()));
-        if let Ok(Reading { era, .. }) = outcome
-            && observe_era(&front, era) == EraChange::Same
-        {
-            last = snapshot;
-        }
-    }
-}
-
-/// The interval between usage snapshots while a limit is nearly exhausted.
-const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
-/// The number of fronts that save usage on behalf of all.
-const SNAPSHOT_WRITERS: usize = 2;
-/// The maximum number of attempts to load the usage snapshots after a start, including waits for the
-/// first configuration.
-const SNAPSHOT_READ_ATTEMPTS: u32 = 8;
-
-async fn restore_usage<P: Protocol>(front: &Front<P>, directory: &impl Directory) {
-    for _ in 0..SNAPSHOT_READ_ATTEMPTS {
-        // The limits are not known before the configuration.
-        if front.config.table().is_none() {
-            tokio::time::sleep(SNAPSHOT_RETRY_INTERVAL).await;
-            continue;
-        }
-        match directory.load_snapshots().await {
-            Ok(Reading { value, era }) => {
-                observe_era(front, era);
-                let snapshots: Vec<UsageSnapshot> =
-                    value.iter().filter_map(parse_snapshot).collect();
-                front
-                    .shared_limits
-                    .borrow_mut()
-                    .restore(&snapshots, clock::now());
-                spdlog::info!("usage snapshots restored", kv: { fronts = snapshots.len() });
-                return;
-            }
-            Err(err) => {
-                spdlog::warn!("failed to load usage snapshots", kv: { reason = err.to_string() });
-                tokio::time::sleep(SNAPSHOT_RETRY_INTERVAL).await;
-            }
-        }
-    }
-}
-
-/// Parses the snapshot of one front; an invalid snapshot is logged and ignored.
-fn parse_snapshot(json: &Bytes) -> Option<UsageSnapshot> {
-    let snapshot = serde_json::from_slice(json);
-    snapshot
-        .map_err(|err| {
-            spdlog::warn!("invalid usage snapshot skipped", kv: { reason = err.to_string() });
-        })
-        .ok()
-}
--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -28,6 +28,7 @@
 use crate::refresh;
 use crate::serve::serve;
 use crate::settings::Settings;
+use crate::snapshot;
 
 /// The timeout for idle connections and for request heads.
 ///
@@ -98,7 +99,7 @@
         Rc::clone(&front),
         Rc::clone(&directory),
     ));
-    actix_rt::spawn(refresh::save_usage(Rc::clone(&front), directory));
+    actix_rt::spawn(snapshot::save_usage(Rc::clone(&front), directory));
     for proximity in [Proximity::Near, Proximity::Far] {
         let (front, udp) = (Rc::clone(&front), Rc::clone(&udp));
         actix_rt::spawn(gossip::send_digests(front, udp, proximity));
