Remember in the directory which versions served before all fronts were lost

A stream that nobody remembers goes on if its pool has had one version. After a loss of all fronts that was judged by the versions that are listed then, also when the one that began it had gone in the meantime.

--- a/crates/sesamehaven-front/src/origins.rs
+++ b/crates/sesamehaven-front/src/origins.rs
@@ -5,8 +5,8 @@
 //! [`sesamehaven::stream_origin`]; see
 //! [`docs/FRONT.md`](../../../docs/FRONT.md#streams-and-versions).
 
-use std::cell::RefCell;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -56,6 +56,15 @@
     asked: Vec<StreamId>,
 }
 
+/// The versions that have served lately, by pool, as they are saved in the directory.
+///
+/// Only pools of several versions are saved: one that has had a single version needs no memory of it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionSnapshot {
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    versions: BTreeMap<SmolStr, Vec<SmolStr>>,
+}
+
 /// What a front remembers of the origins of streams and of the versions that serve.
 #[derive(Debug, Default)]
 pub struct Origins {
@@ -63,6 +72,8 @@
     history: RefCell<HashMap<SmolStr, VersionHistory>>,
     new: RefCell<Vec<StreamOrigin>>,
     asked: RefCell<Vec<StreamId>>,
+    /// Whether the versions from before the start are known, as far as they can be.
+    is_restored: Cell<bool>,
     has_outgoing: Notify,
     has_learned: Notify,
 }
@@ -85,6 +96,38 @@
         }
     }
 
+    /// Returns the versions that must survive a restart of all fronts.
+    pub fn snapshot(&self, now: Instant) -> VersionSnapshot {
+        let history = self.history.borrow();
+        let mut versions = BTreeMap::new();
+        for (pool, known) in history.iter() {
+            let mut recent: Vec<PoolVersion> = known.recent(now).collect();
+            recent.sort_unstable();
+            if recent.len() > 1 {
+                let names = recent.iter().map(|v| v.to_string().into());
+                versions.insert(pool.clone(), names.collect());
+            }
+        }
+        VersionSnapshot { versions }
+    }
+
+    /// Restores the versions from before the start; without any, only those that are listed count.
+    pub fn restore<'a>(
+        &self,
+        snapshots: impl IntoIterator<Item = &'a VersionSnapshot>,
+        now: Instant,
+    ) {
+        let mut history = self.history.borrow_mut();
+        for (pool, names) in snapshots.into_iter().flat_map(|s| &s.versions) {
+            let versions = names.iter().filter_map(|name| name.parse().ok());
+            history
+                .entry(pool.clone())
+                .or_default()
+                .merge(versions, now);
+        }
+        self.is_restored.set(true);
+    }
+
     /// Records a stream that this front has begun, and tells others of it.
     pub fn record(&self, origin: StreamOrigin) {
         self.learn(&[origin]);
@@ -168,7 +211,10 @@
     let all: SmallVec<[PoolVersion; 4]> = recent.iter().map(|(_, v)| *v).collect();
     let serving: SmallVec<[PoolVersion; 4]> =
         recent.iter().filter(serves).map(|(_, v)| *v).collect();
-    let decision = Continuation::decide(origin, &all, &serving);
+    let decision = match origin.is_none() && !origins.is_restored.get() {
+        true => Continuation::Unknown,
+        false => Continuation::decide(origin, &all, &serving),
+    };
     let origin = origin.map_or_else(SmolStr::default, |v| SmolStr::new(v.to_string()));
     let (label, detail) = match decision {
         Continuation::At(_) => ("goes_on", ""),
--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -99,7 +99,7 @@
         Rc::clone(&front),
         Rc::clone(&directory),
     ));
-    actix_rt::spawn(snapshot::save_usage(Rc::clone(&front), directory));
+    actix_rt::spawn(snapshot::save_snapshots(Rc::clone(&front), directory));
     for proximity in [Proximity::Near, Proximity::Far] {
         let (front, udp) = (Rc::clone(&front), Rc::clone(&udp));
         actix_rt::spawn(gossip::send_digests(front, udp, proximity));
--- a/crates/sesamehaven-front/src/shared_limits.rs
+++ b/crates/sesamehaven-front/src/shared_limits.rs
@@ -141,7 +141,7 @@
     }
 
     /// Restores the usage from before the start.
-    pub fn restore(&mut self, snapshots: &[UsageSnapshot], now: Instant) {
+    pub fn restore(&mut self, snapshots: &[&UsageSnapshot], now: Instant) {
         for (name, window) in &mut self.windows {
             let sums = snapshots.iter().filter_map(|s| s.sums.get(name));
             window.on_restored(sums.max().copied(), now);
--- a/crates/sesamehaven-front/src/snapshot.rs
+++ b/crates/sesamehaven-front/src/snapshot.rs
@@ -4,29 +4,44 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use sesamehaven::restore::EraChange;
 
 use crate::clock;
 use crate::front::Front;
+use crate::origins::VersionSnapshot;
 use crate::protocol::{Directory, Protocol, Reading};
 use crate::refresh::{Dependency, observe_era};
 use crate::shared_limits::UsageSnapshot;
 
-/// The interval between usage snapshots while a limit is nearly exhausted.
+/// What a front saves in the directory for a restart of all fronts.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Snapshot {
+    #[serde(flatten)]
+    usage: UsageSnapshot,
+    #[serde(flatten)]
+    versions: VersionSnapshot,
+}
+
+/// The interval between snapshots while there is something to save.
 const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
-/// The number of fronts that save usage on behalf of all.
+/// The number of fronts that save on behalf of all.
 const SNAPSHOT_WRITERS: usize = 2;
-/// The maximum number of attempts to load the usage snapshots after a start.
+/// The maximum number of attempts to load the snapshots after a start.
 const SNAPSHOT_READ_ATTEMPTS: u32 = 8;
 /// The pause between these attempts.
 const SNAPSHOT_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Saves the usage of limits that are nearly exhausted, because it is lost if all fronts restart.
-pub(crate) async fn save_usage<P: Protocol>(front: Rc<Front<P>>, directory: Rc<impl Directory>) {
-    restore_usage(&front, &*directory).await;
+/// Saves the usage of limits that are nearly exhausted, and the versions of pools that have had several,
+/// because they are lost if all fronts restart.
+pub(crate) async fn save_snapshots<P: Protocol>(
+    front: Rc<Front<P>>,
+    directory: Rc<impl Directory>,
+) {
+    restore_snapshots(&front, &*directory).await;
     let name = front.settings.borrow().name.clone();
-    let mut last = UsageSnapshot::default();
+    let mut last = Snapshot::default();
     let mut saved_in = front.restore_guard.borrow().era();
     let mut dependency = Dependency {
         name: "kept_spending",
@@ -37,13 +52,16 @@
         let now = clock::now();
         let is_writer = front.peers.borrow().rank(now) < SNAPSHOT_WRITERS;
         let snapshot = match is_writer {
-            true => front.shared_limits.borrow().snapshot(now),
-            false => UsageSnapshot::default(),
+            true => Snapshot {
+                usage: front.shared_limits.borrow().snapshot(now),
+                versions: front.origins.snapshot(now),
+            },
+            false => Snapshot::default(),
         };
         let era = front.restore_guard.borrow().era();
         if era != saved_in {
             // The directory may have lost what was saved.
-            (saved_in, last) = (era, UsageSnapshot::default());
+            (saved_in, last) = (era, Snapshot::default());
         }
         if snapshot == last {
             continue;
@@ -51,7 +69,7 @@
         let json = match serde_json::to_vec(&snapshot) {
             Ok(json) => Bytes::from(json),
             Err(err) => {
-                spdlog::error!("failed to encode usage snapshot", kv: { reason = err.to_string() });
+                spdlog::error!("failed to encode snapshot", kv: { reason = err.to_string() });
                 continue;
             }
         };
@@ -65,21 +83,25 @@
     }
 }
 
-/// Restores the usage from before the start, as soon as the limits are known.
-async fn restore_usage<P: Protocol>(front: &Front<P>, directory: &impl Directory) {
-    let Some(snapshots) = load_snapshots(front, directory).await else {
+/// Restores what was saved before the start, the usage as soon as the limits are known.
+async fn restore_snapshots<P: Protocol>(front: &Front<P>, directory: &impl Directory) {
+    let loaded = load_snapshots(front, directory).await;
+    let versions = loaded.iter().flatten().map(|s| &s.versions);
+    front.origins.restore(versions, clock::now());
+    let Some(snapshots) = loaded else {
         return;
     };
     front.config.wait_for_first().await;
     let mut shared_limits = front.shared_limits.borrow_mut();
-    shared_limits.restore(&snapshots, clock::now());
+    let usage: Vec<&UsageSnapshot> = snapshots.iter().map(|s| &s.usage).collect();
+    shared_limits.restore(&usage, clock::now());
     spdlog::info!("usage snapshots restored", kv: { fronts = snapshots.len() });
 }
 
 async fn load_snapshots<P: Protocol>(
     front: &Front<P>,
     directory: &impl Directory,
-) -> Option<Vec<UsageSnapshot>> {
+) -> Option<Vec<Snapshot>> {
     for _ in 0..SNAPSHOT_READ_ATTEMPTS {
         match directory.load_snapshots().await {
             Ok(Reading { value, era }) => {
@@ -87,7 +109,7 @@
                 return Some(value.iter().filter_map(parse_snapshot).collect());
             }
             Err(err) => {
-                spdlog::warn!("failed to load usage snapshots", kv: { reason = err.to_string() });
+                spdlog::warn!("failed to load snapshots", kv: { reason = err.to_string() });
                 tokio::time::sleep(SNAPSHOT_RETRY_INTERVAL).await;
             }
         }
@@ -96,11 +118,11 @@
 }
 
 /// Parses the snapshot of one front; an invalid snapshot is logged and ignored.
-fn parse_snapshot(json: &Bytes) -> Option<UsageSnapshot> {
+fn parse_snapshot(json: &Bytes) -> Option<Snapshot> {
     let snapshot = serde_json::from_slice(json);
     snapshot
         .map_err(|err| {
-            spdlog::warn!("invalid usage snapshot skipped", kv: { reason = err.to_string() });
+            spdlog::warn!("invalid snapshot skipped", kv: { reason = err.to_string() });
         })
         .ok()
 }
--- a/crates/sesamehaven/src/software_version.rs
+++ b/crates/sesamehaven/src/software_version.rs
@@ -61,3 +61,11 @@
         write!(f, "{:016x}", self.0)
     }
 }
+
+impl FromStr for PoolVersion {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(PoolVersion)
+    }
+}
