Send nothing more to an endpoint that announced its drain

Replicas that leave say so in all their responses. Fronts learned of it from the list of endpoints alone, which is up to a refresh interval late, may be down, and may come back from an older copy; until then, and whenever the entry was listed as ready again, such an endpoint got further requests.

A front now decodes the announcement from the response head and withholds all requests from that incarnation: at the choice of an endpoint, which first dispatches, retries and resumed streams share, and once more between the opening of the connection and the sending. It is kept apart from the list, so that an entry that vanishes and comes back changes nothing. It ends with a later start time under the same name. An earlier one is of an older copy and does not count. The start time is now part of a list's entry: otherwise an endpoint that starts again under its name would leave the list, by which fronts decide what to fetch from each other, unchanged. The format between fronts changes with it (digest version 4).

Responses to other requests and 421, which another endpoint at the address gives, do not count. Filtering the list instead was ruled out, since it would act only with the next list.

--- /dev/null
+++ b/crates/sesamehaven-front/src/announcements.rs
@@ -0,0 +1,29 @@
+//! Announcements of endpoints about themselves, as they arrive with responses.
+
+use metrics::counter;
+
+use sesamehaven::announcement::Announcement;
+
+use crate::front::Front;
+use crate::protocol::Protocol;
+
+impl<P: Protocol> Front<P> {
+    /// Applies what an endpoint said about itself in a response to a request of this front.
+    pub(crate) fn on_announcement(&self, endpoint: &str, announcement: Announcement) {
+        if announcement.is_empty() {
+            return;
+        }
+        let started_at = self.endpoints.started_at(endpoint);
+        let news = self
+            .pools
+            .on_announcement(endpoint, started_at, announcement);
+        if news.is_draining {
+            counter!("front_endpoint_drains_total").increment(1);
+            spdlog::info!("endpoint drains", kv: {
+                endpoint,
+                cause = "announced in a response",
+                started_at = started_at.unwrap_or_default()
+            });
+        }
+    }
+}
--- a/crates/sesamehaven-front/src/directory_cache.rs
+++ b/crates/sesamehaven-front/src/directory_cache.rs
@@ -32,6 +32,13 @@
         self.listing.borrow().clone()
     }
 
+    /// Returns when an endpoint started, as the list says.
+    pub fn started_at(&self, endpoint: &str) -> Option<u64> {
+        let listing = self.listing.borrow();
+        let entry = listing.entries.iter().find(|e| e.id == endpoint);
+        entry.map(|e| e.started_at)
+    }
+
     /// Returns the hash of the endpoint list, or zero before the first one.
     pub fn digest(&self) -> u64 {
         self.digest.get()
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -6,7 +6,7 @@
 
 use actix_http::{Method, StatusCode};
 use bytes::{BufMut, Bytes, BytesMut};
-use metrics::histogram;
+use metrics::{counter, histogram};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
@@ -188,6 +188,13 @@
                 return Attempt::NotSent;
             }
         };
+        // The endpoint may have announced a drain while the connection was opened.
+        if !self.front.pools.accepts(&endpoint) {
+            counter!("front_withheld_total").increment(1);
+            self.log("withheld", &endpoint, "");
+            self.front.connections.release_unused(&endpoint, conn);
+            return Attempt::NotSent;
+        }
         let in_flight = self.front.track_in_flight(&endpoint, self.fingerprint);
         let head = self.request_head(&endpoint, last_event_id);
         let run_status = self.run_status.replace(RunStatus::MayHaveRun);
@@ -243,6 +250,8 @@
             let head = conn.read_head(&self.method).await?;
             let class = P::classify_response(&self.meta.id, endpoint, &head);
             if class != ResponseClass::Mismatched {
+                let announcement = P::parse_announcement(&head);
+                self.front.on_announcement(endpoint, announcement);
                 return Ok((head, class));
             }
             self.log("foreign_answer", endpoint, head.status.as_u16());
--- a/crates/sesamehaven-front/src/lib.rs
+++ b/crates/sesamehaven-front/src/lib.rs
@@ -8,6 +8,7 @@
 //! The design is described in [`docs/FRONT.md`](../../../docs/FRONT.md).
 
 mod admission;
+mod announcements;
 pub mod body;
 pub mod clock;
 pub mod connection_pool;
--- a/crates/sesamehaven-front/src/peers.rs
+++ b/crates/sesamehaven-front/src/peers.rs
@@ -29,7 +29,7 @@
 use crate::shared_limits::Usage;
 
 /// The version of the digest format; digests of other versions are dropped.
-const DIGEST_VERSION: u8 = 3;
+const DIGEST_VERSION: u8 = 4;
 /// The maximum size of a digest in bytes, which common networks deliver as one datagram.
 pub(crate) const DIGEST_MAX_BYTES: usize = 8 << 10;
 /// How long a front is retained as a peer after its last digest.
--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -9,6 +9,7 @@
 use smol_str::SmolStr;
 use tokio::sync::{Notify, oneshot};
 
+use sesamehaven::announcement::{Announcement, Announcements};
 use sesamehaven::backlog::Ticket;
 use sesamehaven::digest::hash_of;
 use sesamehaven::dispatcher::{Dispatcher, Refusal, Step, Work};
@@ -38,6 +39,7 @@
 pub struct Pools {
     seed: u64,
     pools: RefCell<HashMap<SmolStr, Dispatcher>>,
+    announcements: RefCell<Announcements>,
     waiters: RefCell<HashMap<Ticket, oneshot::Sender<Assignment>>>,
     next_ticket: Cell<u64>,
     arrivals: Notify,
@@ -127,6 +129,9 @@
     pub fn set_endpoints(&self, entries: &[EndpointEntry], data_centre: &str) {
         let mut listed: HashMap<SmolStr, Vec<ListedEndpoint>> = HashMap::new();
         for entry in entries {
+            let mut announcements = self.announcements.borrow_mut();
+            announcements.on_listed(&entry.id, entry.started_at);
+            drop(announcements);
             listed
                 .entry(entry.pool.clone())
                 .or_default()
@@ -148,9 +153,38 @@
                 pools.insert(name, pool);
             }
         }
+        self.update_standings();
         self.tick();
     }
 
+    /// Applies what an endpoint said about itself, and returns the part that was not known.
+    pub fn on_announcement(
+        &self,
+        endpoint: &str,
+        started_at: Option<u64>,
+        announcement: Announcement,
+    ) -> Announcement {
+        let mut announcements = self.announcements.borrow_mut();
+        let news = announcements.on_announcement(endpoint, started_at, announcement, clock::now());
+        drop(announcements);
+        if !news.is_empty() {
+            self.update_standings();
+        }
+        news
+    }
+
+    /// Returns whether an endpoint takes requests, by its own account.
+    pub fn accepts(&self, endpoint: &str) -> bool {
+        self.announcements.borrow().standing(endpoint).accepts()
+    }
+
+    fn update_standings(&self) {
+        let announcements = self.announcements.borrow();
+        for pool in self.pools.borrow_mut().values_mut() {
+            pool.set_standings(|endpoint| announcements.standing(endpoint));
+        }
+    }
+
     /// Updates the running and waiting requests of the other fronts.
     pub fn set_peer_loads(&self, loads: &Loads) {
         for (name, pool) in self.pools.borrow_mut().iter_mut() {
--- a/crates/sesamehaven-front/src/protocol.rs
+++ b/crates/sesamehaven-front/src/protocol.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use sesamehaven::announcement::Announcement;
 use sesamehaven::digest::hash_of;
 use sesamehaven::restore::{Era, Report};
 use sesamehaven::unit::Millis;
@@ -85,6 +86,10 @@
     pub slots: u32,
     /// Whether it accepts new requests.
     pub is_ready: bool,
+    /// When it started, by its own clock, or zero if its entry does not say.
+    ///
+    /// An endpoint that starts again under its name changes the listing thereby.
+    pub started_at: u64,
 }
 
 /// The endpoints listed by the directory, and the entries that could not be parsed.
@@ -141,6 +146,9 @@
     /// Classifies the response head of an endpoint to the request `id`.
     fn classify_response(id: &str, endpoint: &str, head: &Head) -> ResponseClass;
 
+    /// Returns what a response head says about its endpoint.
+    fn parse_announcement(head: &Head) -> Announcement;
+
     /// Parses a configuration.
     ///
     /// # Errors
--- a/crates/sesamehaven-front/tests/directory_cache.rs
+++ b/crates/sesamehaven-front/tests/directory_cache.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use rstest::rstest;
 
+use sesamehaven::announcement::Announcement;
 use sesamehaven::unit::{Instant, Millis};
 use sesamehaven_front::directory_cache::{ConfigCache, ListingCache, should_poll_directory};
 use sesamehaven_front::peers::{DirectoryState, Peers};
@@ -35,6 +36,10 @@
         ResponseClass::Valid
     }
 
+    fn parse_announcement(_: &Head) -> Announcement {
+        Announcement::default()
+    }
+
     fn parse_config(config: &[u8]) -> Result<RoutingTable> {
         let version = std::str::from_utf8(config)
             .ok()
@@ -84,6 +89,7 @@
         data_centre: "a".into(),
         slots: 6,
         is_ready: true,
+        started_at: 7,
     });
     Listing {
         entries: entries.collect(),
--- /dev/null
+++ b/crates/sesamehaven/src/announcement.rs
@@ -0,0 +1,141 @@
+//! What endpoints say about themselves in their responses, and how long it counts.
+//!
+//! The directory learns of a drain later than the callers of the endpoint, may be down, and may come
+//! back from an older copy. So what an endpoint said itself counts more than its entry. See
+//! [`docs/FRONT.md`](../../../docs/FRONT.md#placing).
+
+use std::collections::HashMap;
+
+use smol_str::SmolStr;
+
+use crate::unit::Instant;
+
+/// The number of drains that are remembered; most are of endpoints that have gone.
+const MAX_DRAINS: usize = 4_096;
+
+/// What a response head says about its endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Announcement {
+    /// Whether the endpoint is draining.
+    pub is_draining: bool,
+}
+
+impl Announcement {
+    /// Returns whether the endpoint said nothing about itself.
+    pub fn is_empty(&self) -> bool {
+        *self == Announcement::default()
+    }
+}
+
+/// Whether an endpoint takes requests, by its own account.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// Whether it is draining and gets no further requests.
+    pub is_draining: bool,
+}
+
+impl Standing {
+    /// Returns whether the endpoint may get a request.
+    pub fn accepts(&self) -> bool {
+        !self.is_draining
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Drain {
+    /// When the draining incarnation started, by its own clock, or [`None`] if that is not known.
+    started_at: Option<u64>,
+    announced_at: Instant,
+}
+
+/// The announcements of endpoints that still count.
+///
+/// They are kept apart from the list of endpoints, since the entry of a draining endpoint may vanish
+/// and come back. A drain ends with the incarnation that announced it: under the same name, only an
+/// endpoint that started later gets requests again.
+///
+/// # Example
+///
+/// ```
+/// use sesamehaven::announcement::{Announcement, Announcements};
+/// use sesamehaven::unit::Instant;
+///
+/// let mut announcements = Announcements::default();
+/// let draining = Announcement { is_draining: true };
+/// announcements.on_announcement("engine-1", Some(7), draining, Instant(0));
+/// announcements.on_listed("engine-1", 7);
+/// assert!(!announcements.standing("engine-1").accepts());
+/// announcements.on_listed("engine-1", 8);
+/// assert!(announcements.standing("engine-1").accepts());
+/// ```
+#[derive(Debug, Default)]
+pub struct Announcements {
+    drains: HashMap<SmolStr, Drain>,
+}
+
+impl Announcements {
+    /// Records an announcement of an endpoint, whose start time is given as it is listed, and returns
+    /// the part that changes its standing.
+    pub fn on_announcement(
+        &mut self,
+        id: &str,
+        started_at: Option<u64>,
+        announcement: Announcement,
+        now: Instant,
+    ) -> Announcement {
+        Announcement {
+            is_draining: announcement.is_draining && self.begin_drain(id, started_at, now),
+        }
+    }
+
+    /// Records that the directory lists an endpoint with a start time, zero if it has none.
+    ///
+    /// An older start time is that of an earlier incarnation, from an older copy of the directory.
+    pub fn on_listed(&mut self, id: &str, started_at: u64) {
+        let Some(drain) = self.drains.get_mut(id) else {
+            return;
+        };
+        let Some(listed) = known_start(Some(started_at)) else {
+            return;
+        };
+        let draining = *drain.started_at.get_or_insert(listed);
+        if listed > draining {
+            self.drains.remove(id);
+        }
+    }
+
+    /// Returns whether an endpoint takes requests.
+    pub fn standing(&self, id: &str) -> Standing {
+        Standing {
+            is_draining: self.drains.contains_key(id),
+        }
+    }
+
+    fn begin_drain(&mut self, id: &str, started_at: Option<u64>, now: Instant) -> bool {
+        if self.drains.contains_key(id) {
+            return false;
+        }
+        if self.drains.len() >= MAX_DRAINS {
+            self.forget_oldest_drain();
+        }
+        let drain = Drain {
+            started_at: known_start(started_at),
+            announced_at: now,
+        };
+        self.drains.insert(id.into(), drain);
+        true
+    }
+
+    fn forget_oldest_drain(&mut self) {
+        let oldest = self.drains.iter().min_by_key(|(_, d)| d.announced_at);
+        let Some(id) = oldest.map(|(id, _)| id.clone()) else {
+            return;
+        };
+        self.drains.remove(&id);
+    }
+}
+
+/// Returns a listed start time, of which zero says nothing.
+fn known_start(started_at: Option<u64>) -> Option<u64> {
+    started_at.filter(|at| *at > 0)
+}
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -27,6 +27,7 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
+use crate::announcement::Standing;
 use crate::backlog::{Backlog, Length, Rank, Ticket, WaitingRequest, drain_time};
 use crate::placement::{Demand, DispatchOutcome, ListedEndpoint, Placement};
 use crate::tier::Tier;
@@ -224,6 +225,11 @@
         self.placement.set_endpoints(listed);
     }
 
+    /// Updates whether each endpoint takes requests, by its own account.
+    pub fn set_standings(&mut self, standing: impl Fn(&str) -> Standing) {
+        self.placement.set_standings(standing);
+    }
+
     /// Updates the number of other processes, the requests that wait there, and the
     /// requests that they run at each endpoint.
     pub fn set_peers(
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`docs/ARCHITECTURE.md`](../../../docs/ARCHITECTURE.md).
 
 mod active_view;
+pub mod announcement;
 pub mod answer_buffer;
 pub mod backlog;
 pub mod backoff;
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -11,6 +11,7 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
+use crate::announcement::Standing;
 use crate::digest::hash_of;
 use crate::session_table::SessionTable;
 use crate::unit::{Instant, Millis};
@@ -106,6 +107,7 @@
 #[derive(Debug, Clone)]
 struct EndpointState {
     listed: ListedEndpoint,
+    standing: Standing,
     hash: u64,
     own_running: u32,
     own_long_running: u32,
@@ -127,6 +129,7 @@
         EndpointState {
             hash: hash_of(&listed.id),
             listed,
+            standing: Standing::default(),
             own_running: 0,
             own_long_running: 0,
             peer_running: 0,
@@ -211,6 +214,13 @@
         self.endpoints.extend(retired);
     }
 
+    /// Updates whether each endpoint takes requests, by its own account.
+    pub fn set_standings(&mut self, standing: impl Fn(&str) -> Standing) {
+        for endpoint in &mut self.endpoints {
+            endpoint.standing = standing(&endpoint.listed.id);
+        }
+    }
+
     /// Updates the number of requests that the other processes run at each endpoint.
     ///
     /// All processes see the same few free slots. Each therefore draws at random which of
@@ -403,7 +413,8 @@
     }
 
     fn ready(&self) -> impl Iterator<Item = &EndpointState> {
-        self.endpoints.iter().filter(|e| e.listed.is_ready)
+        let is_ready = |e: &&EndpointState| e.listed.is_ready && !e.standing.is_draining;
+        self.endpoints.iter().filter(is_ready)
     }
 
     fn endpoint(&mut self, id: &str) -> Option<&mut EndpointState> {
