Give endpoints the pauses that they ask for

Replicas that turn a request away with 503 may say for how long they want nothing from a VM. Fronts passed every full endpoint over for 150 ms, whatever it said, and one whose 503 did not confirm that nothing ran not at all.

The pause is decoded from the response head of any 503 of the endpoint and kept with the announcements, so that it outlasts the entry in the list. The latest end holds; a refusal without a pause ends none. It is checked at the choice of an endpoint and again before the sending. A pause above ten minutes counts as ten minutes. Places of such endpoints do not count as slots: otherwise the reserve for urgent ranks and the sharing of scarce slots would be reckoned with places that nobody can use.

Callers are not held in vain: while all endpoints that a request has not tried pause, it waits only if the first is back before it would give up. Otherwise, also when the pause begins while it waits, and when it has tried each of them, it is refused as `paused`. Retry-After is then not earlier than the first return, up to the 2 s that bound all refusals, since endpoints may join meanwhile. Longer ones were ruled out for that reason.

--- a/crates/sesamehaven-daemons/src/timeline.rs
+++ b/crates/sesamehaven-daemons/src/timeline.rs
@@ -157,13 +157,15 @@
         ("answered" | "stream_whole", _) => {
             format!("answered whole by {endpoint} after {elapsed} ms")
         }
-        ("failed", why @ ("overload" | "overdue" | "no_endpoint" | "rejected")) => format!(
-            "refused as {why} after {elapsed} ms, not run: {} of {} places were free and {} requests waited at {}",
-            last.number_field("free"),
-            last.number_field("places"),
-            last.number_field("waiting"),
-            last.process,
-        ),
+        ("failed", why @ ("overload" | "overdue" | "no_endpoint" | "paused" | "rejected")) => {
+            format!(
+                "refused as {why} after {elapsed} ms, not run: {} of {} places were free and {} requests waited at {}",
+                last.number_field("free"),
+                last.number_field("places"),
+                last.number_field("waiting"),
+                last.process,
+            )
+        }
         ("over_limit", organisation) => {
             format!("refused, not run: organisation {organisation} was over its limit")
         }
--- a/crates/sesamehaven-front/src/announcements.rs
+++ b/crates/sesamehaven-front/src/announcements.rs
@@ -4,6 +4,7 @@
 
 use sesamehaven::announcement::Announcement;
 
+use crate::clock;
 use crate::front::Front;
 use crate::protocol::Protocol;
 
@@ -25,5 +26,15 @@
                 started_at = started_at.unwrap_or_default()
             });
         }
+        if let Some(pause) = news.pause {
+            counter!("front_endpoint_pauses_total").increment(1);
+            if self.log_limiter.try_acquire(clock::now()) {
+                spdlog::info!("endpoint pauses", kv: {
+                    endpoint,
+                    cause = "announced with a refusal",
+                    pause_ms = pause.0
+                });
+            }
+        }
     }
 }
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -188,10 +188,11 @@
                 return Attempt::NotSent;
             }
         };
-        // The endpoint may have announced a drain while the connection was opened.
-        if !self.front.pools.accepts(&endpoint) {
+        // The endpoint may have announced a drain or a pause while the connection was opened.
+        let standing = self.front.pools.standing(&endpoint);
+        if !standing.accepts(clock::now()) {
             counter!("front_withheld_total").increment(1);
-            self.log("withheld", &endpoint, "");
+            self.log("withheld", &endpoint, standing);
             self.front.connections.release_unused(&endpoint, conn);
             return Attempt::NotSent;
         }
--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -9,7 +9,7 @@
 use smol_str::SmolStr;
 use tokio::sync::{Notify, oneshot};
 
-use sesamehaven::announcement::{Announcement, Announcements};
+use sesamehaven::announcement::{Announcement, Announcements, Standing};
 use sesamehaven::backlog::Ticket;
 use sesamehaven::digest::hash_of;
 use sesamehaven::dispatcher::{Dispatcher, Refusal, Step, Work};
@@ -157,7 +157,7 @@
         self.tick();
     }
 
-    /// Applies what an endpoint said about itself, and returns the part that was not known.
+    /// Applies what an endpoint said about itself, and returns the part that begins with it.
     pub fn on_announcement(
         &self,
         endpoint: &str,
@@ -167,15 +167,21 @@
         let mut announcements = self.announcements.borrow_mut();
         let news = announcements.on_announcement(endpoint, started_at, announcement, clock::now());
         drop(announcements);
-        if !news.is_empty() {
-            self.update_standings();
-        }
+        self.update_standings();
         news
     }
 
     /// Returns whether an endpoint takes requests, by its own account.
-    pub fn accepts(&self, endpoint: &str) -> bool {
-        self.announcements.borrow().standing(endpoint).accepts()
+    pub fn standing(&self, endpoint: &str) -> Standing {
+        self.announcements.borrow().standing(endpoint)
+    }
+
+    /// Returns how long a caller of a pool that is refused should wait at least.
+    pub fn retry_after(&self, pool: &str, min: Millis) -> Millis {
+        let pools = self.pools.borrow();
+        pools
+            .get(pool)
+            .map_or(min, |p| p.retry_after(min, clock::now()))
     }
 
     fn update_standings(&self) {
@@ -217,7 +223,7 @@
         let Some(pool) = pools.get(pool) else {
             return (0, 0, 0);
         };
-        let (free, slots) = pool.slots();
+        let (free, slots) = pool.slots(clock::now());
         (free, slots, pool.waiting())
     }
 
@@ -280,7 +286,7 @@
     /// Updates the gauges of all pools.
     pub fn record_gauges(&self) {
         for (name, pool) in self.pools.borrow().iter() {
-            let (free, _) = pool.slots();
+            let (free, _) = pool.slots(clock::now());
             gauge!("front_free_slots", "pool" => name.to_string()).set(free);
             gauge!("front_waiting_requests", "pool" => name.to_string()).set(pool.waiting() as f64);
         }
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -148,7 +148,7 @@
                     || (was_sent && !job.try_acquire_retry())
                 {
                     return Err(match job.runs {
-                        0 => all_rejected(),
+                        0 => all_rejected(job),
                         _ => endpoint_failed(),
                     });
                 }
@@ -249,7 +249,7 @@
 
 fn timed_out<P: Protocol>(job: &Job<P>) -> Failure {
     match job.run_status.get() {
-        RunStatus::NotRun => rejected(Refusal::Overdue, REJECTED_RETRY_AFTER),
+        RunStatus::NotRun => rejected(Refusal::Overdue, rejected_retry_after(job)),
         RunStatus::MayHaveRun => Failure::outcome_unknown(
             StatusCode::GATEWAY_TIMEOUT,
             "timeout",
@@ -263,13 +263,19 @@
         Refusal::Overload => "more is waiting than can be served in time",
         Refusal::Overdue => "no endpoint became free in time",
         Refusal::NoEndpoint => "no endpoint takes work",
+        Refusal::Paused => "all endpoints asked for a pause",
     };
     Failure::unavailable(reason.as_str(), message, retry_after)
 }
 
-fn all_rejected() -> Failure {
+fn rejected_retry_after<P: Protocol>(job: &Job<P>) -> Millis {
+    let pools = &job.front.pools;
+    pools.retry_after(&job.pool, REJECTED_RETRY_AFTER)
+}
+
+fn all_rejected<P: Protocol>(job: &Job<P>) -> Failure {
     let message = "the endpoints that were tried took no more work";
-    Failure::unavailable("rejected", message, REJECTED_RETRY_AFTER)
+    Failure::unavailable("rejected", message, rejected_retry_after(job))
 }
 
 fn endpoint_failed() -> Failure {
--- a/crates/sesamehaven/src/announcement.rs
+++ b/crates/sesamehaven/src/announcement.rs
@@ -5,19 +5,24 @@
 //! [`docs/FRONT.md`](../../../docs/FRONT.md#placing).
 
 use std::collections::HashMap;
+use std::fmt;
 
 use smol_str::SmolStr;
 
-use crate::unit::Instant;
+use crate::unit::{Instant, Millis};
 
 /// The number of drains that are remembered; most are of endpoints that have gone.
 const MAX_DRAINS: usize = 4_096;
+/// The longest pause that an endpoint gets; a longer one counts as an error of the endpoint.
+const MAX_PAUSE: Millis = Millis(600_000);
 
 /// What a response head says about its endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Announcement {
     /// Whether the endpoint is draining.
     pub is_draining: bool,
+    /// How long the endpoint takes no further requests from this process.
+    pub pause: Option<Millis>,
 }
 
 impl Announcement {
@@ -32,12 +37,24 @@
 pub struct Standing {
     /// Whether it is draining and gets no further requests.
     pub is_draining: bool,
+    /// When the pause that it asked for ends.
+    pub paused_until: Instant,
 }
 
 impl Standing {
     /// Returns whether the endpoint may get a request.
-    pub fn accepts(&self) -> bool {
-        !self.is_draining
+    pub fn accepts(&self, now: Instant) -> bool {
+        !self.is_draining && self.paused_until <= now
+    }
+}
+
+impl fmt::Display for Standing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (self.is_draining, self.paused_until) {
+            (true, _) => f.write_str("draining"),
+            (false, Instant(0)) => f.write_str("open"),
+            (false, Instant(until)) => write!(f, "paused until {until} ms"),
+        }
     }
 }
 
@@ -52,7 +69,8 @@
 ///
 /// They are kept apart from the list of endpoints, since the entry of a draining endpoint may vanish
 /// and come back. A drain ends with the incarnation that announced it: under the same name, only an
-/// endpoint that started later gets requests again.
+/// endpoint that started later gets requests again. A pause ends with its time, and no announcement
+/// shortens it.
 ///
 /// # Example
 ///
@@ -61,21 +79,23 @@
 /// use sesamehaven::unit::Instant;
 ///
 /// let mut announcements = Announcements::default();
-/// let draining = Announcement { is_draining: true };
-/// announcements.on_announcement("engine-1", Some(7), draining, Instant(0));
+/// let now = Instant(0);
+/// let draining = Announcement { is_draining: true, ..Announcement::default() };
+/// announcements.on_announcement("engine-1", Some(7), draining, now);
 /// announcements.on_listed("engine-1", 7);
-/// assert!(!announcements.standing("engine-1").accepts());
+/// assert!(!announcements.standing("engine-1").accepts(now));
 /// announcements.on_listed("engine-1", 8);
-/// assert!(announcements.standing("engine-1").accepts());
+/// assert!(announcements.standing("engine-1").accepts(now));
 /// ```
 #[derive(Debug, Default)]
 pub struct Announcements {
     drains: HashMap<SmolStr, Drain>,
+    pauses: HashMap<SmolStr, Instant>,
 }
 
 impl Announcements {
     /// Records an announcement of an endpoint, whose start time is given as it is listed, and returns
-    /// the part that changes its standing.
+    /// the part that begins with it.
     pub fn on_announcement(
         &mut self,
         id: &str,
@@ -85,6 +105,9 @@
     ) -> Announcement {
         Announcement {
             is_draining: announcement.is_draining && self.begin_drain(id, started_at, now),
+            pause: announcement
+                .pause
+                .filter(|pause| self.begin_pause(id, *pause, now)),
         }
     }
 
@@ -108,6 +131,7 @@
     pub fn standing(&self, id: &str) -> Standing {
         Standing {
             is_draining: self.drains.contains_key(id),
+            paused_until: self.pauses.get(id).copied().unwrap_or_default(),
         }
     }
 
@@ -126,6 +150,19 @@
         true
     }
 
+    /// Begins or extends a pause, and returns whether there was none before.
+    fn begin_pause(&mut self, id: &str, pause: Millis, now: Instant) -> bool {
+        // Part of the current millisecond has passed.
+        let until = now.after(pause.min(MAX_PAUSE)).after(Millis(1));
+        self.pauses.retain(|_, until| *until > now);
+        if let Some(current) = self.pauses.get_mut(id) {
+            *current = until.max(*current);
+            return false;
+        }
+        self.pauses.insert(id.into(), until);
+        true
+    }
+
     fn forget_oldest_drain(&mut self) {
         let oldest = self.drains.iter().min_by_key(|(_, d)| d.announced_at);
         let Some(id) = oldest.map(|(id, _)| id.clone()) else {
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -30,9 +30,12 @@
 use crate::announcement::Standing;
 use crate::backlog::{Backlog, Length, Rank, Ticket, WaitingRequest, drain_time};
 use crate::placement::{Demand, DispatchOutcome, ListedEndpoint, Placement};
+use crate::refusal::{self, RETRY_AFTER_MAX};
 use crate::tier::Tier;
 use crate::unit::{Instant, Millis};
 
+pub use crate::refusal::Refusal;
+
 /// The share of the slots that the lowest rank leaves free for higher ranks.
 const RESERVE_SHARE: f64 = 0.14;
 /// The longest accepted expected wait for a slot, as a share of the objective, counted
@@ -50,8 +53,6 @@
 /// Requests must hold their slots for at least this many intervals between peer
 /// counts; with shorter requests, the counts are out of date before they are used.
 const MIN_HOLD_INTERVALS: f64 = 3.0;
-/// The lower and upper bound of the retry delay of a refused caller.
-const RETRY_AFTER_RANGE: (Millis, Millis) = (Millis(150), Millis(2_000));
 /// The weight of a new sample in the moving averages of the pool.
 const SAMPLE_WEIGHT: f64 = 0.05;
 /// The lower and upper bound of the pool's time factor.
@@ -126,28 +127,6 @@
     }
 }
 
-/// Why a request was refused; a refused request has not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Refusal {
-    /// The queue is too long for the request to be served in time.
-    Overload,
-    /// The request has exceeded its maximum waiting time.
-    Overdue,
-    /// No endpoint accepts requests.
-    NoEndpoint,
-}
-
-impl Refusal {
-    /// Returns the name of the reason in logs and metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Refusal::Overload => "overload",
-            Refusal::Overdue => "overdue",
-            Refusal::NoEndpoint => "no_endpoint",
-        }
-    }
-}
-
 /// An action for the caller of the dispatcher to execute.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Step {
@@ -261,26 +240,42 @@
 
     /// Returns how many more requests the ready endpoints accept, and how many they accept
     /// in total. Both include one queued request for each endpoint.
-    pub fn slots(&self) -> (u32, u32) {
-        (self.placement.free(), self.placement.slots())
+    ///
+    /// Endpoints that asked for a pause are left out.
+    pub fn slots(&self, now: Instant) -> (u32, u32) {
+        (self.placement.free(now), self.placement.slots(now))
+    }
+
+    /// Returns how long a refused caller should wait at least, which is until the first endpoint
+    /// takes requests again if all of them asked for a pause.
+    ///
+    /// Callers are not told to wait longer than after other refusals, since endpoints may join.
+    pub fn retry_after(&self, min: Millis, now: Instant) -> Millis {
+        let pause = self.placement.opens_at(&[], now).since(now);
+        pause.min(RETRY_AFTER_MAX).max(min)
     }
 
-    /// Queues a request, or refuses it if no endpoint is ready or its expected wait is too
-    /// long.
+    /// Queues a request, or refuses it if no endpoint is ready, its expected wait is too
+    /// long, or all endpoints asked for a pause that it cannot wait for.
     ///
     /// Requests of starved classes and requests that have been dispatched before are queued
     /// regardless of the wait.
     pub fn on_arrival(&mut self, ticket: Ticket, work: Work, now: Instant) -> Steps {
-        if !self.placement.has_ready() {
+        if !self.placement.has_ready(&[]) {
             return self.refuse(ticket, Refusal::NoEndpoint, work.arrived, now);
         }
-        let wait = self.expected_wait(ticket, &work, now);
-        let waited = now.since(work.arrived);
         let is_urgent = self.backlog.rank_position(work.rank).0 == 0;
         let (wait_share, give_up_share) = match is_urgent {
             true => (URGENT_WAIT_SHARE, URGENT_GIVE_UP_SHARE),
             false => (WAIT_SHARE, GIVE_UP_SHARE),
         };
+        let give_up_at = work.arrived.after(work.share_of_objective(give_up_share));
+        let give_up_at = give_up_at.min(work.deadline);
+        if self.is_paused_beyond(give_up_at, &work.tried, now) {
+            return self.refuse(ticket, Refusal::Paused, now, now);
+        }
+        let wait = self.expected_wait(ticket, &work, now);
+        let waited = now.since(work.arrived);
         let max_wait = work.share_of_objective(wait_share);
         let length = work.length();
         let is_starved = self.backlog.is_starved(&work.class, length, work.rank);
@@ -288,9 +283,12 @@
         if is_too_late && !is_starved && work.tried.is_empty() {
             self.backlog
                 .count_refused(&work.class, length, work.rank, now);
-            return self.refuse(ticket, Refusal::Overload, now.after(wait), now);
+            let reason = match self.placement.opens_at(&[], now) > now {
+                true => Refusal::Paused,
+                false => Refusal::Overload,
+            };
+            return self.refuse(ticket, reason, now.after(wait), now);
         }
-        let give_up_at = work.arrived.after(work.share_of_objective(give_up_share));
         let waiting = WaitingRequest {
             ticket,
             class: work.class.clone(),
@@ -298,7 +296,7 @@
             rank: work.rank,
             arrived: work.arrived,
             latest_on_time_start: work.latest_on_time_start(),
-            give_up_at: give_up_at.min(work.deadline),
+            give_up_at,
             slot_ms: work.slot_ms * self.time_factor,
         };
         self.backlog.push(waiting, now);
@@ -360,13 +358,19 @@
         self.on_end(ticket, DispatchOutcome::Neutral, now)
     }
 
-    /// Refuses overdue requests and starts requests for which a slot is free.
+    /// Refuses requests that are overdue, or would be at the end of a pause that all endpoints asked
+    /// for, and starts requests for which a slot is free.
     pub fn on_tick(&mut self, now: Instant) -> Steps {
         let mut steps = Steps::new();
-        for waiting in self.backlog.take_overdue(now) {
+        let opens_at = self.placement.opens_at(&[], now);
+        for waiting in self.backlog.take_overdue(opens_at) {
+            let reason = match waiting.give_up_at > now {
+                true => Refusal::Paused,
+                false => Refusal::Overdue,
+            };
             let work = self.pending.remove(&waiting.ticket);
             let wait = work.map_or(Millis(0), |w| self.expected_wait(waiting.ticket, &w, now));
-            steps.extend(self.refuse(waiting.ticket, Refusal::Overdue, now.after(wait), now));
+            steps.extend(self.refuse(waiting.ticket, reason, now.after(wait), now));
         }
         steps.extend(self.fill(now));
         steps
@@ -383,8 +387,7 @@
         if self.backlog.is_empty() {
             return false;
         }
-        let free = self.placement.free();
-        let slots = self.placement.slots();
+        let (free, slots) = self.slots(now);
         for (ticket, starved) in self.backlog.candidates(now) {
             let Some(work) = self.pending.get(&ticket) else {
                 continue;
@@ -422,11 +425,13 @@
 
     /// Estimates the wait for a slot behind the requests that precede this one.
     fn expected_wait(&self, ticket: Ticket, work: &Work, now: Instant) -> Millis {
-        let slots = self.placement.slots();
-        let is_free = self.placement.free() > self.reserve(work, slots, now);
+        let opens_at = self.placement.opens_at(&work.tried, now);
+        let pause = opens_at.since(now);
+        let (free, slots) = self.slots(opens_at);
+        let is_free = free > self.reserve(work, slots, now);
         let demand = work.demand(ticket, now);
-        if is_free && self.placement.has_free_slot(&demand, &work.tried, now) {
-            return Millis(0);
+        if is_free && self.placement.has_free_slot(&demand, &work.tried, opens_at) {
+            return pause;
         }
         let above = self.running.values().filter(|r| r.rank < work.rank);
         let capacity_share = 1.0 - above.count() as f64 / self.running.len().max(1) as f64;
@@ -436,15 +441,22 @@
         let own_slots = f64::from(slots.max(1)) * self.waiting_share;
         // A rank is assumed to get at least a quarter of the slots, however many of the running
         // requests have a higher rank.
-        drain_time(ahead, own_slots * capacity_share.max(0.25))
+        Millis(pause.0 + drain_time(ahead, own_slots * capacity_share.max(0.25)).0)
+    }
+
+    /// Returns whether no endpoint takes a request before it gives up, since those that it has not
+    /// tried asked for a pause.
+    fn is_paused_beyond(&self, give_up_at: Instant, tried: &[SmolStr], now: Instant) -> bool {
+        if !self.placement.has_ready(tried) {
+            return self.placement.opens_at(&[], now) > now;
+        }
+        let opens_at = self.placement.opens_at(tried, now);
+        opens_at > now && opens_at >= give_up_at
     }
 
     fn refuse(&self, ticket: Ticket, reason: Refusal, free_at: Instant, now: Instant) -> Steps {
-        let (min, max) = RETRY_AFTER_RANGE;
-        // Jitter prevents callers that were refused together from returning together.
-        let wait = free_at.since(now).0.clamp(min.0, max.0);
-        let jitter = wait / 2 * (ticket.0.wrapping_mul(0x9e37_79b9) >> 8 & 0xff) / 0xff;
-        let retry_after = Millis((wait + jitter).min(max.0));
+        let free_at = free_at.max(self.placement.opens_at(&[], now));
+        let retry_after = refusal::retry_after(free_at.since(now), ticket);
         SmallVec::from_iter([Step::Refuse {
             ticket,
             reason,
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
+mod refusal;
 pub mod restore;
 pub mod retry;
 pub mod retry_detector;
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -12,7 +12,7 @@
 use smol_str::SmolStr;
 
 use crate::announcement::Standing;
-use crate::digest::hash_of;
+use crate::digest::{hash_of, mix_bits, to_unit_interval};
 use crate::session_table::SessionTable;
 use crate::unit::{Instant, Millis};
 
@@ -252,19 +252,28 @@
 
     /// Returns the number of requests that all ready endpoints accept, including
     /// `QUEUED_AHEAD` for each.
-    pub fn slots(&self) -> u32 {
-        self.ready().map(|e| e.listed.slots + QUEUED_AHEAD).sum()
+    pub fn slots(&self, now: Instant) -> u32 {
+        self.open(now).map(|e| e.listed.slots + QUEUED_AHEAD).sum()
     }
 
     /// Returns how many more requests the ready endpoints accept, including
     /// `QUEUED_AHEAD` for each.
-    pub fn free(&self) -> u32 {
-        self.ready().map(EndpointState::free).sum()
+    pub fn free(&self, now: Instant) -> u32 {
+        self.open(now).map(EndpointState::free).sum()
     }
 
-    /// Returns whether any endpoint accepts requests.
-    pub fn has_ready(&self) -> bool {
-        self.ready().next().is_some()
+    /// Returns whether any endpoint that a request has not tried accepts requests, now or after a
+    /// pause.
+    pub fn has_ready(&self, tried: &[SmolStr]) -> bool {
+        self.ready().any(|e| !tried.contains(&e.listed.id))
+    }
+
+    /// Returns when the first endpoint that a request has not tried takes requests, which is now
+    /// unless all of them asked for a pause.
+    pub fn opens_at(&self, tried: &[SmolStr], now: Instant) -> Instant {
+        let untried = self.ready().filter(|e| !tried.contains(&e.listed.id));
+        let first = untried.map(|e| e.standing.paused_until).min();
+        first.unwrap_or(now).max(now)
     }
 
     /// Returns whether any endpoint has a free slot for a request, regardless of which
@@ -274,7 +283,7 @@
         let is_fit = |e: &EndpointState| {
             !tried.contains(&e.listed.id) && self.has_room(e, demand, median, now)
         };
-        self.ready().any(is_fit)
+        self.open(now).any(is_fit)
     }
 
     /// Chooses the endpoint of a request, excluding those already tried.
@@ -285,14 +294,14 @@
     pub fn choose(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> Option<SmolStr> {
         let last = demand.session.and_then(|s| self.sessions.endpoint(s, now));
         let median = self.median_time_factor();
-        let is_contended = self.is_contended();
+        let is_contended = self.is_contended(now);
         // Most endpoints are on time, and then neither the median nor the others matter.
         let slow_factor = LazyCell::new(|| {
             let can_be_on_time = self.can_be_on_time(demand, tried, now);
             can_be_on_time.then(|| SLOW_FIRST_EVENT * self.median_first_event_factor())
         });
         let mut best: Option<(f64, &EndpointState)> = None;
-        for endpoint in self.ready() {
+        for endpoint in self.open(now) {
             let is_open = !is_contended || endpoint.claimable > 0;
             if !is_open || tried.contains(&endpoint.listed.id) {
                 continue;
@@ -403,13 +412,13 @@
         let is_fit = |e: &EndpointState| {
             e.ejected_until <= now && !tried.contains(&e.listed.id) && e.is_on_time(demand)
         };
-        demand.time_left.is_some() && self.ready().any(is_fit)
+        demand.time_left.is_some() && self.open(now).any(is_fit)
     }
 
     /// Returns whether free slots are so scarce that processes have to divide them.
-    fn is_contended(&self) -> bool {
-        let free = f64::from(self.free());
-        self.is_shared && free < f64::from(self.slots()) * CONTENTION_SHARE
+    fn is_contended(&self, now: Instant) -> bool {
+        let free = f64::from(self.free(now));
+        self.is_shared && free < f64::from(self.slots(now)) * CONTENTION_SHARE
     }
 
     fn ready(&self) -> impl Iterator<Item = &EndpointState> {
@@ -417,6 +426,11 @@
         self.endpoints.iter().filter(is_ready)
     }
 
+    /// Returns the ready endpoints that have not asked for a pause.
+    fn open(&self, now: Instant) -> impl Iterator<Item = &EndpointState> {
+        self.ready().filter(move |e| e.standing.accepts(now))
+    }
+
     fn endpoint(&mut self, id: &str) -> Option<&mut EndpointState> {
         self.endpoints.iter_mut().find(|e| e.listed.id == id)
     }
@@ -479,15 +493,3 @@
     factors.sort_by(f64::total_cmp);
     factors.get(factors.len() / 2).copied().unwrap_or(1.0)
 }
-
-/// Maps a number to the range from 0 to 1.
-fn to_unit_interval(n: u64) -> f64 {
-    (n >> 40) as f64 / (1u64 << 24) as f64
-}
-
-/// Mixes the bits of a number, so that similar inputs give unrelated outputs.
-fn mix_bits(n: u64) -> u64 {
-    let n = (n ^ (n >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let n = (n ^ (n >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    n ^ (n >> 31)
-}
--- a/crates/sesamehaven/tests/dispatcher.rs
+++ b/crates/sesamehaven/tests/dispatcher.rs
@@ -412,7 +412,7 @@
         let ticket = Ticket(1_000 + n);
         pool.dispatcher.on_arrival(ticket, late.clone(), pool.now);
     }
-    let (free, slots) = pool.dispatcher.slots();
+    let (free, slots) = pool.dispatcher.slots(pool.now);
     assert!(free * 10 >= slots, "{free} of {slots} slots are free");
     pool.send("brief", 0, 300.0);
     assert_eq!(pool.started, ["brief"]);
