--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -1,6 +1,6 @@
 //! An admitted request and its attempts at endpoints.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt::Display;
 use std::rc::Rc;
 
@@ -13,6 +13,7 @@
 use sesamehaven::backlog::Rank;
 use sesamehaven::dispatcher::Work;
 use sesamehaven::placement::DispatchOutcome;
+use sesamehaven::software_version::PoolVersion;
 use sesamehaven::unit::{Instant, Millis};
 use sesamehaven_wire::http1::{Connection, Error as WireError, Head};
 
@@ -81,10 +82,12 @@
     pub deadline: Instant,
     /// Whether it may have started to run.
     pub run_status: Cell<RunStatus>,
+    /// The software version that began the stream, once the caller has an event of it.
+    pub version: Cell<Option<PoolVersion>>,
     /// The endpoints that were tried or could not be reached.
-    pub tried: SmallVec<[SmolStr; 2]>,
-    /// The number of attempts in which it may have run.
-    pub runs: u32,
+    pub tried: RefCell<SmallVec<[SmolStr; 2]>>,
+    /// The number of attempts in which it may have run or may still run.
+    pub runs: Cell<u32>,
 }
 
 /// A response whose head has been read.
@@ -118,24 +121,25 @@
         self.deadline.since(now)
     }
 
-    /// Waits for a slot in the pool.
+    /// Waits for a slot in the pool; the limits of the wait count from `waiting_since`.
     ///
     /// # Errors
     ///
     /// Returns the reason and a retry delay if the pool is unknown or no slot becomes available in
     /// time.
-    pub async fn acquire(&self) -> Result<Slot, Rejection> {
+    pub async fn acquire(&self, waiting_since: Instant) -> Result<Slot, Rejection> {
         let work = Work {
             class: self.route.name.clone(),
             rank: self.rank,
-            arrived: self.arrived,
+            arrived: waiting_since,
             first_sent: self.first_sent,
             objective: self.route.objective,
             deadline: self.deadline,
             slot_ms: self.estimated_slot_ms(),
             first_event_ms: self.estimated_first_event_ms(),
             session: self.meta.session,
-            tried: self.tried.clone(),
+            tried: self.tried.borrow().clone(),
+            version: self.version.get(),
         };
         let started = clock::now();
         let slot = self.front.pools.acquire(&self.pool, work).await;
@@ -180,6 +184,7 @@
     /// Sends the request to an endpoint and reads the response head.
     pub async fn attempt(&self, slot: Slot, last_event_id: Option<u64>) -> Attempt<P> {
         let endpoint = slot.endpoint.clone();
+        self.tried.borrow_mut().push(endpoint.clone());
         let mut conn = match self.front.connections.acquire(&endpoint).await {
             Ok(conn) => conn,
             Err(err) => {
@@ -199,6 +204,7 @@
         let in_flight = self.front.track_in_flight(&endpoint, self.fingerprint);
         let head = self.request_head(&endpoint, last_event_id);
         let run_status = self.run_status.replace(RunStatus::MayHaveRun);
+        let runs = self.runs.replace(self.runs.get() + 1);
         conn.send(head, self.body.clone());
         match self.read_response_head(&mut conn, &endpoint).await {
             Ok((head, ResponseClass::Valid)) => Attempt::Responded(Box::new(EndpointResponse {
@@ -209,6 +215,7 @@
             })),
             Ok((head, ResponseClass::NotRun)) => {
                 self.run_status.set(run_status);
+                self.runs.set(runs);
                 let status = head.status.as_u16();
                 if conn.read_body(DISCARDED_BODY_MAX_BYTES).await.is_ok() {
                     conn.finish(&head);
@@ -229,6 +236,7 @@
             }
             Err(_) if !conn.has_sent() => {
                 self.run_status.set(run_status);
+                self.runs.set(runs);
                 slot.mark_unreachable();
                 Attempt::NotSent
             }
@@ -311,7 +319,7 @@
     /// it to run again and a retry is left.
     pub fn try_acquire_rerun(&self) -> bool {
         self.route.retry_policy != RetryPolicy::Never
-            && self.runs < self.route.max_attempts
+            && self.runs.get() < self.route.max_attempts
             && self.try_acquire_retry()
     }
 
--- a/crates/sesamehaven-front/src/refresh.rs
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -205,12 +205,14 @@
         return;
     };
     let listing = front.endpoints.listing();
+    front.origins.on_listing(&listing, clock::now());
     for entry in &listing.entries {
         if !previous.entries.contains(entry) {
             spdlog::info!("endpoint listed", kv: {
                 endpoint = entry.id.as_str(),
                 pool = entry.pool.as_str(),
                 address = entry.address.to_string(),
+                version = entry.version.to_string(),
                 ready = entry.is_ready,
                 places = entry.slots
             });
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -5,9 +5,12 @@
 
 use actix_http::{Request, Response, StatusCode};
 use metrics::counter;
+use smol_str::SmolStr;
 
 use sesamehaven::dispatcher::Refusal;
 use sesamehaven::placement::DispatchOutcome;
+use sesamehaven::software_version::PoolVersion;
+use sesamehaven::stream_origin::{StreamId, StreamOrigin};
 use sesamehaven::unit::{Instant, Millis};
 
 use crate::admission::{admit, charge};
@@ -17,6 +20,7 @@
 use crate::front::{CounterGuard, Front};
 use crate::headers::copy_response_headers;
 use crate::job::{Attempt, EndpointResponse, Job, RunStatus};
+use crate::origins;
 use crate::protocol::Protocol;
 use crate::relay;
 use crate::routing_table::RetryPolicy;
@@ -35,7 +39,12 @@
     let arrived = clock::now();
     let _active = CounterGuard::new(&front.active_requests);
     let mut res = match admit(&front, req, arrived).await {
-        Ok(job) => serve_job(job).await,
+        Ok(job) => {
+            let unanswered = UnansweredGuard::new(&job);
+            let res = serve_job(job).await;
+            unanswered.disarm();
+            res
+        }
         Err(failure) => failure.response(),
     };
     if front.is_draining.get() {
@@ -48,6 +57,17 @@
 
 /// Handles an admitted request.
 async fn serve_job<P: Protocol>(mut job: Job<P>) -> Response<Body> {
+    match origins::continuation(&job).await {
+        Ok(None) => {}
+        Ok(Some((pool, version))) => {
+            job.pool = pool;
+            job.version.set(Some(version));
+        }
+        Err(failure) => {
+            counter!("front_failures_total", "code" => failure.code).increment(1);
+            return failure.response();
+        }
+    }
     let now = clock::now();
     {
         let bounds = job.front.settings.borrow().bounds;
@@ -68,16 +88,16 @@
     let organisation = job.organisation.clone();
     let held = BodyMemoryGuard::new(&front.body_bytes, job.body.len() as u64);
     let remaining = job.remaining(now).duration();
-    let result = tokio::time::timeout(remaining, dispatch(&mut job)).await;
+    let result = tokio::time::timeout(remaining, dispatch(&job)).await;
     drop(held);
     let failure = match result {
         Ok(Ok(Served::Full(res))) => {
             job.record_response_latency();
             return res;
         }
-        Ok(Ok(Served::Stream(response, first))) => {
+        Ok(Ok(Served::Stream(first))) => {
             job.record_response_latency();
-            return relay::respond(job, *response, first);
+            return relay::respond(job, *first);
         }
         Ok(Err(failure)) => failure,
         Err(_) => timed_out(&job),
@@ -92,10 +112,50 @@
     failure.response()
 }
 
+/// Logs an admitted request whose connection is gone before there is a response.
+struct UnansweredGuard<P: Protocol> {
+    front: Rc<Front<P>>,
+    id: SmolStr,
+    arrived: Instant,
+    is_answered: bool,
+}
+
+impl<P: Protocol> UnansweredGuard<P> {
+    fn new(job: &Job<P>) -> Self {
+        UnansweredGuard {
+            front: Rc::clone(&job.front),
+            id: job.meta.id.clone(),
+            arrived: job.arrived,
+            is_answered: false,
+        }
+    }
+
+    fn disarm(mut self) {
+        self.is_answered = true;
+    }
+}
+
+impl<P: Protocol> Drop for UnansweredGuard<P> {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        counter!("front_requests_unanswered_total").increment(1);
+        let now = clock::now();
+        if self.front.log_limiter.try_acquire(now) {
+            spdlog::info!("request unanswered", kv: {
+                id = self.id.as_str(),
+                elapsed_ms = now.since(self.arrived).0,
+                panicking = std::thread::panicking()
+            });
+        }
+    }
+}
+
 /// A response that is ready for the caller.
 enum Served<P: Protocol> {
     Full(Response<Body>),
-    Stream(Box<EndpointResponse<P>>, relay::FirstEvents),
+    Stream(Box<relay::FirstEvents<P>>),
 }
 
 /// What identifies a request when its caller sends it again.
@@ -125,20 +185,19 @@
 }
 
 /// Tries endpoints until one has responded or no further attempt is allowed.
-async fn dispatch<P: Protocol>(job: &mut Job<P>) -> ServeResult<Served<P>> {
+async fn dispatch<P: Protocol>(job: &Job<P>) -> ServeResult<Served<P>> {
     let mut attempts_without_run = 0;
     loop {
-        let slot = match job.acquire().await {
+        let slot = match job.acquire(job.arrived).await {
             Ok(slot) => slot,
-            Err(rejection) if job.runs == 0 => {
+            Err(rejection) if job.runs.get() == 0 => {
                 return Err(rejected(rejection.reason, rejection.retry_after));
             }
             Err(_) => return Err(endpoint_failed()),
         };
         let endpoint = slot.endpoint.clone();
-        job.log("dispatch", &endpoint, job.runs);
+        job.log("dispatch", &endpoint, job.runs.get());
         let attempt = job.attempt(slot, job.meta.last_event_id).await;
-        job.tried.push(endpoint.clone());
         let response = match attempt {
             Attempt::Responded(response) => response,
             Attempt::NotSent | Attempt::NotRun => {
@@ -147,7 +206,7 @@
                 if attempts_without_run > MAX_ATTEMPTS_WITHOUT_RUN
                     || (was_sent && !job.try_acquire_retry())
                 {
-                    return Err(match job.runs {
+                    return Err(match job.runs.get() {
                         0 => all_rejected(job),
                         _ => endpoint_failed(),
                     });
@@ -155,14 +214,12 @@
                 continue;
             }
             Attempt::Unknown(_) => {
-                job.runs += 1;
                 if job.try_acquire_rerun() {
                     continue;
                 }
                 return Err(endpoint_failed());
             }
         };
-        job.runs += 1;
         let served = match job.route.is_stream && response.head.status.is_success() {
             true => read_first_events(job, response).await,
             false => read_full_response(job, *response).await,
@@ -188,20 +245,26 @@
 /// Reads the first events of a stream.
 async fn read_first_events<P: Protocol>(
     job: &Job<P>,
-    mut response: Box<EndpointResponse<P>>,
+    response: Box<EndpointResponse<P>>,
 ) -> ResponseAction<P> {
-    let first = relay::read_first_events(job, &mut response).await;
-    match first {
-        Ok(first) => {
-            response.slot.on_first_event();
-            ResponseAction::Serve(Served::Stream(response, first))
-        }
-        Err(reason) => {
-            let endpoint = response.slot.endpoint.clone();
-            job.log("stream_broken", &endpoint, reason);
-            response.slot.complete(DispatchOutcome::Failure);
-            ResponseAction::Unusable
-        }
+    let Ok(first) = relay::read_first_events(job, response).await else {
+        return ResponseAction::Unusable;
+    };
+    let slot = &first.response().slot;
+    slot.on_first_event();
+    bind_version(job, slot.version);
+    ResponseAction::Serve(Served::Stream(Box::new(first)))
+}
+
+/// Binds a stream to the version of the endpoint that began it, and remembers it for its caller.
+fn bind_version<P: Protocol>(job: &Job<P>, version: Option<PoolVersion>) {
+    let (None, Some(version)) = (job.version.get(), version) else {
+        return;
+    };
+    job.version.set(Some(version));
+    if job.route.retry_policy == RetryPolicy::Resume {
+        let stream = StreamId::new(&job.meta.id);
+        job.front.origins.record(StreamOrigin { stream, version });
     }
 }
 
@@ -243,7 +306,8 @@
 impl<P: Protocol> Job<P> {
     /// Returns whether a failed request has an attempt left and enough time for it.
     fn has_time_for_retry(&self) -> bool {
-        self.runs < self.route.max_attempts && self.remaining(clock::now()) > self.route.objective
+        self.runs.get() < self.route.max_attempts
+            && self.remaining(clock::now()) > self.route.objective
     }
 }
 
@@ -263,6 +327,7 @@
         Refusal::Overload => "more is waiting than can be served in time",
         Refusal::Overdue => "no endpoint became free in time",
         Refusal::NoEndpoint => "no endpoint takes work",
+        Refusal::NoVersion => "no endpoint of the version that began the stream takes work",
         Refusal::Paused => "all endpoints asked for a pause",
     };
     Failure::unavailable(reason.as_str(), message, retry_after)
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -12,11 +12,13 @@
 //! use sesamehaven::backlog::Ticket;
 //! use sesamehaven::dispatcher::{Dispatcher, Step, Work};
 //! use sesamehaven::placement::ListedEndpoint;
+//! use sesamehaven::software_version::PoolVersion;
 //! use sesamehaven::unit::{Instant, Millis};
 //!
 //! let mut pool = Dispatcher::default();
 //! let id = "engine-1".into();
-//! pool.set_endpoints([ListedEndpoint { id, slots: 4, is_near: true, is_ready: true }]);
+//! let version = PoolVersion::default();
+//! pool.set_endpoints([ListedEndpoint { id, slots: 4, is_near: true, is_ready: true, version }]);
 //! let work = Work::new("brief", Tier::MOST_URGENT, Millis(500), Instant(0));
 //! let steps = pool.on_arrival(Ticket(1), work, Instant(0));
 //! assert!(matches!(&steps[..], [Step::Start { .. }]));
@@ -25,12 +27,13 @@
 use std::collections::HashMap;
 
 use smallvec::SmallVec;
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 
 use crate::announcement::Standing;
 use crate::backlog::{Backlog, Length, Rank, Ticket, WaitingRequest, drain_time};
 use crate::placement::{Demand, DispatchOutcome, ListedEndpoint, Placement};
 use crate::refusal::{self, RETRY_AFTER_MAX};
+use crate::software_version::PoolVersion;
 use crate::tier::Tier;
 use crate::unit::{Instant, Millis};
 
@@ -82,6 +85,8 @@
     pub session: Option<u64>,
     /// The endpoints that have been tried already.
     pub tried: SmallVec<[SmolStr; 2]>,
+    /// The software version that began its stream, if it goes on with one; it runs only there.
+    pub version: Option<PoolVersion>,
 }
 
 impl Work {
@@ -98,6 +103,7 @@
             first_event_ms: 50.0,
             session: None,
             tried: SmallVec::new(),
+            version: None,
         }
     }
 
@@ -109,6 +115,18 @@
             first_event_ms: self.first_event_ms,
             time_left: (due > now).then(|| due.since(now)),
             tie_breaker: ticket.0,
+            version: self.version,
+        }
+    }
+
+    /// Returns the class in which the request waits.
+    ///
+    /// Streams that go on at one version wait apart, so that they never hold up requests that may
+    /// start anywhere.
+    fn queue_class(&self) -> SmolStr {
+        match self.version {
+            Some(version) => format_smolstr!("{}@{version}", self.class),
+            None => self.class.clone(),
         }
     }
 
@@ -233,6 +251,16 @@
         self.placement.running()
     }
 
+    /// Returns the software version of an endpoint.
+    pub fn version(&self, endpoint: &str) -> Option<PoolVersion> {
+        self.placement.version(endpoint)
+    }
+
+    /// Returns whether an endpoint of a software version accepts requests.
+    pub fn serves(&self, version: PoolVersion) -> bool {
+        self.placement.has_ready(Some(version), &[])
+    }
+
     /// Returns the number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.backlog.len()
@@ -251,7 +279,7 @@
     ///
     /// Callers are not told to wait longer than after other refusals, since endpoints may join.
     pub fn retry_after(&self, min: Millis, now: Instant) -> Millis {
-        let pause = self.placement.opens_at(&[], now).since(now);
+        let pause = self.placement.opens_at(None, &[], now).since(now);
         pause.min(RETRY_AFTER_MAX).max(min)
     }
 
@@ -261,9 +289,12 @@
     /// Requests of starved classes and requests that have been dispatched before are queued
     /// regardless of the wait.
     pub fn on_arrival(&mut self, ticket: Ticket, work: Work, now: Instant) -> Steps {
-        if !self.placement.has_ready(&[]) {
+        if !self.placement.has_ready(None, &[]) {
             return self.refuse(ticket, Refusal::NoEndpoint, work.arrived, now);
         }
+        if !self.placement.has_ready(work.version, &[]) {
+            return self.refuse(ticket, Refusal::NoVersion, work.arrived, now);
+        }
         let is_urgent = self.backlog.rank_position(work.rank).0 == 0;
         let (wait_share, give_up_share) = match is_urgent {
             true => (URGENT_WAIT_SHARE, URGENT_GIVE_UP_SHARE),
@@ -271,19 +302,19 @@
         };
         let give_up_at = work.arrived.after(work.share_of_objective(give_up_share));
         let give_up_at = give_up_at.min(work.deadline);
-        if self.is_paused_beyond(give_up_at, &work.tried, now) {
+        if self.is_paused_beyond(give_up_at, &work, now) {
             return self.refuse(ticket, Refusal::Paused, now, now);
         }
         let wait = self.expected_wait(ticket, &work, now);
         let waited = now.since(work.arrived);
         let max_wait = work.share_of_objective(wait_share);
         let length = work.length();
-        let is_starved = self.backlog.is_starved(&work.class, length, work.rank);
+        let class = work.queue_class();
+        let is_starved = self.backlog.is_starved(&class, length, work.rank);
         let is_too_late = wait.0 > 0 && wait.0 + waited.0 > max_wait.0;
         if is_too_late && !is_starved && work.tried.is_empty() {
-            self.backlog
-                .count_refused(&work.class, length, work.rank, now);
-            let reason = match self.placement.opens_at(&[], now) > now {
+            self.backlog.count_refused(&class, length, work.rank, now);
+            let reason = match self.placement.opens_at(None, &[], now) > now {
                 true => Refusal::Paused,
                 false => Refusal::Overload,
             };
@@ -291,7 +322,7 @@
         }
         let waiting = WaitingRequest {
             ticket,
-            class: work.class.clone(),
+            class,
             length,
             rank: work.rank,
             arrived: work.arrived,
@@ -362,7 +393,7 @@
     /// for, and starts requests for which a slot is free.
     pub fn on_tick(&mut self, now: Instant) -> Steps {
         let mut steps = Steps::new();
-        let opens_at = self.placement.opens_at(&[], now);
+        let opens_at = self.placement.opens_at(None, &[], now);
         for waiting in self.backlog.take_overdue(opens_at) {
             let reason = match waiting.give_up_at > now {
                 true => Refusal::Paused,
@@ -425,7 +456,7 @@
 
     /// Estimates the wait for a slot behind the requests that precede this one.
     fn expected_wait(&self, ticket: Ticket, work: &Work, now: Instant) -> Millis {
-        let opens_at = self.placement.opens_at(&work.tried, now);
+        let opens_at = self.placement.opens_at(work.version, &work.tried, now);
         let pause = opens_at.since(now);
         let (free, slots) = self.slots(opens_at);
         let is_free = free > self.reserve(work, slots, now);
@@ -446,16 +477,16 @@
 
     /// Returns whether no endpoint takes a request before it gives up, since those that it has not
     /// tried asked for a pause.
-    fn is_paused_beyond(&self, give_up_at: Instant, tried: &[SmolStr], now: Instant) -> bool {
-        if !self.placement.has_ready(tried) {
-            return self.placement.opens_at(&[], now) > now;
+    fn is_paused_beyond(&self, give_up_at: Instant, work: &Work, now: Instant) -> bool {
+        if !self.placement.has_ready(work.version, &work.tried) {
+            return self.placement.opens_at(work.version, &[], now) > now;
         }
-        let opens_at = self.placement.opens_at(tried, now);
+        let opens_at = self.placement.opens_at(work.version, &work.tried, now);
         opens_at > now && opens_at >= give_up_at
     }
 
     fn refuse(&self, ticket: Ticket, reason: Refusal, free_at: Instant, now: Instant) -> Steps {
-        let free_at = free_at.max(self.placement.opens_at(&[], now));
+        let free_at = free_at.max(self.placement.opens_at(None, &[], now));
         let retry_after = refusal::retry_after(free_at.since(now), ticket);
         SmallVec::from_iter([Step::Refuse {
             ticket,
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -14,6 +14,7 @@
 use crate::announcement::Standing;
 use crate::digest::{hash_of, mix_bits, to_unit_interval};
 use crate::session_table::SessionTable;
+use crate::software_version::PoolVersion;
 use crate::unit::{Instant, Millis};
 
 /// The weight of a new sample in the moving averages of an endpoint.
@@ -76,6 +77,8 @@
     pub is_near: bool,
     /// Whether it accepts new requests.
     pub is_ready: bool,
+    /// The version of its software.
+    pub version: PoolVersion,
 }
 
 /// The properties of a request that placement decides by.
@@ -91,6 +94,14 @@
     pub time_left: Option<Millis>,
     /// A number, different for each request, that breaks ties between endpoints.
     pub tie_breaker: u64,
+    /// The software version that began its stream, if it goes on with one.
+    pub version: Option<PoolVersion>,
+}
+
+impl Demand {
+    fn allows(&self, endpoint: &EndpointState) -> bool {
+        self.version.is_none_or(|v| v == endpoint.listed.version)
+    }
 }
 
 /// The outcome of a dispatched request, as it counts for its endpoint.
@@ -262,26 +273,39 @@
         self.open(now).map(EndpointState::free).sum()
     }
 
-    /// Returns whether any endpoint that a request has not tried accepts requests, now or after a
-    /// pause.
-    pub fn has_ready(&self, tried: &[SmolStr]) -> bool {
-        self.ready().any(|e| !tried.contains(&e.listed.id))
+    /// Returns whether any endpoint that a request may go to, of its version if it has one, accepts
+    /// requests, now or after a pause.
+    pub fn has_ready(&self, version: Option<PoolVersion>, tried: &[SmolStr]) -> bool {
+        self.untried(version, tried).next().is_some()
     }
 
-    /// Returns when the first endpoint that a request has not tried takes requests, which is now
-    /// unless all of them asked for a pause.
-    pub fn opens_at(&self, tried: &[SmolStr], now: Instant) -> Instant {
-        let untried = self.ready().filter(|e| !tried.contains(&e.listed.id));
+    /// Returns when the first endpoint that a request may go to, of its version if it has one, takes
+    /// requests, which is now unless all of them asked for a pause.
+    pub fn opens_at(
+        &self,
+        version: Option<PoolVersion>,
+        tried: &[SmolStr],
+        now: Instant,
+    ) -> Instant {
+        let untried = self.untried(version, tried);
         let first = untried.map(|e| e.standing.paused_until).min();
         first.unwrap_or(now).max(now)
     }
 
+    /// Returns the software version of an endpoint.
+    pub fn version(&self, id: &str) -> Option<PoolVersion> {
+        let endpoint = self.endpoints.iter().find(|e| e.listed.id == id);
+        endpoint.map(|e| e.listed.version)
+    }
+
     /// Returns whether any endpoint has a free slot for a request, regardless of which
     /// process may claim it.
     pub fn has_free_slot(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> bool {
         let median = self.median_time_factor();
         let is_fit = |e: &EndpointState| {
-            !tried.contains(&e.listed.id) && self.has_room(e, demand, median, now)
+            !tried.contains(&e.listed.id)
+                && demand.allows(e)
+                && self.has_room(e, demand, median, now)
         };
         self.open(now).any(is_fit)
     }
@@ -302,8 +326,9 @@
         });
         let mut best: Option<(f64, &EndpointState)> = None;
         for endpoint in self.open(now) {
-            let is_open = !is_contended || endpoint.claimable > 0;
-            if !is_open || tried.contains(&endpoint.listed.id) {
+            // A stream that goes on has few endpoints to choose from, so it takes any free slot there.
+            let is_open = !is_contended || endpoint.claimable > 0 || demand.version.is_some();
+            if !is_open || !demand.allows(endpoint) || tried.contains(&endpoint.listed.id) {
                 continue;
             }
             if !self.has_room(endpoint, demand, median, now) {
@@ -410,7 +435,10 @@
     /// Returns whether some endpoint, free or not, is fast enough for a request to be on time.
     fn can_be_on_time(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> bool {
         let is_fit = |e: &EndpointState| {
-            e.ejected_until <= now && !tried.contains(&e.listed.id) && e.is_on_time(demand)
+            e.ejected_until <= now
+                && !tried.contains(&e.listed.id)
+                && demand.allows(e)
+                && e.is_on_time(demand)
         };
         demand.time_left.is_some() && self.open(now).any(is_fit)
     }
@@ -426,6 +454,17 @@
         self.endpoints.iter().filter(is_ready)
     }
 
+    /// Returns the ready endpoints that a request may go to.
+    fn untried(
+        &self,
+        version: Option<PoolVersion>,
+        tried: &[SmolStr],
+    ) -> impl Iterator<Item = &EndpointState> {
+        self.ready().filter(move |e| {
+            version.is_none_or(|v| v == e.listed.version) && !tried.contains(&e.listed.id)
+        })
+    }
+
     /// Returns the ready endpoints that have not asked for a pause.
     fn open(&self, now: Instant) -> impl Iterator<Item = &EndpointState> {
         self.ready().filter(move |e| e.standing.accepts(now))
--- a/crates/sesamehaven/src/refusal.rs
+++ b/crates/sesamehaven/src/refusal.rs
@@ -17,6 +17,8 @@
     Overdue,
     /// No endpoint accepts requests.
     NoEndpoint,
+    /// No endpoint of the software version that began the stream accepts requests.
+    NoVersion,
     /// All endpoints asked for a pause that the request cannot wait for.
     Paused,
 }
@@ -28,6 +30,7 @@
             Refusal::Overload => "overload",
             Refusal::Overdue => "overdue",
             Refusal::NoEndpoint => "no_endpoint",
+            Refusal::NoVersion => "no_version",
             Refusal::Paused => "paused",
         }
     }
