--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -102,6 +102,40 @@
     _in_flight: InFlightGuard<P>,
 }
 
+/// An attempt that may be withdrawn; the endpoint can be asked again then.
+struct PendingAttempt<'a, P: Protocol> {
+    job: &'a Job<P>,
+    endpoint: &'a str,
+    /// The number of attempts before.
+    runs: u32,
+    is_settled: bool,
+}
+
+impl<'a, P: Protocol> PendingAttempt<'a, P> {
+    fn new(job: &'a Job<P>, endpoint: &'a str) -> Self {
+        job.tried.borrow_mut().push(endpoint.into());
+        PendingAttempt {
+            job,
+            endpoint,
+            runs: job.runs.get(),
+            is_settled: false,
+        }
+    }
+
+    fn settle(mut self) {
+        self.is_settled = true;
+    }
+}
+
+impl<P: Protocol> Drop for PendingAttempt<'_, P> {
+    fn drop(&mut self) {
+        if !self.is_settled {
+            self.job.runs.set(self.runs);
+            self.job.tried.borrow_mut().retain(|e| e != self.endpoint);
+        }
+    }
+}
+
 /// The outcome of an attempt at one endpoint.
 #[derive(Debug)]
 pub enum Attempt<P: Protocol> {
@@ -121,13 +155,19 @@
         self.deadline.since(now)
     }
 
-    /// Waits for a slot in the pool; the limits of the wait count from `waiting_since`.
+    /// Waits for a slot in the pool.
+    ///
+    /// How long it waits counts from the arrival of the request, or from now if it has run before.
     ///
     /// # Errors
     ///
     /// Returns the reason and a retry delay if the pool is unknown or no slot becomes available in
     /// time.
-    pub async fn acquire(&self, waiting_since: Instant) -> Result<Slot, Rejection> {
+    pub async fn acquire(&self) -> Result<Slot, Rejection> {
+        let waiting_since = match self.runs.get() {
+            0 => self.arrived,
+            _ => clock::now(),
+        };
         let work = Work {
             class: self.route.name.clone(),
             rank: self.rank,
@@ -184,10 +224,11 @@
     /// Sends the request to an endpoint and reads the response head.
     pub async fn attempt(&self, slot: Slot, last_event_id: Option<u64>) -> Attempt<P> {
         let endpoint = slot.endpoint.clone();
-        self.tried.borrow_mut().push(endpoint.clone());
+        let pending = PendingAttempt::new(self, &endpoint);
         let mut conn = match self.front.connections.acquire(&endpoint).await {
             Ok(conn) => conn,
             Err(err) => {
+                pending.settle();
                 self.log("unreachable", &endpoint, err.to_string());
                 slot.mark_unreachable();
                 return Attempt::NotSent;
@@ -206,7 +247,9 @@
         let run_status = self.run_status.replace(RunStatus::MayHaveRun);
         let runs = self.runs.replace(self.runs.get() + 1);
         conn.send(head, self.body.clone());
-        match self.read_response_head(&mut conn, &endpoint).await {
+        let head = self.read_response_head(&mut conn, &endpoint).await;
+        pending.settle();
+        match head {
             Ok((head, ResponseClass::Valid)) => Attempt::Responded(Box::new(EndpointResponse {
                 head,
                 conn,
@@ -319,10 +362,15 @@
     /// it to run again and a retry is left.
     pub fn try_acquire_rerun(&self) -> bool {
         self.route.retry_policy != RetryPolicy::Never
-            && self.runs.get() < self.route.max_attempts
+            && self.has_attempts()
             && self.try_acquire_retry()
     }
 
+    /// Returns whether the request may run at one more endpoint.
+    pub fn has_attempts(&self) -> bool {
+        self.runs.get() < self.route.max_attempts
+    }
+
     /// Consumes one retry from the retry budget, if one is left.
     pub fn try_acquire_retry(&self) -> bool {
         let now = clock::now();
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -188,7 +188,7 @@
 async fn dispatch<P: Protocol>(job: &Job<P>) -> ServeResult<Served<P>> {
     let mut attempts_without_run = 0;
     loop {
-        let slot = match job.acquire(job.arrived).await {
+        let slot = match job.acquire().await {
             Ok(slot) => slot,
             Err(rejection) if job.runs.get() == 0 => {
                 return Err(rejected(rejection.reason, rejection.retry_after));
@@ -306,8 +306,7 @@
 impl<P: Protocol> Job<P> {
     /// Returns whether a failed request has an attempt left and enough time for it.
     fn has_time_for_retry(&self) -> bool {
-        self.runs.get() < self.route.max_attempts
-            && self.remaining(clock::now()) > self.route.objective
+        self.has_attempts() && self.remaining(clock::now()) > self.route.objective
     }
 }
 
