Give the endpoints of a pool and the work of a dispatcher files of their own

Moves only, with the names that other crates use exported from where they were; the private EndpointState of the placement is PoolEndpoint, since another module has a type of the old name.

--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -27,17 +27,17 @@
 use std::collections::HashMap;
 
 use smallvec::SmallVec;
-use smol_str::{SmolStr, format_smolstr};
+use smol_str::SmolStr;
 
 use crate::announcement::Standing;
 use crate::backlog::{Backlog, Length, Rank, Ticket, WaitingRequest, drain_time};
 use crate::placement::{Demand, DispatchOutcome, ListedEndpoint, Placement};
 use crate::refusal::{self, RETRY_AFTER_MAX};
 use crate::software_version::PoolVersion;
-use crate::tier::Tier;
 use crate::unit::{Instant, Millis};
 
 pub use crate::refusal::Refusal;
+pub use crate::work::Work;
 
 /// The share of the slots that the lowest rank leaves free for higher ranks.
 const RESERVE_SHARE: f64 = 0.14;
@@ -51,8 +51,6 @@
 const GIVE_UP_SHARE: f64 = 1.2;
 /// The same for the highest rank.
 const URGENT_GIVE_UP_SHARE: f64 = 3.0;
-/// The share of the objective that a started request needs up to its first token.
-const FIRST_TOKEN_SHARE: f64 = 0.3;
 /// Requests must hold their slots for at least this many intervals between peer
 /// counts; with shorter requests, the counts are out of date before they are used.
 const MIN_HOLD_INTERVALS: f64 = 3.0;
@@ -61,90 +59,6 @@
 /// The lower and upper bound of the pool's time factor.
 const TIME_FACTOR_RANGE: (f64, f64) = (0.2, 10.0);
 
-/// The properties of a request that the dispatcher decides by.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Work {
-    /// The class of the request.
-    pub class: SmolStr,
-    /// The rank.
-    pub rank: Rank,
-    /// When the first byte of the request arrived.
-    pub arrived: Instant,
-    /// When the caller sent the request for the first time, before any refusals; the
-    /// objective counts from this time.
-    pub first_sent: Instant,
-    /// The time within which the response, or its first event, is on time.
-    pub objective: Millis,
-    /// When the caller stops waiting.
-    pub deadline: Instant,
-    /// The expected time in a slot at an endpoint of average speed, in milliseconds.
-    pub slot_ms: f64,
-    /// The expected time to the first event at an endpoint of average speed, in milliseconds.
-    pub first_event_ms: f64,
-    /// The session or prefix whose cached prompt the request can reuse.
-    pub session: Option<u64>,
-    /// The endpoints that have been tried already.
-    pub tried: SmallVec<[SmolStr; 2]>,
-    /// The software version that began its stream, if it goes on with one; it runs only there.
-    pub version: Option<PoolVersion>,
-}
-
-impl Work {
-    /// Creates a request of average length without a session.
-    pub fn new(class: &str, tier: Tier, objective: Millis, arrived: Instant) -> Self {
-        Work {
-            class: class.into(),
-            rank: tier.into(),
-            arrived,
-            first_sent: arrived,
-            objective,
-            deadline: arrived.after(Millis(objective.0 * 8)),
-            slot_ms: 100.0,
-            first_event_ms: 50.0,
-            session: None,
-            tried: SmallVec::new(),
-            version: None,
-        }
-    }
-
-    fn demand(&self, ticket: Ticket, now: Instant) -> Demand {
-        let due = self.first_sent.after(self.objective);
-        Demand {
-            session: self.session,
-            is_long: self.length().is_long(),
-            first_event_ms: self.first_event_ms,
-            time_left: (due > now).then(|| due.since(now)),
-            tie_breaker: ticket.0,
-            version: self.version,
-        }
-    }
-
-    /// Returns the class in which the request waits.
-    ///
-    /// Streams that go on at one version wait apart, so that they never hold up requests that may
-    /// start anywhere.
-    fn queue_class(&self) -> SmolStr {
-        match self.version {
-            Some(version) => format_smolstr!("{}@{version}", self.class),
-            None => self.class.clone(),
-        }
-    }
-
-    fn length(&self) -> Length {
-        Length::of(self.slot_ms)
-    }
-
-    /// Returns the latest start at which the objective is still met.
-    fn latest_on_time_start(&self) -> Instant {
-        let share = self.share_of_objective(1.0 - FIRST_TOKEN_SHARE);
-        self.first_sent.after(share)
-    }
-
-    fn share_of_objective(&self, share: f64) -> Millis {
-        Millis((self.objective.0 as f64 * share) as u64)
-    }
-}
-
 /// An action for the caller of the dispatcher to execute.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Step {
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod parts;
 pub mod placement;
 pub mod plan;
+mod pool_endpoint;
 pub mod prefix;
 pub mod quarantine;
 pub mod queue;
@@ -67,6 +68,7 @@
 pub mod stream_origin;
 pub mod tier;
 pub mod unit;
+mod work;
 
 pub use crate::error::{Error, Result};
 pub use crate::tier::Tier;
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -12,11 +12,14 @@
 use smol_str::SmolStr;
 
 use crate::announcement::Standing;
-use crate::digest::{hash_of, mix_bits, to_unit_interval};
+use crate::digest::{mix_bits, to_unit_interval};
+use crate::pool_endpoint::{PoolEndpoint, QUEUED_AHEAD};
 use crate::session_table::SessionTable;
 use crate::software_version::PoolVersion;
 use crate::unit::{Instant, Millis};
 
+pub use crate::pool_endpoint::{Demand, ListedEndpoint};
+
 /// The weight of a new sample in the moving averages of an endpoint.
 const SAMPLE_WEIGHT: f64 = 0.2;
 /// The weight of a new sample in the average time to the first event of an endpoint.
@@ -30,10 +33,6 @@
 const MIN_SAMPLES: u32 = 4;
 /// The failure rate, in excess of the pool average, above which an endpoint is ejected.
 const FAILURE_EXCESS: f64 = 0.25;
-/// The duration of the first ejection; it doubles with each consecutive one.
-const FIRST_EJECTION: Millis = Millis(1_000);
-/// The longest ejection.
-const MAX_EJECTION: Millis = Millis(8_000);
 /// The time factor, relative to the pool median, above which an endpoint runs one
 /// probe request at a time.
 const SLOW_TIME_FACTOR: f64 = 3.0;
@@ -45,9 +44,6 @@
 /// The score bonus of an endpoint in the same data centre, in units of a full
 /// endpoint's load.
 const NEAR_BONUS: f64 = 0.6;
-/// The requests sent to an endpoint beyond those that it runs, so that its batch
-/// stays full.
-const QUEUED_AHEAD: u32 = 1;
 /// How long an endpoint that rejected a request as full is skipped; about the time
 /// that a request holds a slot.
 const FULL_COOLDOWN: Millis = Millis(150);
@@ -66,44 +62,6 @@
 /// The share of an endpoint's slots that long requests may hold.
 const LONG_SLOT_SHARE: f64 = 0.67;
 
-/// An endpoint as listed in the directory.
-#[derive(Debug, Clone, PartialEq)]
-pub struct ListedEndpoint {
-    /// The incarnation of the endpoint.
-    pub id: SmolStr,
-    /// The number of requests that it runs concurrently.
-    pub slots: u32,
-    /// Whether it is in the data centre of this process.
-    pub is_near: bool,
-    /// Whether it accepts new requests.
-    pub is_ready: bool,
-    /// The version of its software.
-    pub version: PoolVersion,
-}
-
-/// The properties of a request that placement decides by.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Demand {
-    /// The session or prefix whose cached prompt the request can reuse.
-    pub session: Option<u64>,
-    /// Whether the request holds its slot longer than is typical.
-    pub is_long: bool,
-    /// The expected time to its first event on an average endpoint, in milliseconds.
-    pub first_event_ms: f64,
-    /// The time left to its objective, or [`None`] if it is late already.
-    pub time_left: Option<Millis>,
-    /// A number, different for each request, that breaks ties between endpoints.
-    pub tie_breaker: u64,
-    /// The software version that began its stream, if it goes on with one.
-    pub version: Option<PoolVersion>,
-}
-
-impl Demand {
-    fn allows(&self, endpoint: &EndpointState) -> bool {
-        self.version.is_none_or(|v| v == endpoint.listed.version)
-    }
-}
-
 /// The outcome of a dispatched request, as it counts for its endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DispatchOutcome {
@@ -115,75 +73,10 @@
     Neutral,
 }
 
-#[derive(Debug, Clone)]
-struct EndpointState {
-    listed: ListedEndpoint,
-    standing: Standing,
-    hash: u64,
-    own_running: u32,
-    own_long_running: u32,
-    peer_running: u32,
-    /// The free slots that this process may claim until the next peer update.
-    claimable: u32,
-    time_factor: f64,
-    /// The moving average of the ratio of actual to expected time to the first event.
-    first_event_factor: f64,
-    failure_rate: f64,
-    samples: u32,
-    ejected_until: Instant,
-    ejections: u32,
-    full_until: Instant,
-}
-
-impl EndpointState {
-    fn new(listed: ListedEndpoint) -> Self {
-        EndpointState {
-            hash: hash_of(&listed.id),
-            listed,
-            standing: Standing::default(),
-            own_running: 0,
-            own_long_running: 0,
-            peer_running: 0,
-            claimable: 0,
-            time_factor: 1.0,
-            first_event_factor: 1.0,
-            failure_rate: 0.0,
-            samples: 0,
-            ejected_until: Instant(0),
-            ejections: 0,
-            full_until: Instant(0),
-        }
-    }
-
-    fn load(&self) -> u32 {
-        self.own_running + self.peer_running
-    }
-
-    /// Ejects the endpoint; the duration doubles with each consecutive ejection up to
-    /// [`MAX_EJECTION`].
-    fn eject(&mut self, now: Instant) {
-        let span = FIRST_EJECTION.0 << self.ejections.min(8);
-        self.ejected_until = now.after(Millis(span.min(MAX_EJECTION.0)));
-        self.ejections += 1;
-    }
-
-    /// Returns whether the first event of a request is expected in time for its objective.
-    fn is_on_time(&self, demand: &Demand) -> bool {
-        let expected_ms = demand.first_event_ms * self.first_event_factor;
-        demand
-            .time_left
-            .is_none_or(|left| expected_ms <= left.0 as f64)
-    }
-
-    fn free(&self) -> u32 {
-        (self.listed.slots + QUEUED_AHEAD).saturating_sub(self.load())
-    }
-}
-
 /// The endpoints of one pool, with the load and health that this process observes.
 #[derive(Debug, Default)]
 pub struct Placement {
-    endpoints: Vec<EndpointState>,
+    endpoints: Vec<PoolEndpoint>,
     sessions: SessionTable,
     seed: u64,
     /// Whether other processes dispatch to the same endpoints.
@@ -209,11 +102,11 @@
         let mut old = std::mem::take(&mut self.endpoints);
         for entry in listed {
             let endpoint = match old.iter().position(|e| e.listed.id == entry.id) {
-                Some(at) => EndpointState {
+                Some(at) => PoolEndpoint {
                     listed: entry,
                     ..old.swap_remove(at)
                 },
-                None => EndpointState::new(entry),
+                None => PoolEndpoint::new(entry),
             };
             self.endpoints.push(endpoint);
         }
@@ -270,7 +163,7 @@
     /// Returns how many more requests the ready endpoints accept, including
     /// `QUEUED_AHEAD` for each.
     pub fn free(&self, now: Instant) -> u32 {
-        self.open(now).map(EndpointState::free).sum()
+        self.open(now).map(PoolEndpoint::free).sum()
     }
 
     /// Returns whether any endpoint that a request may go to, of its version if it has one, accepts
@@ -302,7 +195,7 @@
     /// process may claim it.
     pub fn has_free_slot(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> bool {
         let median = self.median_time_factor();
-        let is_fit = |e: &EndpointState| {
+        let is_fit = |e: &PoolEndpoint| {
             !tried.contains(&e.listed.id)
                 && demand.allows(e)
                 && self.has_room(e, demand, median, now)
@@ -324,7 +217,7 @@
             let can_be_on_time = self.can_be_on_time(demand, tried, now);
             can_be_on_time.then(|| SLOW_FIRST_EVENT * self.median_first_event_factor())
         });
-        let mut best: Option<(f64, &EndpointState)> = None;
+        let mut best: Option<(f64, &PoolEndpoint)> = None;
         for endpoint in self.open(now) {
             // A stream that goes on has few endpoints to choose from, so it takes any free slot there.
             let is_open = !is_contended || endpoint.claimable > 0 || demand.version.is_some();
@@ -434,7 +327,7 @@
 
     /// Returns whether some endpoint, free or not, is fast enough for a request to be on time.
     fn can_be_on_time(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> bool {
-        let is_fit = |e: &EndpointState| {
+        let is_fit = |e: &PoolEndpoint| {
             e.ejected_until <= now
                 && !tried.contains(&e.listed.id)
                 && demand.allows(e)
@@ -449,8 +342,8 @@
         self.is_shared && free < f64::from(self.slots(now)) * CONTENTION_SHARE
     }
 
-    fn ready(&self) -> impl Iterator<Item = &EndpointState> {
-        let is_ready = |e: &&EndpointState| e.listed.is_ready && !e.standing.is_draining;
+    fn ready(&self) -> impl Iterator<Item = &PoolEndpoint> {
+        let is_ready = |e: &&PoolEndpoint| e.listed.is_ready && !e.standing.is_draining;
         self.endpoints.iter().filter(is_ready)
     }
 
@@ -459,24 +352,24 @@
         &self,
         version: Option<PoolVersion>,
         tried: &[SmolStr],
-    ) -> impl Iterator<Item = &EndpointState> {
+    ) -> impl Iterator<Item = &PoolEndpoint> {
         self.ready().filter(move |e| {
             version.is_none_or(|v| v == e.listed.version) && !tried.contains(&e.listed.id)
         })
     }
 
     /// Returns the ready endpoints that have not asked for a pause.
-    fn open(&self, now: Instant) -> impl Iterator<Item = &EndpointState> {
+    fn open(&self, now: Instant) -> impl Iterator<Item = &PoolEndpoint> {
         self.ready().filter(move |e| e.standing.accepts(now))
     }
 
-    fn endpoint(&mut self, id: &str) -> Option<&mut EndpointState> {
+    fn endpoint(&mut self, id: &str) -> Option<&mut PoolEndpoint> {
         self.endpoints.iter_mut().find(|e| e.listed.id == id)
     }
 
     fn has_room(
         &self,
-        endpoint: &EndpointState,
+        endpoint: &PoolEndpoint,
         demand: &Demand,
         median: f64,
         now: Instant,
@@ -498,7 +391,7 @@
     }
 
     /// Returns the score of an endpoint for a request; lower is better.
-    fn score(&self, endpoint: &EndpointState, demand: &Demand, last: Option<u64>) -> f64 {
+    fn score(&self, endpoint: &PoolEndpoint, demand: &Demand, last: Option<u64>) -> f64 {
         let load = f64::from(endpoint.load() + 1) / f64::from(endpoint.listed.slots.max(1));
         let ran_session = last == Some(endpoint.hash);
         let session_bonus = if ran_session { SESSION_BONUS } else { 0.0 };
--- /dev/null
+++ b/crates/sesamehaven/src/pool_endpoint.rs
@@ -0,0 +1,120 @@
+//! The endpoints of a pool, and what a request demands of them.
+
+use smol_str::SmolStr;
+
+use crate::announcement::Standing;
+use crate::digest::hash_of;
+use crate::software_version::PoolVersion;
+use crate::unit::{Instant, Millis};
+
+/// The duration of the first ejection; it doubles with each consecutive one.
+const FIRST_EJECTION: Millis = Millis(1_000);
+/// The longest ejection.
+const MAX_EJECTION: Millis = Millis(8_000);
+/// The requests sent to an endpoint beyond those that it runs, so that its batch
+/// stays full.
+pub(crate) const QUEUED_AHEAD: u32 = 1;
+
+/// An endpoint as listed in the directory.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ListedEndpoint {
+    /// The incarnation of the endpoint.
+    pub id: SmolStr,
+    /// The number of requests that it runs concurrently.
+    pub slots: u32,
+    /// Whether it is in the data centre of this process.
+    pub is_near: bool,
+    /// Whether it accepts new requests.
+    pub is_ready: bool,
+    /// The version of its software.
+    pub version: PoolVersion,
+}
+
+/// The properties of a request that placement decides by.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Demand {
+    /// The session or prefix whose cached prompt the request can reuse.
+    pub session: Option<u64>,
+    /// Whether the request holds its slot longer than is typical.
+    pub is_long: bool,
+    /// The expected time to its first event on an average endpoint, in milliseconds.
+    pub first_event_ms: f64,
+    /// The time left to its objective, or [`None`] if it is late already.
+    pub time_left: Option<Millis>,
+    /// A number, different for each request, that breaks ties between endpoints.
+    pub tie_breaker: u64,
+    /// The software version that began its stream, if it goes on with one.
+    pub version: Option<PoolVersion>,
+}
+
+impl Demand {
+    pub(crate) fn allows(&self, endpoint: &PoolEndpoint) -> bool {
+        self.version.is_none_or(|v| v == endpoint.listed.version)
+    }
+}
+
+/// An endpoint with the load and health that this process observes.
+#[derive(Debug, Clone)]
+pub(crate) struct PoolEndpoint {
+    pub(crate) listed: ListedEndpoint,
+    pub(crate) standing: Standing,
+    pub(crate) hash: u64,
+    pub(crate) own_running: u32,
+    pub(crate) own_long_running: u32,
+    pub(crate) peer_running: u32,
+    /// The free slots that this process may claim until the next peer update.
+    pub(crate) claimable: u32,
+    pub(crate) time_factor: f64,
+    /// The moving average of the ratio of actual to expected time to the first event.
+    pub(crate) first_event_factor: f64,
+    pub(crate) failure_rate: f64,
+    pub(crate) samples: u32,
+    pub(crate) ejected_until: Instant,
+    pub(crate) ejections: u32,
+    pub(crate) full_until: Instant,
+}
+
+impl PoolEndpoint {
+    pub(crate) fn new(listed: ListedEndpoint) -> Self {
+        PoolEndpoint {
+            hash: hash_of(&listed.id),
+            listed,
+            standing: Standing::default(),
+            own_running: 0,
+            own_long_running: 0,
+            peer_running: 0,
+            claimable: 0,
+            time_factor: 1.0,
+            first_event_factor: 1.0,
+            failure_rate: 0.0,
+            samples: 0,
+            ejected_until: Instant(0),
+            ejections: 0,
+            full_until: Instant(0),
+        }
+    }
+
+    pub(crate) fn load(&self) -> u32 {
+        self.own_running + self.peer_running
+    }
+
+    /// Ejects the endpoint; the duration doubles with each consecutive ejection up to
+    /// [`MAX_EJECTION`].
+    pub(crate) fn eject(&mut self, now: Instant) {
+        let span = FIRST_EJECTION.0 << self.ejections.min(8);
+        self.ejected_until = now.after(Millis(span.min(MAX_EJECTION.0)));
+        self.ejections += 1;
+    }
+
+    /// Returns whether the first event of a request is expected in time for its objective.
+    pub(crate) fn is_on_time(&self, demand: &Demand) -> bool {
+        let expected_ms = demand.first_event_ms * self.first_event_factor;
+        demand
+            .time_left
+            .is_none_or(|left| expected_ms <= left.0 as f64)
+    }
+
+    pub(crate) fn free(&self) -> u32 {
+        (self.listed.slots + QUEUED_AHEAD).saturating_sub(self.load())
+    }
+}
