--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -206,7 +206,7 @@
         if !self.placement.has_ready(None, &[]) {
             return self.refuse(ticket, Refusal::NoEndpoint, work.arrived, now);
         }
-        if !self.placement.has_ready(work.version, &[]) {
+        if work.version.is_some() && !self.placement.has_ready(work.version, &work.tried) {
             return self.refuse(ticket, Refusal::NoVersion, work.arrived, now);
         }
         let is_urgent = self.backlog.rank_position(work.rank).0 == 0;
