--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -9,6 +9,7 @@
 use smol_str::SmolStr;
 use tokio::sync::{Notify, oneshot};
 
+use sesamehaven::announcement::{Announcement, Announcements, Standing};
 use sesamehaven::backlog::Ticket;
 use sesamehaven::digest::hash_of;
 use sesamehaven::dispatcher::{Dispatcher, Refusal, Step, Work};
@@ -39,6 +40,7 @@
 pub struct Pools {
     seed: u64,
     pools: RefCell<HashMap<SmolStr, Dispatcher>>,
+    announcements: RefCell<Announcements>,
     waiters: RefCell<HashMap<Ticket, oneshot::Sender<Assignment>>>,
     next_ticket: Cell<u64>,
     arrivals: Notify,
@@ -130,6 +132,9 @@
     pub fn set_endpoints(&self, entries: &[EndpointEntry], data_centre: &str) {
         let mut listed: HashMap<SmolStr, Vec<ListedEndpoint>> = HashMap::new();
         for entry in entries {
+            let mut announcements = self.announcements.borrow_mut();
+            announcements.on_listed(&entry.id, entry.started_at);
+            drop(announcements);
             listed
                 .entry(entry.pool.clone())
                 .or_default()
@@ -152,9 +157,44 @@
                 pools.insert(name, pool);
             }
         }
+        self.update_standings();
         self.tick();
     }
 
+    /// Applies what an endpoint said about itself, and returns the part that begins with it.
+    pub fn on_announcement(
+        &self,
+        endpoint: &str,
+        started_at: Option<u64>,
+        announcement: Announcement,
+    ) -> Announcement {
+        let mut announcements = self.announcements.borrow_mut();
+        let news = announcements.on_announcement(endpoint, started_at, announcement, clock::now());
+        drop(announcements);
+        self.update_standings();
+        news
+    }
+
+    /// Returns whether an endpoint takes requests, by its own account.
+    pub fn standing(&self, endpoint: &str) -> Standing {
+        self.announcements.borrow().standing(endpoint)
+    }
+
+    /// Returns how long a caller of a pool that is refused should wait at least.
+    pub fn retry_after(&self, pool: &str, min: Millis) -> Millis {
+        let pools = self.pools.borrow();
+        pools
+            .get(pool)
+            .map_or(min, |p| p.retry_after(min, clock::now()))
+    }
+
+    fn update_standings(&self) {
+        let announcements = self.announcements.borrow();
+        for pool in self.pools.borrow_mut().values_mut() {
+            pool.set_standings(|endpoint| announcements.standing(endpoint));
+        }
+    }
+
     /// Updates the running and waiting requests of the other fronts.
     pub fn set_peer_loads(&self, loads: &Loads) {
         for (name, pool) in self.pools.borrow_mut().iter_mut() {
@@ -187,7 +227,7 @@
         let Some(pool) = pools.get(pool) else {
             return (0, 0, 0);
         };
-        let (free, slots) = pool.slots();
+        let (free, slots) = pool.slots(clock::now());
         (free, slots, pool.waiting())
     }
 
@@ -260,7 +300,7 @@
     /// Updates the gauges of all pools.
     pub fn record_gauges(&self) {
         for (name, pool) in self.pools.borrow().iter() {
-            let (free, _) = pool.slots();
+            let (free, _) = pool.slots(clock::now());
             gauge!("front_free_slots", "pool" => name.to_string()).set(free);
             gauge!("front_waiting_requests", "pool" => name.to_string()).set(pool.waiting() as f64);
         }
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`docs/ARCHITECTURE.md`](../../../docs/ARCHITECTURE.md).
 
 mod active_view;
+pub mod announcement;
 pub mod answer_buffer;
 pub mod backlog;
 pub mod backoff;
@@ -48,10 +49,12 @@
 pub mod parts;
 pub mod placement;
 pub mod plan;
+mod pool_endpoint;
 pub mod prefix;
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
+mod refusal;
 pub mod restore;
 pub mod retry;
 pub mod retry_detector;
@@ -65,6 +68,7 @@
 pub mod stream_origin;
 pub mod tier;
 pub mod unit;
+mod work;
 
 pub use crate::error::{Error, Result};
 pub use crate::tier::Tier;
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -11,11 +11,15 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
-use crate::digest::hash_of;
+use crate::announcement::Standing;
+use crate::digest::{mix_bits, to_unit_interval};
+use crate::pool_endpoint::{PoolEndpoint, QUEUED_AHEAD};
 use crate::session_table::SessionTable;
 use crate::software_version::PoolVersion;
 use crate::unit::{Instant, Millis};
 
+pub use crate::pool_endpoint::{Demand, ListedEndpoint};
+
 /// The weight of a new sample in the moving averages of an endpoint.
 const SAMPLE_WEIGHT: f64 = 0.2;
 /// The weight of a new sample in the average time to the first event of an endpoint.
@@ -29,10 +33,6 @@
 const MIN_SAMPLES: u32 = 4;
 /// The failure rate, in excess of the pool average, above which an endpoint is ejected.
 const FAILURE_EXCESS: f64 = 0.25;
-/// The duration of the first ejection; it doubles with each consecutive one.
-const FIRST_EJECTION: Millis = Millis(1_000);
-/// The longest ejection.
-const MAX_EJECTION: Millis = Millis(8_000);
 /// The time factor, relative to the pool median, above which an endpoint runs one
 /// probe request at a time.
 const SLOW_TIME_FACTOR: f64 = 3.0;
@@ -44,9 +44,6 @@
 /// The score bonus of an endpoint in the same data centre, in units of a full
 /// endpoint's load.
 const NEAR_BONUS: f64 = 0.6;
-/// The requests sent to an endpoint beyond those that it runs, so that its batch
-/// stays full.
-const QUEUED_AHEAD: u32 = 1;
 /// How long an endpoint that rejected a request as full is skipped; about the time
 /// that a request holds a slot.
 const FULL_COOLDOWN: Millis = Millis(150);
@@ -65,44 +62,6 @@
 /// The share of an endpoint's slots that long requests may hold.
 const LONG_SLOT_SHARE: f64 = 0.67;
 
-/// An endpoint as listed in the directory.
-#[derive(Debug, Clone, PartialEq)]
-pub struct ListedEndpoint {
-    /// The incarnation of the endpoint.
-    pub id: SmolStr,
-    /// The number of requests that it runs concurrently.
-    pub slots: u32,
-    /// Whether it is in the data centre of this process.
-    pub is_near: bool,
-    /// Whether it accepts new requests.
-    pub is_ready: bool,
-    /// The version of its software.
-    pub version: PoolVersion,
-}
-
-/// The properties of a request that placement decides by.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Demand {
-    /// The session or prefix whose cached prompt the request can reuse.
-    pub session: Option<u64>,
-    /// Whether the request holds its slot longer than is typical.
-    pub is_long: bool,
-    /// The expected time to its first event on an average endpoint, in milliseconds.
-    pub first_event_ms: f64,
-    /// The time left to its objective, or [`None`] if it is late already.
-    pub time_left: Option<Millis>,
-    /// A number, different for each request, that breaks ties between endpoints.
-    pub tie_breaker: u64,
-    /// The software version that began its stream, if it goes on with one.
-    pub version: Option<PoolVersion>,
-}
-
-impl Demand {
-    fn allows(&self, endpoint: &EndpointState) -> bool {
-        self.version.is_none_or(|v| v == endpoint.listed.version)
-    }
-}
-
 /// The outcome of a dispatched request, as it counts for its endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DispatchOutcome {
@@ -114,73 +73,10 @@
     Neutral,
 }
 
-#[derive(Debug, Clone)]
-struct EndpointState {
-    listed: ListedEndpoint,
-    hash: u64,
-    own_running: u32,
-    own_long_running: u32,
-    peer_running: u32,
-    /// The free slots that this process may claim until the next peer update.
-    claimable: u32,
-    time_factor: f64,
-    /// The moving average of the ratio of actual to expected time to the first event.
-    first_event_factor: f64,
-    failure_rate: f64,
-    samples: u32,
-    ejected_until: Instant,
-    ejections: u32,
-    full_until: Instant,
-}
-
-impl EndpointState {
-    fn new(listed: ListedEndpoint) -> Self {
-        EndpointState {
-            hash: hash_of(&listed.id),
-            listed,
-            own_running: 0,
-            own_long_running: 0,
-            peer_running: 0,
-            claimable: 0,
-            time_factor: 1.0,
-            first_event_factor: 1.0,
-            failure_rate: 0.0,
-            samples: 0,
-            ejected_until: Instant(0),
-            ejections: 0,
-            full_until: Instant(0),
-        }
-    }
-
-    fn load(&self) -> u32 {
-        self.own_running + self.peer_running
-    }
-
-    /// Ejects the endpoint; the duration doubles with each consecutive ejection up to
-    /// [`MAX_EJECTION`].
-    fn eject(&mut self, now: Instant) {
-        let span = FIRST_EJECTION.0 << self.ejections.min(8);
-        self.ejected_until = now.after(Millis(span.min(MAX_EJECTION.0)));
-        self.ejections += 1;
-    }
-
-    /// Returns whether the first event of a request is expected in time for its objective.
-    fn is_on_time(&self, demand: &Demand) -> bool {
-        let expected_ms = demand.first_event_ms * self.first_event_factor;
-        demand
-            .time_left
-            .is_none_or(|left| expected_ms <= left.0 as f64)
-    }
-
-    fn free(&self) -> u32 {
-        (self.listed.slots + QUEUED_AHEAD).saturating_sub(self.load())
-    }
-}
-
 /// The endpoints of one pool, with the load and health that this process observes.
 #[derive(Debug, Default)]
 pub struct Placement {
-    endpoints: Vec<EndpointState>,
+    endpoints: Vec<PoolEndpoint>,
     sessions: SessionTable,
     seed: u64,
     /// Whether other processes dispatch to the same endpoints.
@@ -206,11 +102,11 @@
         let mut old = std::mem::take(&mut self.endpoints);
         for entry in listed {
             let endpoint = match old.iter().position(|e| e.listed.id == entry.id) {
-                Some(at) => EndpointState {
+                Some(at) => PoolEndpoint {
                     listed: entry,
                     ..old.swap_remove(at)
                 },
-                None => EndpointState::new(entry),
+                None => PoolEndpoint::new(entry),
             };
             self.endpoints.push(endpoint);
         }
@@ -222,6 +118,13 @@
         self.endpoints.extend(retired);
     }
 
+    /// Updates whether each endpoint takes requests, by its own account.
+    pub fn set_standings(&mut self, standing: impl Fn(&str) -> Standing) {
+        for endpoint in &mut self.endpoints {
+            endpoint.standing = standing(&endpoint.listed.id);
+        }
+    }
+
     /// Updates the number of requests that the other processes run at each endpoint.
     ///
     /// All processes see the same few free slots. Each therefore draws at random which of
@@ -253,25 +156,33 @@
 
     /// Returns the number of requests that all ready endpoints accept, including
     /// `QUEUED_AHEAD` for each.
-    pub fn slots(&self) -> u32 {
-        self.ready().map(|e| e.listed.slots + QUEUED_AHEAD).sum()
+    pub fn slots(&self, now: Instant) -> u32 {
+        self.open(now).map(|e| e.listed.slots + QUEUED_AHEAD).sum()
     }
 
     /// Returns how many more requests the ready endpoints accept, including
     /// `QUEUED_AHEAD` for each.
-    pub fn free(&self) -> u32 {
-        self.ready().map(EndpointState::free).sum()
+    pub fn free(&self, now: Instant) -> u32 {
+        self.open(now).map(PoolEndpoint::free).sum()
     }
 
-    /// Returns whether any endpoint accepts requests.
-    pub fn has_ready(&self) -> bool {
-        self.ready().next().is_some()
+    /// Returns whether any endpoint that a request may go to, of its version if it has one, accepts
+    /// requests, now or after a pause.
+    pub fn has_ready(&self, version: Option<PoolVersion>, tried: &[SmolStr]) -> bool {
+        self.untried(version, tried).next().is_some()
     }
 
-    /// Returns whether an endpoint of a software version accepts requests, beside those already tried.
-    pub fn has_version(&self, version: PoolVersion, tried: &[SmolStr]) -> bool {
-        let mut ready = self.ready();
-        ready.any(|e| e.listed.version == version && !tried.contains(&e.listed.id))
+    /// Returns when the first endpoint that a request may go to, of its version if it has one, takes
+    /// requests, which is now unless all of them asked for a pause.
+    pub fn opens_at(
+        &self,
+        version: Option<PoolVersion>,
+        tried: &[SmolStr],
+        now: Instant,
+    ) -> Instant {
+        let untried = self.untried(version, tried);
+        let first = untried.map(|e| e.standing.paused_until).min();
+        first.unwrap_or(now).max(now)
     }
 
     /// Returns the software version of an endpoint.
@@ -284,12 +195,12 @@
     /// process may claim it.
     pub fn has_free_slot(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> bool {
         let median = self.median_time_factor();
-        let is_fit = |e: &EndpointState| {
+        let is_fit = |e: &PoolEndpoint| {
             !tried.contains(&e.listed.id)
                 && demand.allows(e)
                 && self.has_room(e, demand, median, now)
         };
-        self.ready().any(is_fit)
+        self.open(now).any(is_fit)
     }
 
     /// Chooses the endpoint of a request, excluding those already tried.
@@ -300,14 +211,14 @@
     pub fn choose(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> Option<SmolStr> {
         let last = demand.session.and_then(|s| self.sessions.endpoint(s, now));
         let median = self.median_time_factor();
-        let is_contended = self.is_contended();
+        let is_contended = self.is_contended(now);
         // Most endpoints are on time, and then neither the median nor the others matter.
         let slow_factor = LazyCell::new(|| {
             let can_be_on_time = self.can_be_on_time(demand, tried, now);
             can_be_on_time.then(|| SLOW_FIRST_EVENT * self.median_first_event_factor())
         });
-        let mut best: Option<(f64, &EndpointState)> = None;
-        for endpoint in self.ready() {
+        let mut best: Option<(f64, &PoolEndpoint)> = None;
+        for endpoint in self.open(now) {
             // A stream that goes on has few endpoints to choose from, so it takes any free slot there.
             let is_open = !is_contended || endpoint.claimable > 0 || demand.version.is_some();
             if !is_open || !demand.allows(endpoint) || tried.contains(&endpoint.listed.id) {
@@ -416,32 +327,49 @@
 
     /// Returns whether some endpoint, free or not, is fast enough for a request to be on time.
     fn can_be_on_time(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> bool {
-        let is_fit = |e: &EndpointState| {
+        let is_fit = |e: &PoolEndpoint| {
             e.ejected_until <= now
                 && !tried.contains(&e.listed.id)
                 && demand.allows(e)
                 && e.is_on_time(demand)
         };
-        demand.time_left.is_some() && self.ready().any(is_fit)
+        demand.time_left.is_some() && self.open(now).any(is_fit)
     }
 
     /// Returns whether free slots are so scarce that processes have to divide them.
-    fn is_contended(&self) -> bool {
-        let free = f64::from(self.free());
-        self.is_shared && free < f64::from(self.slots()) * CONTENTION_SHARE
+    fn is_contended(&self, now: Instant) -> bool {
+        let free = f64::from(self.free(now));
+        self.is_shared && free < f64::from(self.slots(now)) * CONTENTION_SHARE
     }
 
-    fn ready(&self) -> impl Iterator<Item = &EndpointState> {
-        self.endpoints.iter().filter(|e| e.listed.is_ready)
+    fn ready(&self) -> impl Iterator<Item = &PoolEndpoint> {
+        let is_ready = |e: &&PoolEndpoint| e.listed.is_ready && !e.standing.is_draining;
+        self.endpoints.iter().filter(is_ready)
     }
 
-    fn endpoint(&mut self, id: &str) -> Option<&mut EndpointState> {
+    /// Returns the ready endpoints that a request may go to.
+    fn untried(
+        &self,
+        version: Option<PoolVersion>,
+        tried: &[SmolStr],
+    ) -> impl Iterator<Item = &PoolEndpoint> {
+        self.ready().filter(move |e| {
+            version.is_none_or(|v| v == e.listed.version) && !tried.contains(&e.listed.id)
+        })
+    }
+
+    /// Returns the ready endpoints that have not asked for a pause.
+    fn open(&self, now: Instant) -> impl Iterator<Item = &PoolEndpoint> {
+        self.ready().filter(move |e| e.standing.accepts(now))
+    }
+
+    fn endpoint(&mut self, id: &str) -> Option<&mut PoolEndpoint> {
         self.endpoints.iter_mut().find(|e| e.listed.id == id)
     }
 
     fn has_room(
         &self,
-        endpoint: &EndpointState,
+        endpoint: &PoolEndpoint,
         demand: &Demand,
         median: f64,
         now: Instant,
@@ -463,7 +391,7 @@
     }
 
     /// Returns the score of an endpoint for a request; lower is better.
-    fn score(&self, endpoint: &EndpointState, demand: &Demand, last: Option<u64>) -> f64 {
+    fn score(&self, endpoint: &PoolEndpoint, demand: &Demand, last: Option<u64>) -> f64 {
         let load = f64::from(endpoint.load() + 1) / f64::from(endpoint.listed.slots.max(1));
         let ran_session = last == Some(endpoint.hash);
         let session_bonus = if ran_session { SESSION_BONUS } else { 0.0 };
@@ -497,15 +425,3 @@
     factors.sort_by(f64::total_cmp);
     factors.get(factors.len() / 2).copied().unwrap_or(1.0)
 }
-
-/// Maps a number to the range from 0 to 1.
-fn to_unit_interval(n: u64) -> f64 {
-    (n >> 40) as f64 / (1u64 << 24) as f64
-}
-
-/// Mixes the bits of a number, so that similar inputs give unrelated outputs.
-fn mix_bits(n: u64) -> u64 {
-    let n = (n ^ (n >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let n = (n ^ (n >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    n ^ (n >> 31)
-}
