Refuse a request at once that every endpoint has turned away

A request that all endpoints of its pool had turned away waited for a place until the longest wait was over, though none could come, and was refused then. Its caller can now come back that much sooner. Found beside the pauses of endpoints; the new test of tests/dispatcher.rs failed before.

--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -206,8 +206,9 @@
         if !self.placement.has_ready(None, &[]) {
             return self.refuse(ticket, Refusal::NoEndpoint, work.arrived, now);
         }
-        if work.version.is_some() && !self.placement.has_ready(work.version, &work.tried) {
-            return self.refuse(ticket, Refusal::NoVersion, work.arrived, now);
+        let has_untried = self.placement.has_ready(work.version, &work.tried);
+        if work.version.is_some() && !has_untried {
+            return self.refuse(ticket, Refusal::NoVersion, now, now);
         }
         let is_urgent = self.backlog.rank_position(work.rank).0 == 0;
         let (wait_share, give_up_share) = match is_urgent {
@@ -219,6 +220,9 @@
         if self.is_paused_beyond(give_up_at, &work, now) {
             return self.refuse(ticket, Refusal::Paused, now, now);
         }
+        if !has_untried {
+            return self.refuse(ticket, Refusal::Overload, now, now);
+        }
         let wait = self.expected_wait(ticket, &work, now);
         let waited = now.since(work.arrived);
         let max_wait = work.share_of_objective(wait_share);
--- a/crates/sesamehaven/tests/dispatcher.rs
+++ b/crates/sesamehaven/tests/dispatcher.rs
@@ -417,3 +417,19 @@
     pool.send("brief", 0, 300.0);
     assert_eq!(pool.started, ["brief"]);
 }
+
+/// No slot can come free for it, so waiting would only delay its caller's next attempt.
+#[test]
+fn a_request_that_was_tried_at_all_endpoints_is_refused_at_once() {
+    let mut pool = Pool::new(&["a", "b"], 6);
+    let tried = Work {
+        tried: ["a", "b"].map(Into::into).into_iter().collect(),
+        ..work("brief", 0, 300.0, pool.now)
+    };
+    let steps = pool.dispatcher.on_arrival(Ticket(1_000), tried, pool.now);
+    assert!(
+        matches!(&steps[..], [Step::Refuse { .. }]),
+        "not refused: {steps:?}"
+    );
+    assert_eq!(pool.dispatcher.waiting(), 0);
+}
