--- a/crates/sesamehaven-front/src/front.rs
+++ b/crates/sesamehaven-front/src/front.rs
@@ -18,6 +18,7 @@
 use crate::connection_pool::ConnectionPool;
 use crate::directory_cache::{ConfigCache, ListingCache};
 use crate::logging::LogRateLimiter;
+use crate::origins::Origins;
 use crate::peers::Peers;
 use crate::pools::Pools;
 use crate::protocol::Protocol;
@@ -44,6 +45,8 @@
     pub connections: ConnectionPool,
     /// The limits shared by all fronts.
     pub shared_limits: RefCell<SharedLimits>,
+    /// The software versions that began streams.
+    pub origins: Origins,
     /// The other fronts.
     pub peers: RefCell<Peers>,
     /// Detects requests that callers send again after a refusal.
@@ -58,6 +61,8 @@
     pub is_draining: Cell<bool>,
     /// The number of requests being served.
     pub active_requests: Cell<u32>,
+    /// The number of open connections of callers.
+    pub caller_connections: Rc<Cell<u32>>,
     /// The total size of the bodies of requests being dispatched, in bytes. Bodies still being read
     /// and those of relayed streams are not included.
     pub body_bytes: Cell<u64>,
@@ -82,6 +87,7 @@
             pools: Rc::new(Pools::new(hash_of(settings.peers.to_string()))),
             connections: ConnectionPool::default(),
             shared_limits: RefCell::new(SharedLimits::default()),
+            origins: Origins::default(),
             settings: RefCell::new(settings),
             peers: RefCell::new(peers),
             retry_detector: RefCell::default(),
@@ -90,6 +96,7 @@
             in_flight: RefCell::new(HashMap::new()),
             is_draining: Cell::new(false),
             active_requests: Cell::new(0),
+            caller_connections: Rc::default(),
             body_bytes: Cell::new(0),
             log_limiter: LogRateLimiter::default(),
             protocol: PhantomData,
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -1,6 +1,6 @@
 //! An admitted request and its attempts at endpoints.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt::Display;
 use std::rc::Rc;
 
@@ -13,6 +13,7 @@
 use sesamehaven::backlog::Rank;
 use sesamehaven::dispatcher::Work;
 use sesamehaven::placement::DispatchOutcome;
+use sesamehaven::software_version::PoolVersion;
 use sesamehaven::unit::{Instant, Millis};
 use sesamehaven_wire::http1::{Connection, Error as WireError, Head};
 
@@ -81,10 +82,12 @@
     pub deadline: Instant,
     /// Whether it may have started to run.
     pub run_status: Cell<RunStatus>,
+    /// The software version that began the stream, once the caller has an event of it.
+    pub version: Cell<Option<PoolVersion>>,
     /// The endpoints that were tried or could not be reached.
-    pub tried: SmallVec<[SmolStr; 2]>,
-    /// The number of attempts in which it may have run.
-    pub runs: u32,
+    pub tried: RefCell<SmallVec<[SmolStr; 2]>>,
+    /// The number of attempts in which it may have run or may still run.
+    pub runs: Cell<u32>,
 }
 
 /// A response whose head has been read.
@@ -99,6 +102,40 @@
     _in_flight: InFlightGuard<P>,
 }
 
+/// An attempt that may be withdrawn; the endpoint can be asked again then.
+struct PendingAttempt<'a, P: Protocol> {
+    job: &'a Job<P>,
+    endpoint: &'a str,
+    /// The number of attempts before.
+    runs: u32,
+    is_settled: bool,
+}
+
+impl<'a, P: Protocol> PendingAttempt<'a, P> {
+    fn new(job: &'a Job<P>, endpoint: &'a str) -> Self {
+        job.tried.borrow_mut().push(endpoint.into());
+        PendingAttempt {
+            job,
+            endpoint,
+            runs: job.runs.get(),
+            is_settled: false,
+        }
+    }
+
+    fn settle(mut self) {
+        self.is_settled = true;
+    }
+}
+
+impl<P: Protocol> Drop for PendingAttempt<'_, P> {
+    fn drop(&mut self) {
+        if !self.is_settled {
+            self.job.runs.set(self.runs);
+            self.job.tried.borrow_mut().retain(|e| e != self.endpoint);
+        }
+    }
+}
+
 /// The outcome of an attempt at one endpoint.
 #[derive(Debug)]
 pub enum Attempt<P: Protocol> {
@@ -120,22 +157,29 @@
 
     /// Waits for a slot in the pool.
     ///
+    /// How long it waits counts from the arrival of the request, or from now if it has run before.
+    ///
     /// # Errors
     ///
     /// Returns the reason and a retry delay if the pool is unknown or no slot becomes available in
     /// time.
     pub async fn acquire(&self) -> Result<Slot, Rejection> {
+        let waiting_since = match self.runs.get() {
+            0 => self.arrived,
+            _ => clock::now(),
+        };
         let work = Work {
             class: self.route.name.clone(),
             rank: self.rank,
-            arrived: self.arrived,
+            arrived: waiting_since,
             first_sent: self.first_sent,
             objective: self.route.objective,
             deadline: self.deadline,
             slot_ms: self.estimated_slot_ms(),
             first_event_ms: self.estimated_first_event_ms(),
             session: self.meta.session,
-            tried: self.tried.clone(),
+            tried: self.tried.borrow().clone(),
+            version: self.version.get(),
         };
         let started = clock::now();
         let slot = self.front.pools.acquire(&self.pool, work).await;
@@ -180,9 +224,11 @@
     /// Sends the request to an endpoint and reads the response head.
     pub async fn attempt(&self, slot: Slot, last_event_id: Option<u64>) -> Attempt<P> {
         let endpoint = slot.endpoint.clone();
+        let pending = PendingAttempt::new(self, &endpoint);
         let mut conn = match self.front.connections.acquire(&endpoint).await {
             Ok(conn) => conn,
             Err(err) => {
+                pending.settle();
                 self.log("unreachable", &endpoint, err.to_string());
                 slot.mark_unreachable();
                 return Attempt::NotSent;
@@ -191,8 +237,11 @@
         let in_flight = self.front.track_in_flight(&endpoint, self.fingerprint);
         let head = self.request_head(&endpoint, last_event_id);
         let run_status = self.run_status.replace(RunStatus::MayHaveRun);
+        let runs = self.runs.replace(self.runs.get() + 1);
         conn.send(head, self.body.clone());
-        match self.read_response_head(&mut conn, &endpoint).await {
+        let head = self.read_response_head(&mut conn, &endpoint).await;
+        pending.settle();
+        match head {
             Ok((head, ResponseClass::Valid)) => Attempt::Responded(Box::new(EndpointResponse {
                 head,
                 conn,
@@ -201,6 +250,7 @@
             })),
             Ok((head, ResponseClass::NotRun)) => {
                 self.run_status.set(run_status);
+                self.runs.set(runs);
                 let status = head.status.as_u16();
                 if conn.read_body(DISCARDED_BODY_MAX_BYTES).await.is_ok() {
                     conn.finish(&head);
@@ -221,6 +271,7 @@
             }
             Err(_) if !conn.has_sent() => {
                 self.run_status.set(run_status);
+                self.runs.set(runs);
                 slot.mark_unreachable();
                 Attempt::NotSent
             }
@@ -301,10 +352,15 @@
     /// it to run again and a retry is left.
     pub fn try_acquire_rerun(&self) -> bool {
         self.route.retry_policy != RetryPolicy::Never
-            && self.runs < self.route.max_attempts
+            && self.has_attempts()
             && self.try_acquire_retry()
     }
 
+    /// Returns whether the request may run at one more endpoint.
+    pub fn has_attempts(&self) -> bool {
+        self.runs.get() < self.route.max_attempts
+    }
+
     /// Consumes one retry from the retry budget, if one is left.
     pub fn try_acquire_retry(&self) -> bool {
         let now = clock::now();
--- a/crates/sesamehaven-front/src/lib.rs
+++ b/crates/sesamehaven-front/src/lib.rs
@@ -21,6 +21,7 @@
 mod headers;
 pub mod job;
 pub mod logging;
+pub mod origins;
 pub mod peers;
 pub mod pools;
 pub mod protocol;
@@ -31,5 +32,6 @@
 pub mod serve;
 pub mod settings;
 pub mod shared_limits;
+mod snapshot;
 
 pub use crate::error::{Error, Result};
