--- a/crates/sesamehaven-standins/src/bin/standin-engine.rs
+++ b/crates/sesamehaven-standins/src/bin/standin-engine.rs
@@ -108,6 +108,10 @@
 }
 
 fn engine() -> impl Parser<EngineOptions> {
+    let release = long("release")
+        .help("Software version that each event of a stream names in `system_fingerprint`")
+        .argument::<SmolStr>("VERSION")
+        .fallback(SmolStr::default());
     let speed = speed();
     let tick = millis("tick-ms", "Time between two steps of the batch", 2)
         .map(|tick| tick.max(Duration::from_millis(1)));
@@ -139,6 +143,7 @@
         .argument::<PathBuf>("FILE")
         .optional();
     construct!(EngineOptions {
+        release,
         speed,
         tick,
         block_tokens,
--- a/crates/sesamehaven-standins/src/completion.rs
+++ b/crates/sesamehaven-standins/src/completion.rs
@@ -87,6 +87,8 @@
     pub id: SmolStr,
     /// The model.
     pub model: SmolStr,
+    /// The software version that each event names; empty for none.
+    pub release: SmolStr,
     /// The echo word.
     pub echo: SmolStr,
     /// The length of the prompt.
@@ -109,6 +111,9 @@
                 "model": self.model,
                 "choices": [self.chunk(number, last)],
             });
+            if !self.release.is_empty() {
+                event["system_fingerprint"] = self.release.as_str().into();
+            }
             if last {
                 event["usage"] = self.usage();
             }
--- a/crates/sesamehaven-standins/src/engine.rs
+++ b/crates/sesamehaven-standins/src/engine.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use smol_str::SmolStr;
 use tokio::sync::Notify;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -17,6 +18,8 @@
 /// The settings of an engine.
 #[derive(Debug, Clone)]
 pub struct EngineOptions {
+    /// The software version that each event of a stream names; empty for none.
+    pub release: SmolStr,
     /// The throughput and batch size.
     pub speed: Speed,
     /// The interval between two steps of the batch.
--- a/crates/sesamehaven-system-tests/src/fleet.rs
+++ b/crates/sesamehaven-system-tests/src/fleet.rs
@@ -147,12 +147,29 @@
     ///
     /// # Errors
     ///
-    /// Fails when there is no such stand-in, or it cannot be killed or started.
+    /// Fails when it cannot be killed or started.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is no such stand-in, which is a bug in the test.
     pub async fn restart_standin(&mut self, name: &str) -> Result<()> {
+        let args = self.standin(name).args.clone();
+        let args: Vec<&str> = args.iter().map(String::as_str).collect();
+        self.replace_standin(name, &args).await
+    }
+
+    /// Kills a stand-in if it still runs and starts it at its previous address with other
+    /// arguments.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such stand-in, or it cannot be killed or started.
+    pub async fn replace_standin(&mut self, name: &str, args: &[&str]) -> Result<()> {
         let mut previous = self.remove_standin(name)?;
         previous.process.kill()?;
+        let args = args.iter().map(|s| s.to_string()).collect();
         let started = self
-            .spawn_standin(previous.program, name, previous.args, previous.address)
+            .spawn_standin(previous.program, name, args, previous.address)
             .await?;
         self.standins.insert(name.into(), started);
         Ok(())
