Route a request again when its agent could not send it

Callers whose endpoint refused connections waited until their deadline and were told 504 unknown, though another endpoint was idle. An agent announces a request as dispatched before the connection is made; when that fails it returns the request as refused, and the lifecycle ignored a refusal of a dispatched request. A second caller with the same key, which reads the answer of the queued or dispatched request, counts as dispatched from the start, so it ignored the return as well.

Ruled out: announcing the dispatch only with the head, since routers count running work by it; ending the request as unknown, since the agent knows that it was not sent. The lifecycle now has an event of its own for this, which counts only until a head has arrived, and a reader of another request's answer claims the key again.

The model of the lifecycle knows the new event; a plain refusal after a dispatch is still ignored.

--- a/crates/sesamehaven-daemons/src/entry_replies.rs
+++ b/crates/sesamehaven-daemons/src/entry_replies.rs
@@ -39,6 +39,11 @@
                 }
                 Event::Accepted
             }
+            ToEntry::Refused(_) if active.key_state.attached.is_some() => {
+                // Returned to the request that holds the key, which may run elsewhere.
+                self.on_not_offered(id);
+                Event::NeverOffered
+            }
             ToEntry::Refused(refused) => {
                 active.refused = Some(refused);
                 if refused.reason.is_lack_of_capacity() {
@@ -50,7 +55,10 @@
                 if let Some(router) = router {
                     router.on_refused(id, &refused, now);
                 }
-                Event::Refused(refused)
+                match active.lifecycle.is_dispatched() {
+                    true => Event::NotSent(refused),
+                    false => Event::Refused(refused),
+                }
             }
             ToEntry::Withdrawn => Event::Withdrawn,
             ToEntry::AlreadyDispatched => Event::AlreadyDispatched,
--- a/crates/sesamehaven-system-tests/tests/versions.rs
+++ b/crates/sesamehaven-system-tests/tests/versions.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use futures_util::future::try_join_all;
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -202,11 +203,14 @@
     for entry in ENTRIES {
         fleet.wait_for_endpoints(entry, 2).await.unwrap();
     }
-    for (number, first) in streams.iter().enumerate() {
+    let returns = streams.iter().enumerate().map(async |(number, first)| {
         let entry = ENTRIES[(number + 1) % 2];
-        let again = Stream::open(&fleet, entry, first.class, first.key.clone()).await;
-        let mut again = again.unwrap();
+        let mut again = Stream::open(&fleet, entry, first.class, first.key.clone()).await?;
         again.read().await;
+        Ok(again)
+    });
+    let returned: Result<Vec<Stream>> = try_join_all(returns).await;
+    for (first, again) in streams.iter().zip(returned.unwrap()) {
         again.check();
         if first.class == "once" && again.is_whole() {
             assert_eq!(again.versions(), first.versions(), "{}", first.key);
--- a/crates/sesamehaven/src/lifecycle.rs
+++ b/crates/sesamehaven/src/lifecycle.rs
@@ -49,6 +49,8 @@
     Accepted,
     /// The agent refused the offer or returned the request without dispatching it.
     Refused(Refused),
+    /// The agent could not send the dispatched request to its endpoint, so it was not run.
+    NotSent(Refused),
     /// The agent confirmed the withdrawal.
     Withdrawn,
     /// The agent had dispatched the request before the withdrawal.
@@ -341,6 +343,7 @@
                 self.timeout_at = None;
                 Steps::new()
             }
+            Event::NotSent(refused) if !self.head_forwarded => self.on_refused(refused),
             Event::Completed => self.finish(),
             Event::Interrupted => self.on_outcome_unknown(UnknownReason::EndpointFailed),
             Event::LinkLost => self.await_link(now),
--- a/crates/sesamehaven/tests/lifecycle.rs
+++ b/crates/sesamehaven/tests/lifecycle.rs
@@ -62,6 +62,19 @@
     assert!(matches!(steps[..], [Step::NotRun(_)]), "{steps:?}");
 }
 
+#[test]
+fn a_call_that_was_not_sent_is_rerouted_unless_its_head_arrived() {
+    let not_sent = Event::NotSent(refused(Refusal::Unavailable));
+    let mut lifecycle = Lifecycle::new(policy(Repeat::AtMostOnce));
+    lifecycle.on(Event::Routed(1), Instant(0));
+    lifecycle.on(Event::Dispatched, Instant(1));
+    let steps = lifecycle.on(not_sent.clone(), Instant(2));
+    assert_eq!(steps[..], [Step::Route]);
+    lifecycle.on(Event::Routed(2), Instant(3));
+    lifecycle.on(Event::Head, Instant(4));
+    assert!(lifecycle.on(not_sent, Instant(5)).is_empty());
+}
+
 #[rstest]
 #[case(Repeat::AtMostOnce)]
 #[case(Repeat::Claimed)]
@@ -82,6 +95,7 @@
         Just(Event::Undecided),
         Just(Event::Accepted),
         Just(Event::Refused(refused(Refusal::Evicted))),
+        Just(Event::NotSent(refused(Refusal::Unavailable))),
         Just(Event::Withdrawn),
         Just(Event::AlreadyDispatched),
         Just(Event::NeverOffered),
@@ -102,15 +116,22 @@
 struct NaiveLifecycle {
     outstanding: bool,
     dispatched: bool,
+    has_head: bool,
 }
 
 impl NaiveLifecycle {
     /// Updates the state of the outstanding offer.
     fn apply(&mut self, event: &Event<u8>) {
+        self.has_head |= self.outstanding && *event == Event::Head;
         match event {
             Event::Dispatched | Event::AlreadyDispatched | Event::Head | Event::Completed => {
                 self.dispatched |= self.outstanding;
             }
+            // The agent says so only of a request that it dispatched.
+            Event::NotSent(_) if self.dispatched && !self.has_head => {
+                self.outstanding = false;
+                self.dispatched = false;
+            }
             Event::Refused(_) | Event::Withdrawn | Event::NeverOffered if !self.dispatched => {
                 self.outstanding = false;
             }
