Let a second caller wait as long as the request it follows is queued

A caller that sent a key again at another entry, while the first request with it was queued, was told 502 agent_lost after 2.5 s, though the agent had answered and was well. The entry waits that long for the agent's word on a run that it attaches to, and took only "dispatched" for one; the agent had said "accepted".

Any word of the agent that it has the request ends the wait now, as it does for the request's own entry.

--- a/crates/sesamehaven-system-tests/tests/shared_answers.rs
+++ b/crates/sesamehaven-system-tests/tests/shared_answers.rs
@@ -126,3 +126,12 @@
     check(&answers);
     assert_eq!(count_runs(&fleet).await.unwrap(), 1);
 }
+
+#[actix_rt::test]
+async fn a_second_caller_waits_as_long_as_the_request_is_queued() {
+    let mut fleet = start_fleet().await.unwrap();
+    let _stream = occupy(&fleet, 500).await.unwrap();
+    let answers = send_twice(&mut fleet, async |_| Ok(())).await.unwrap();
+    check(&answers);
+    assert_eq!(count_runs(&fleet).await.unwrap(), 1);
+}
--- a/crates/sesamehaven/src/lifecycle.rs
+++ b/crates/sesamehaven/src/lifecycle.rs
@@ -339,7 +339,8 @@
                 self.timeout_at = None;
                 Steps::new()
             }
-            Event::Dispatched | Event::AlreadyDispatched => {
+            // The run of another request, whose answer this one reads, may still be queued.
+            Event::Accepted | Event::Dispatched | Event::AlreadyDispatched => {
                 self.timeout_at = None;
                 Steps::new()
             }
--- a/crates/sesamehaven/tests/lifecycle.rs
+++ b/crates/sesamehaven/tests/lifecycle.rs
@@ -75,6 +75,19 @@
     assert!(lifecycle.on(not_sent, Instant(5)).is_empty());
 }
 
+#[test]
+fn a_reader_of_a_queued_run_waits_until_its_deadline() {
+    let guarded = ExecutionPolicy {
+        guarded: true,
+        ..policy(Repeat::AtMostOnce)
+    };
+    let mut lifecycle = Lifecycle::new(guarded);
+    lifecycle.on(Event::Routed(1), Instant(0));
+    lifecycle.on(Event::Attached(2), Instant(1));
+    lifecycle.on(Event::Accepted, Instant(2));
+    assert_eq!(lifecycle.wake_at(), guarded.deadline);
+}
+
 #[rstest]
 #[case(Repeat::AtMostOnce)]
 #[case(Repeat::Claimed)]
