Give each run of a request an id of its own

A stream could go on at another endpoint, of another software version, than the one that began it. When an agent was replaced under its name while an idempotent call ran there, the call ran again, and if it came to the newer agent, it had the same id there. What the older agent had sent before was still read from its link and taken for the answer, whose end then came from the newer run. An agent that was to run a lost call again at another of its own endpoints took the offer for a repetition of the first one, and the caller was told 502.

Ruled out: links to the agent that is cut (one run, resumed), a restart of the agent or the entry (a lost run), answers kept for a key (one run from its beginning), a newer version at the same address (a broken run). An id for each run mends both: replies under an earlier id are late, as they are after a withdrawn offer. Dropping frames of links that are not the current one was weighed, and would not have mended the second.

--- a/crates/sesamehaven-daemons/src/active.rs
+++ b/crates/sesamehaven-daemons/src/active.rs
@@ -33,7 +33,7 @@
     /// recorded.
     pub(crate) slo: Option<SloTracker>,
     /// Number of times the request was renumbered because an agent no longer
-    /// accepts the previous id.
+    /// accepts the previous id, or because it runs again.
     pub(crate) attempt: u8,
 }
 
@@ -51,6 +51,14 @@
         self.excluded.pop();
     }
 
+    /// Gives the next run of the request an id of its own.
+    ///
+    /// Its agent would otherwise take the offer for a repetition of the earlier one,
+    /// and what is left of the earlier run could be taken for the answer of this one.
+    pub(crate) fn start_rerun(&mut self) {
+        self.attempt = self.attempt.saturating_add(1);
+    }
+
     pub(crate) fn route_job(&self) -> router::Job {
         router::Job {
             tier: self.job.tier,
--- a/crates/sesamehaven-daemons/src/entry_routing.rs
+++ b/crates/sesamehaven-daemons/src/entry_routing.rs
@@ -47,6 +47,9 @@
             return self.on_event(id, Event::Unroutable(no_endpoint()));
         }
         counter!("entry_retries_total").increment(1);
+        if let Some(active) = self.active.get_mut(&id) {
+            active.start_rerun();
+        }
         self.route(id);
     }
 
--- a/crates/sesamehaven/src/id.rs
+++ b/crates/sesamehaven/src/id.rs
@@ -119,7 +119,8 @@
     }
 
     /// Returns the id under which the request is offered after `count` reports of
-    /// agents that they have not dispatched it and never will.
+    /// agents that they have not dispatched it and never will, and losses of a run that
+    /// may be repeated.
     ///
     /// Those agents accept no more offers under the previous ids. The highest byte is
     /// available because incarnations will not reach it for many centuries.
