Refuse requests that take up a stream again

A caller that took an event stream up again with `Last-Event-ID` reached any endpoint of the pool: the header was passed on, and an endpoint of another software version than the one that began the stream could go on with it. The entry does not know which endpoint that was, above all after a restart or at another entry, and endpoints do not check versions.

Ruled out: dropping the header, since the caller would append a stream from its beginning to what it has; a token that names the endpoint, which is an interface of its own and needs endpoints that tell their version. A refusal that names the remedy is final, and event-source clients stop at it.

The test failed before: 200 and an answer.

--- a/crates/sesamehaven-daemons/src/request.rs
+++ b/crates/sesamehaven-daemons/src/request.rs
@@ -314,6 +314,7 @@
     body: Bytes,
 ) -> Result<Job> {
     let now = clock::now();
+    check_not_resumed(req)?;
     let class = caller.class;
     let remaining = timeout(req)?
         .unwrap_or(class.deadline)
@@ -360,6 +361,18 @@
     }
 }
 
+/// Refuses a request that takes up a stream again.
+///
+/// It would go on at any endpoint of the pool, which may run another software version
+/// than the one that began the stream.
+fn check_not_resumed(req: &HttpRequest) -> Result<()> {
+    if !req.headers().contains_key("last-event-id") {
+        return Ok(());
+    }
+    let message = "streams cannot be taken up again; send the request without `Last-Event-ID`";
+    Err(BadRequest::new("stream_not_resumable", message))
+}
+
 fn idempotency_key(req: &HttpRequest) -> Result<Option<Key>> {
     let Some(value) = req.headers().get("idempotency-key") else {
         return Ok(None);
--- a/crates/sesamehaven-system-tests/tests/bad_input.rs
+++ b/crates/sesamehaven-system-tests/tests/bad_input.rs
@@ -96,7 +96,9 @@
     let wrong_key = [("authorization", "Bearer nobody")];
     let no_scheme = [("authorization", "key-of-org-1")];
 
+    let resumed = with("last-event-id", "7");
     let cases: [Case<'_>; _] = [
+        ("a stream taken up again", &resumed, &valid, 400),
         ("broken JSON", &authorization, "{\"model\":", 400),
         ("an empty body", &authorization, "", 400),
         ("a list", &authorization, "[]", 400),
