Wait for the home of a key while it may still answer

When the agent that is the home of a key fell silent for 1.5 s, callers that sent requests with the key were told 502 key_undecided, though their deadline was far off and the home well a moment later; callers whose queued requests were refused meanwhile were told unknown in place of not-run. The entry waited 1.5 s for a claim and 0.5 s for a release, less than links take to notice a silent agent (2 s) and the entry to have it replaced (1 s later), so it gave up before anybody else could have answered.

Ruled out: a shorter grace before a home is replaced, since a home that goes on would be replaced for nothing; waiting until the deadline in any case, since where no home can serve, callers would hang for nothing. The entry now waits 5 s, in which a lost home is replaced, and not beyond the deadline, except that a refusal may still wait half a second then.

--- a/crates/sesamehaven-daemons/src/keys.rs
+++ b/crates/sesamehaven-daemons/src/keys.rs
@@ -22,15 +22,9 @@
 use crate::caller::ToCaller;
 use crate::clock;
 use crate::entry::{Entry, Target};
+use crate::key_waits;
 use crate::slo::SloTracker;
 
-/// Maximum time to wait for a home's reply to a claim or a move.
-const CLAIM_TIMEOUT: Millis = Millis(1_500);
-/// Maximum time to wait for a home's confirmation that a key was released.
-const RELEASE_TIMEOUT: Millis = Millis(500);
-/// Time before its deadline at which a request that waits for a home is decided,
-/// which leaves time for the answer to the caller.
-const DEADLINE_MARGIN: Millis = Millis(30);
 /// Time for which a home may be unreachable before another agent is invited to
 /// replace it.
 const HOME_GRACE: Millis = Millis(1_000);
@@ -143,8 +137,7 @@
         if !self.keys.ledger.is_waiting(id) {
             return self.on_event(id, Event::Undecided);
         }
-        let latest = Instant(active.job.deadline.0.saturating_sub(DEADLINE_MARGIN.0));
-        let deadline = now.after(CLAIM_TIMEOUT).min(latest);
+        let deadline = key_waits::claim_deadline(now, active.job.deadline);
         self.keys.claim_deadlines.insert(id, deadline);
         counter!("entry_key_claims_total").increment(1);
         self.apply_key_actions(action.into_iter().collect());
@@ -166,7 +159,7 @@
             tx: active.tx.clone(),
             refused: None,
             slo: active.slo.take(),
-            deadline: clock::now().after(RELEASE_TIMEOUT),
+            deadline: key_waits::release_deadline(clock::now(), active.job.deadline),
         };
         self.keys.pending_releases.insert(id, releasing);
         let action = self.keys.ledger.release(key, id);
--- a/crates/sesamehaven-daemons/src/lib.rs
+++ b/crates/sesamehaven-daemons/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod fields;
 pub mod header;
 pub mod homes;
+mod key_waits;
 pub mod keys;
 pub mod listing;
 pub mod logs;
