Prove that a silent moment ends no answer

An agent, an entry or an endpoint that is stopped for 1.5 s while a stream runs and four requests are queued: all five answers come whole, and none runs twice.

--- a/crates/sesamehaven-system-tests/tests/pauses.rs
+++ b/crates/sesamehaven-system-tests/tests/pauses.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
+use rstest::rstest;
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
@@ -124,3 +125,62 @@
         unknown[0]
     );
 }
+
+/// A process that falls silent while requests run and wait.
+#[rstest]
+#[case::agent("agent-2")]
+#[case::entry("entry-1")]
+#[case::endpoint("engine-2")]
+#[actix_rt::test]
+async fn a_silent_moment_ends_no_answer(#[case] name: &str) {
+    let fleet = start_fleet().await.unwrap();
+    let url = format!(
+        "http://{}/v1/completions",
+        fleet.daemon("entry-1").address()
+    );
+    let open = async |class, tokens: usize| {
+        let body = json!({
+            "model": "model-a", "prompt": "a", "max_tokens": tokens, "stream": true,
+        });
+        let headers = [AUTHORIZATION, ("work-class", class)];
+        fleet
+            .http
+            .open("POST", &url, &headers, body.to_string())
+            .await
+    };
+    let mut running = open("once", 100).await.unwrap();
+    let mut text = running.next_chunk().await.unwrap().unwrap().to_vec();
+    let queued = ["once", "normal", "once", "normal"].map(|class| open(class, 10));
+    let queued = futures_util::future::try_join_all(queued);
+    let paused = async {
+        let agent = fleet.daemon("agent-2").admin();
+        wait::until("queued requests", async || {
+            let status: Value = fleet.http.get_json(agent, "/status").await.ok()?;
+            (status["endpoints"][0]["queued"] == 4).then_some(())
+        })
+        .await?;
+        let process = match name {
+            "engine-2" => &fleet.standin(name).process,
+            _ => &fleet.daemon(name).process,
+        };
+        process.pause()?;
+        sleep(PAUSE_DURATION).await;
+        process.resume()?;
+        running.rest().await
+    };
+    let (queued, rest) = tokio::join!(queued, paused);
+    text.extend(rest.unwrap());
+    let text = String::from_utf8(text).unwrap();
+    assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    for mut stream in queued.unwrap() {
+        let text = String::from_utf8(stream.rest().await.unwrap().to_vec()).unwrap();
+        assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    }
+    let records = fleet.standin("engine-2").address();
+    let records: Vec<Value> = fleet
+        .http
+        .get_json(records, "/control/records")
+        .await
+        .unwrap();
+    assert_eq!(records.len(), 5, "a request ran twice");
+}
