Wait longer for an agent to withdraw a request at its deadline

A caller whose queued request met its deadline while its agent was silent for a moment was told 502 no_reply after a second, though the agent could have said half a second later that the request was not run. Callers are told within two seconds after their deadline; the wait uses more of that now, 1.75 s.

Ruled out: a longer wait, which would leave callers without a word at two seconds. The test failed before: the wait of 1 s was over when the agent spoke 1.51 s after the deadline.

--- a/crates/sesamehaven/src/lifecycle.rs
+++ b/crates/sesamehaven/src/lifecycle.rs
@@ -13,8 +13,10 @@
 use crate::outcome::{Refusal, Refused};
 use crate::unit::{Instant, Millis};
 
-/// The timeout of a withdrawal.
-pub const WITHDRAW_TIMEOUT: Millis = Millis(1_000);
+/// The timeout of a withdrawal, after which the caller is told that the outcome is unknown.
+///
+/// Callers are told within two seconds after their deadline.
+pub const WITHDRAW_TIMEOUT: Millis = Millis(1_750);
 /// The timeout for a lost link to an agent to be restored.
 pub const RESUME_TIMEOUT: Millis = Millis(2_500);
 /// The timeout of an offer.
--- a/crates/sesamehaven/tests/lifecycle.rs
+++ b/crates/sesamehaven/tests/lifecycle.rs
@@ -75,6 +75,19 @@
     assert!(lifecycle.on(not_sent, Instant(5)).is_empty());
 }
 
+#[test]
+fn a_withdrawal_waits_for_an_agent_that_is_silent_for_a_moment() {
+    let mut lifecycle = Lifecycle::new(policy(Repeat::AtMostOnce));
+    lifecycle.on(Event::Routed(1), Instant(0));
+    lifecycle.on(Event::Accepted, Instant(1));
+    lifecycle.on(Event::Tick, Instant(60_000));
+    assert!(lifecycle.on(Event::Tick, Instant(61_500)).is_empty());
+    let steps = lifecycle.on(Event::Withdrawn, Instant(61_510));
+    assert!(matches!(steps[..], [Step::NotRun(_)]), "{steps:?}");
+    // Callers are told within two seconds after their deadline.
+    assert!(lifecycle.wake_at() < Instant(62_000));
+}
+
 #[test]
 fn a_reader_of_a_queued_run_waits_until_its_deadline() {
     let guarded = ExecutionPolicy {
