Send nothing to an endpoint that asks for a pause

An endpoint that turned a request away with 503 and Retry-After got the next requests at once: its agent passed the answer on and dispatched whatever was queued, all of which could be turned away as well. The agent now holds the gate of that endpoint for the time told. Queued requests wait, as long as they can still start in time; others go back to their entries and elsewhere. Entries see the pause as queued work in the reports and prefer other endpoints.

Ruled out: marking the endpoint unhealthy, which would refuse the whole queue of a pool with one endpoint for a short pause; retrying the refused request itself, since a 503 of an endpoint is an answer of its own on this interface.

The library test is of a new method and could not be run before.

--- a/crates/sesamehaven-daemons/src/agent_calls.rs
+++ b/crates/sesamehaven-daemons/src/agent_calls.rs
@@ -4,6 +4,7 @@
 
 use actix::prelude::*;
 use metrics::counter;
+use spdlog::info;
 use tokio::sync::oneshot;
 
 use sesamehaven::claim::{self, Outcome, Reply};
@@ -191,11 +192,28 @@
                 execution.set_head(head);
                 execution.pump(id);
             }
+            Progress::Paused(span) => self.on_paused(id, span, now),
             Progress::Chunk(chunk) => self.on_chunk(id, chunk, now),
             Progress::Ended(end) => self.on_call_end(id, end, now, cx),
         }
     }
 
+    /// Holds the gate of an endpoint that wants no requests for a time.
+    pub(crate) fn on_paused(&mut self, id: RequestId, span: Millis, now: Instant) {
+        let Some(execution) = self.executions.get(&id) else {
+            return;
+        };
+        let Some(state) = self.endpoints.get_mut(&execution.endpoint) else {
+            return;
+        };
+        state.gate.hold(now.after(span));
+        counter!("agent_endpoint_pauses_total").increment(1);
+        info!(
+            "endpoint {} wants no requests for {span}",
+            execution.endpoint
+        );
+    }
+
     pub(crate) fn on_chunk(&mut self, id: RequestId, chunk: bytes::Bytes, now: Instant) {
         let Some(execution) = self.executions.get_mut(&id) else {
             return;
--- a/crates/sesamehaven-daemons/src/call.rs
+++ b/crates/sesamehaven-daemons/src/call.rs
@@ -53,6 +53,8 @@
 /// The progress of a call.
 #[derive(Debug)]
 pub enum Progress {
+    /// The endpoint turned the request away and wants no others for a time.
+    Paused(Millis),
     /// The head of the answer, and whether the body is a stream of server-sent
     /// events.
     Head(Head, bool),
@@ -180,6 +182,10 @@
             Ok(Err(_)) => return CallEnd::Interrupted,
             Err(_) => return CallEnd::Stalled,
         };
+        if let Some(span) = header::retry_after(res.status(), res.headers()) {
+            let progress = Progress::Paused(span);
+            agent.do_send(CallEvent { id, progress });
+        }
         let events = header::is_event_stream(res.headers());
         let head = Head {
             status: res.status().as_u16(),
--- a/crates/sesamehaven-daemons/src/header.rs
+++ b/crates/sesamehaven-daemons/src/header.rs
@@ -1,10 +1,15 @@
 //! HTTP headers that are forwarded between callers and endpoints.
 
-use actix_web::http::header::{CONTENT_TYPE, HeaderMap, HeaderName};
+use actix_web::http::StatusCode;
+use actix_web::http::header::{CONTENT_TYPE, HeaderMap, HeaderName, RETRY_AFTER};
 use bytes::Bytes;
 
+use sesamehaven::unit::Millis;
 use sesamehaven_wire::message::Headers;
 
+/// The longest time for which an endpoint is sent nothing; a longer `Retry-After` counts as this.
+const RETRY_AFTER_MAX: Millis = Millis(24 * 3_600_000);
+
 /// Headers that are not forwarded, since they belong to a connection or to this
 /// system.
 const NOT_FORWARDED: [&str; 14] = [
@@ -43,6 +48,19 @@
     content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
 }
 
+/// Returns for how long an endpoint that turned a request away wants no others.
+///
+/// `Retry-After` is in seconds, with fractions.
+pub fn retry_after(status: StatusCode, headers: &HeaderMap) -> Option<Millis> {
+    if status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
+    let secs: f64 = text.trim().parse().ok()?;
+    let is_span = secs.is_finite() && secs > 0.0;
+    is_span.then(|| Millis((secs * 1_000.0).ceil() as u64).min(RETRY_AFTER_MAX))
+}
+
 fn is_forwarded(name: &HeaderName) -> bool {
     !NOT_FORWARDED.contains(&name.as_str())
 }
--- a/crates/sesamehaven-standins/src/bin/standin-engine.rs
+++ b/crates/sesamehaven-standins/src/bin/standin-engine.rs
@@ -97,10 +97,12 @@
     );
     let slow = number("slow", "Slowdown factor of all computation", defaults.slow);
     let (stall, refuse) = (bpaf::pure(defaults.stall), bpaf::pure(defaults.refuse));
+    let retry_after_ms = bpaf::pure(defaults.retry_after_ms);
     construct!(Faults {
         slow,
         stall,
         refuse,
+        retry_after_ms,
         load_lag_ms,
         events_lag_ms,
         events_gap_percent
--- a/crates/sesamehaven-standins/src/engine_faults.rs
+++ b/crates/sesamehaven-standins/src/engine_faults.rs
@@ -48,6 +48,8 @@
     pub stall: bool,
     /// Whether requests are answered with 503 and not run.
     pub refuse: bool,
+    /// The `Retry-After` of refusals; zero for none.
+    pub retry_after_ms: u64,
     /// The staleness of load reports.
     pub load_lag_ms: u64,
     /// The delay of cache events.
@@ -62,6 +64,7 @@
             slow: 1.0,
             stall: false,
             refuse: false,
+            retry_after_ms: 0,
             load_lag_ms: 100,
             events_lag_ms: 200,
             events_gap_percent: 0.0,
@@ -100,6 +103,8 @@
     pub stall: Option<bool>,
     /// Whether requests are answered with 503 and not run.
     pub refuse: Option<bool>,
+    /// The `Retry-After` of refusals; zero for none.
+    pub retry_after_ms: Option<u64>,
     /// The staleness of load reports.
     pub load_lag_ms: Option<u64>,
     /// The delay of cache events.
@@ -116,6 +121,7 @@
         faults.slow = self.slow.unwrap_or(faults.slow);
         faults.stall = self.stall.unwrap_or(faults.stall);
         faults.refuse = self.refuse.unwrap_or(faults.refuse);
+        faults.retry_after_ms = self.retry_after_ms.unwrap_or(faults.retry_after_ms);
         faults.load_lag_ms = self.load_lag_ms.unwrap_or(faults.load_lag_ms);
         faults.events_lag_ms = self.events_lag_ms.unwrap_or(faults.events_lag_ms);
         faults.events_gap_percent = self.events_gap_percent.unwrap_or(faults.events_gap_percent);
--- a/crates/sesamehaven-standins/src/engine_routes.rs
+++ b/crates/sesamehaven-standins/src/engine_routes.rs
@@ -74,8 +74,9 @@
 }
 
 async fn complete(engine: &Engine, req: &HttpRequest, body: &Bytes, api: ApiKind) -> HttpResponse {
-    if engine.state().faults.refuse {
-        return HttpResponse::ServiceUnavailable().finish();
+    let faults = engine.state().faults;
+    if faults.refuse {
+        return refusal(faults.retry_after_ms);
     }
     let completion: Completion = match serde_json::from_slice(body) {
         Ok(completion) => completion,
@@ -98,6 +99,15 @@
     unstreamed(answer).await
 }
 
+fn refusal(retry_after_ms: u64) -> HttpResponse {
+    let mut res = HttpResponse::ServiceUnavailable();
+    if retry_after_ms > 0 {
+        let secs = Duration::from_millis(retry_after_ms).as_secs_f64();
+        res.insert_header(("retry-after", secs.to_string()));
+    }
+    res.finish()
+}
+
 /// Returns whether a body contains the mark; an empty mark never matches.
 pub fn contains_mark(body: &[u8], mark: &str) -> bool {
     let mark = mark.as_bytes();
--- a/crates/sesamehaven/src/gate.rs
+++ b/crates/sesamehaven/src/gate.rs
@@ -30,6 +30,7 @@
     queue: Queue,
     running: Running,
     closed_until: [Instant; Tier::COUNT],
+    held_until: Instant,
     healthy: bool,
     leaving: bool,
     seq: u64,
@@ -43,6 +44,7 @@
             queue: Queue::default(),
             running: Running::default(),
             closed_until: [Instant::default(); Tier::COUNT],
+            held_until: Instant::default(),
             healthy: true,
             leaving: false,
             seq: 0,
@@ -61,6 +63,19 @@
         self.healthy = healthy;
     }
 
+    /// Dispatches nothing before `until`, as the endpoint asked for when it turned a request away.
+    ///
+    /// Requests that could not start in time then are refused, the queued ones by the next
+    /// [`Gate::poll`]; others wait.
+    pub fn hold(&mut self, until: Instant) {
+        self.held_until = self.held_until.max(until);
+    }
+
+    /// Returns whether the gate dispatches nothing at present because of [`Gate::hold`].
+    pub fn is_held(&self, now: Instant) -> bool {
+        now < self.held_until
+    }
+
     /// Accepts or refuses an offer.
     pub fn offer(&mut self, work: Work, now: Instant) -> Verdict {
         self.seq += 1;
@@ -76,8 +91,9 @@
         let wait = self
             .capacity
             .expected_wait(&self.queue, &self.running, &queued);
-        let start = Instant(now.0.saturating_add(wait as u64));
+        let start = Instant(now.0.saturating_add(wait as u64)).max(self.held_until);
         let late = self.capacity.forecast.is_learned() && start > queued.latest_start;
+        let late = late || self.held_until > queued.latest_start;
         if late || now >= work.deadline {
             return Verdict::Refused(self.refuse(Refusal::DeadlineUnreachable, &queued, now));
         }
@@ -86,7 +102,8 @@
             return Verdict::Refused(self.refuse(Refusal::Full, &queued, now));
         };
         self.queue.push(queued);
-        let first_token = wait + self.capacity.forecast.prefill_time(queued.prompt);
+        let first_token =
+            start.since(now).0 as f64 + self.capacity.forecast.prefill_time(queued.prompt);
         Verdict::Accepted {
             first_token: Millis(first_token as u64),
             evicted,
@@ -115,12 +132,15 @@
         }
         while let Some(work) = self
             .queue
-            .first_expired(now)
+            .first_expired(now.max(self.held_until))
             .and_then(|id| self.queue.remove(id))
         {
             let refused = self.refuse(Refusal::DeadlineUnreachable, &work, now);
             steps.push(Step::Refuse(work.item.id, refused));
         }
+        if self.is_held(now) {
+            return steps;
+        }
         while let Some(id) = self.dispatch(now) {
             steps.push(Step::Dispatch(id));
         }
@@ -174,14 +194,16 @@
     pub fn next_wake(&self, now: Instant) -> Option<Instant> {
         let expiry = self.queue.next_expiry().map(|at| at.after(Millis(1)));
         let late = self.capacity.next_late(&self.running).map(|(at, _)| at);
-        let next = expiry.into_iter().chain(late).min()?;
+        let held = (self.queue.len() > 0 && self.is_held(now)).then_some(self.held_until);
+        let next = expiry.into_iter().chain(late).chain(held).min()?;
         Some(next.max(now.after(Millis(1))))
     }
 
     /// Returns the load for reports.
     ///
     /// Queued work is reported as the number of prompt tokens whose prefill takes as long
-    /// as the work takes to drain; for a plain service, as a number of requests.
+    /// as the work takes to drain; for a plain service, as a number of requests. The time for
+    /// which the endpoint wants nothing counts as queued work of the most urgent tier.
     pub fn load(&self, now: Instant) -> LoadView {
         let forecast = &self.capacity.forecast;
         let limit = self.capacity.usable_limit();
@@ -199,6 +221,8 @@
         for (to, (cost, prompt)) in queued.iter_mut().zip(work) {
             *to = equivalent(cost, prompt);
         }
+        let held = prefill_rate.0 * self.held_until.since(now).0 as f64 / 1_000.0;
+        queued[0] = queued[0].max(held as u32);
         let requests = (self.capacity.limit() / forecast.mean_cost()) as u32;
         LoadView {
             healthy: self.healthy,
@@ -263,7 +287,8 @@
         now: Instant,
     ) -> Option<SmallVec<[(RequestId, Refused); 2]>> {
         if self.is_closed_to(work.tier, now) {
-            let dispatches_at_once = self.queue.is_empty() && self.is_open_to_all(work.tier);
+            let is_free = self.queue.is_empty() && self.is_open_to_all(work.tier);
+            let dispatches_at_once = is_free && !self.is_held(now);
             return dispatches_at_once.then(SmallVec::new);
         }
         if self.queue.len() < self.capacity.cfg.queue_requests as usize {
--- a/crates/sesamehaven/tests/gate.rs
+++ b/crates/sesamehaven/tests/gate.rs
@@ -258,3 +258,39 @@
         "only {during} short requests started beside a long one"
     );
 }
+
+#[test]
+fn a_held_gate_dispatches_nothing_before_its_time() {
+    let now = Instant(1_000);
+    let until = Instant(2_500);
+    let mut gate = Gate::new(config());
+    accept(&mut gate, 1, 0, now);
+    let hasty = Work {
+        deadline: Instant(2_000),
+        ..work(2, 0)
+    };
+    assert!(matches!(gate.offer(hasty, now), Verdict::Accepted { .. }));
+    gate.hold(until);
+    let steps = gate.poll(now);
+    let returned = RequestId(2);
+    assert!(
+        matches!(steps[..], [Step::Refuse(id, Refused { reason: Refusal::DeadlineUnreachable, .. })] if id == returned),
+        "{steps:?}"
+    );
+    let refused = refuse(
+        &mut gate,
+        Work {
+            id: RequestId(3),
+            ..hasty
+        },
+        now,
+    );
+    assert_eq!(refused.reason, Refusal::DeadlineUnreachable);
+    accept(&mut gate, 4, 0, now);
+    // A shorter pause, as of a request that was turned away before, changes nothing.
+    gate.hold(Instant(1_500));
+    assert_eq!(dispatched(&mut gate, Instant(2_499)), []);
+    assert!(gate.load(now).queued[0] > gate.load(until).queued[0]);
+    assert_eq!(gate.next_wake(now), Some(until));
+    assert_eq!(dispatched(&mut gate, until), [1, 4]);
+}
