--- a/crates/sesamehaven-system-tests/tests/replaced_agent.rs
+++ b/crates/sesamehaven-system-tests/tests/replaced_agent.rs
@@ -1,4 +1,5 @@
 //! A run that an agent began before it was replaced under its name.
+#![allow(clippy::unwrap_used, clippy::expect_used)] // Helper functions are used in tests only.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/sesamehaven-system-tests/tests/shared_answers.rs
+++ b/crates/sesamehaven-system-tests/tests/shared_answers.rs
@@ -1,4 +1,5 @@
 //! Callers that wait with the same key, at another entry, for a run that is still queued.
+#![allow(clippy::unwrap_used)] // Helper functions are used in tests only.
 
 use serde_json::{Value, json};
 
--- a/crates/sesamehaven/src/gate.rs
+++ b/crates/sesamehaven/src/gate.rs
@@ -194,7 +194,7 @@
     pub fn next_wake(&self, now: Instant) -> Option<Instant> {
         let expiry = self.queue.next_expiry().map(|at| at.after(Millis(1)));
         let late = self.capacity.next_late(&self.running).map(|(at, _)| at);
-        let held = (self.queue.len() > 0 && self.is_held(now)).then_some(self.held_until);
+        let held = (!self.queue.is_empty() && self.is_held(now)).then_some(self.held_until);
         let next = expiry.into_iter().chain(late).chain(held).min()?;
         Some(next.max(now.after(Millis(1))))
     }
