--- a/crates/sesamehaven-standins/src/bin/standin-engine.rs
+++ b/crates/sesamehaven-standins/src/bin/standin-engine.rs
@@ -97,10 +97,12 @@
     );
     let slow = number("slow", "Slowdown factor of all computation", defaults.slow);
     let (stall, refuse) = (bpaf::pure(defaults.stall), bpaf::pure(defaults.refuse));
+    let retry_after_ms = bpaf::pure(defaults.retry_after_ms);
     construct!(Faults {
         slow,
         stall,
         refuse,
+        retry_after_ms,
         load_lag_ms,
         events_lag_ms,
         events_gap_percent
@@ -108,6 +110,10 @@
 }
 
 fn engine() -> impl Parser<EngineOptions> {
+    let release = long("release")
+        .help("Software version that each event of a stream names in `system_fingerprint`")
+        .argument::<SmolStr>("VERSION")
+        .fallback(SmolStr::default());
     let speed = speed();
     let tick = millis("tick-ms", "Time between two steps of the batch", 2)
         .map(|tick| tick.max(Duration::from_millis(1)));
@@ -139,6 +145,7 @@
         .argument::<PathBuf>("FILE")
         .optional();
     construct!(EngineOptions {
+        release,
         speed,
         tick,
         block_tokens,
--- a/crates/sesamehaven/src/lifecycle.rs
+++ b/crates/sesamehaven/src/lifecycle.rs
@@ -13,8 +13,10 @@
 use crate::outcome::{Refusal, Refused};
 use crate::unit::{Instant, Millis};
 
-/// The timeout of a withdrawal.
-pub const WITHDRAW_TIMEOUT: Millis = Millis(1_000);
+/// The timeout of a withdrawal, after which the caller is told that the outcome is unknown.
+///
+/// Callers are told within two seconds after their deadline.
+pub const WITHDRAW_TIMEOUT: Millis = Millis(1_750);
 /// The timeout for a lost link to an agent to be restored.
 pub const RESUME_TIMEOUT: Millis = Millis(2_500);
 /// The timeout of an offer.
@@ -49,6 +51,8 @@
     Accepted,
     /// The agent refused the offer or returned the request without dispatching it.
     Refused(Refused),
+    /// The agent could not send the dispatched request to its endpoint, so it was not run.
+    NotSent(Refused),
     /// The agent confirmed the withdrawal.
     Withdrawn,
     /// The agent had dispatched the request before the withdrawal.
@@ -337,10 +341,12 @@
                 self.timeout_at = None;
                 Steps::new()
             }
-            Event::Dispatched | Event::AlreadyDispatched => {
+            // The run of another request, whose answer this one reads, may still be queued.
+            Event::Accepted | Event::Dispatched | Event::AlreadyDispatched => {
                 self.timeout_at = None;
                 Steps::new()
             }
+            Event::NotSent(refused) if !self.head_forwarded => self.on_refused(refused),
             Event::Completed => self.finish(),
             Event::Interrupted => self.on_outcome_unknown(UnknownReason::EndpointFailed),
             Event::LinkLost => self.await_link(now),
--- a/crates/sesamehaven/tests/lifecycle.rs
+++ b/crates/sesamehaven/tests/lifecycle.rs
@@ -62,6 +62,45 @@
     assert!(matches!(steps[..], [Step::NotRun(_)]), "{steps:?}");
 }
 
+#[test]
+fn a_call_that_was_not_sent_is_rerouted_unless_its_head_arrived() {
+    let not_sent = Event::NotSent(refused(Refusal::Unavailable));
+    let mut lifecycle = Lifecycle::new(policy(Repeat::AtMostOnce));
+    lifecycle.on(Event::Routed(1), Instant(0));
+    lifecycle.on(Event::Dispatched, Instant(1));
+    let steps = lifecycle.on(not_sent.clone(), Instant(2));
+    assert_eq!(steps[..], [Step::Route]);
+    lifecycle.on(Event::Routed(2), Instant(3));
+    lifecycle.on(Event::Head, Instant(4));
+    assert!(lifecycle.on(not_sent, Instant(5)).is_empty());
+}
+
+#[test]
+fn a_withdrawal_waits_for_an_agent_that_is_silent_for_a_moment() {
+    let mut lifecycle = Lifecycle::new(policy(Repeat::AtMostOnce));
+    lifecycle.on(Event::Routed(1), Instant(0));
+    lifecycle.on(Event::Accepted, Instant(1));
+    lifecycle.on(Event::Tick, Instant(60_000));
+    assert!(lifecycle.on(Event::Tick, Instant(61_500)).is_empty());
+    let steps = lifecycle.on(Event::Withdrawn, Instant(61_510));
+    assert!(matches!(steps[..], [Step::NotRun(_)]), "{steps:?}");
+    // Callers are told within two seconds after their deadline.
+    assert!(lifecycle.wake_at() < Instant(62_000));
+}
+
+#[test]
+fn a_reader_of_a_queued_run_waits_until_its_deadline() {
+    let guarded = ExecutionPolicy {
+        guarded: true,
+        ..policy(Repeat::AtMostOnce)
+    };
+    let mut lifecycle = Lifecycle::new(guarded);
+    lifecycle.on(Event::Routed(1), Instant(0));
+    lifecycle.on(Event::Attached(2), Instant(1));
+    lifecycle.on(Event::Accepted, Instant(2));
+    assert_eq!(lifecycle.wake_at(), guarded.deadline);
+}
+
 #[rstest]
 #[case(Repeat::AtMostOnce)]
 #[case(Repeat::Claimed)]
@@ -82,6 +121,7 @@
         Just(Event::Undecided),
         Just(Event::Accepted),
         Just(Event::Refused(refused(Refusal::Evicted))),
+        Just(Event::NotSent(refused(Refusal::Unavailable))),
         Just(Event::Withdrawn),
         Just(Event::AlreadyDispatched),
         Just(Event::NeverOffered),
@@ -102,15 +142,22 @@
 struct NaiveLifecycle {
     outstanding: bool,
     dispatched: bool,
+    has_head: bool,
 }
 
 impl NaiveLifecycle {
     /// Updates the state of the outstanding offer.
     fn apply(&mut self, event: &Event<u8>) {
+        self.has_head |= self.outstanding && *event == Event::Head;
         match event {
             Event::Dispatched | Event::AlreadyDispatched | Event::Head | Event::Completed => {
                 self.dispatched |= self.outstanding;
             }
+            // The agent says so only of a request that it dispatched.
+            Event::NotSent(_) if self.dispatched && !self.has_head => {
+                self.outstanding = false;
+                self.dispatched = false;
+            }
             Event::Refused(_) | Event::Withdrawn | Event::NeverOffered if !self.dispatched => {
                 self.outstanding = false;
             }
