--- a/crates/sesamehaven-daemons/src/timeline.rs
+++ b/crates/sesamehaven-daemons/src/timeline.rs
@@ -157,7 +157,10 @@
         ("answered" | "stream_whole", _) => {
             format!("answered whole by {endpoint} after {elapsed} ms")
         }
-        ("failed", why @ ("overload" | "overdue" | "no_endpoint" | "paused" | "rejected")) => {
+        (
+            "failed",
+            why @ ("overload" | "overdue" | "no_endpoint" | "no_version" | "paused" | "rejected"),
+        ) => {
             format!(
                 "refused as {why} after {elapsed} ms, not run: {} of {} places were free and {} requests waited at {}",
                 last.number_field("free"),
@@ -166,6 +169,11 @@
                 last.process,
             )
         }
+        ("failed", why @ ("version_gone" | "origin_unknown")) => {
+            let taken_up = own.iter().find(|l| l.text_field("event") == "taken_up");
+            let detail = taken_up.map_or("", |l| l.text_field("detail"));
+            format!("refused as {why}, not run: the caller took up {detail}")
+        }
         ("over_limit", organisation) => {
             format!("refused, not run: organisation {organisation} was over its limit")
         }
--- a/crates/sesamehaven-front/src/origins.rs
+++ b/crates/sesamehaven-front/src/origins.rs
@@ -33,6 +33,10 @@
 use crate::protocol::{Listing, Protocol};
 use crate::routing_table::{RetryPolicy, Route};
 
+/// The error code of a stream whose software version serves no more.
+const VERSION_GONE: &str = "version_gone";
+/// The error code of a stream that no front remembers and that could be of several versions.
+const ORIGIN_UNKNOWN: &str = "origin_unknown";
 /// The first byte of messages about origins, which digests never have.
 pub(crate) const MESSAGE_TAG: u8 = 0xa1;
 /// The maximum number of streams in a message, so that it fits into one datagram.
@@ -215,29 +219,42 @@
         true => Continuation::Unknown,
         false => Continuation::decide(origin, &all, &serving),
     };
-    let origin = origin.map_or_else(SmolStr::default, |v| SmolStr::new(v.to_string()));
-    let (label, detail) = match decision {
-        Continuation::At(_) => ("goes_on", ""),
-        Continuation::Gone => ("version_gone", "the version serves no more"),
-        Continuation::Unknown => ("origin_unknown", "the version is not known"),
+    log_take_up(job, origin, decision, serving.len(), all.len());
+    match decision {
+        Continuation::At(version) => Ok(recent.into_iter().find(|(_, v)| *v == version)),
+        Continuation::Gone => Err(Failure::not_resumable(
+            VERSION_GONE,
+            "the software version that began the stream serves no more; begin it anew",
+        )),
+        Continuation::Unknown => Err(Failure::not_resumable(
+            ORIGIN_UNKNOWN,
+            "no front remembers which software version began the stream; begin it anew",
+        )),
+    }
+}
+
+/// Logs and counts a request that takes up a stream, with what decided where it goes on.
+fn log_take_up<P: Protocol>(
+    job: &Job<P>,
+    origin: Option<PoolVersion>,
+    decision: Continuation,
+    serving: usize,
+    recent: usize,
+) {
+    let outcome = match decision {
+        Continuation::At(_) => "goes_on",
+        Continuation::Gone => VERSION_GONE,
+        Continuation::Unknown => ORIGIN_UNKNOWN,
     };
-    counter!("front_streams_taken_up_total", "outcome" => label).increment(1);
-    job.log(
-        "taken_up",
-        "",
-        format_args!(
-            "{} after event {}: {label}, origin {origin}, {} of {} recent versions serve",
-            job.meta.resumes.as_deref().unwrap_or_default(),
-            job.meta.last_event_id.unwrap_or_default(),
-            serving.len(),
-            all.len()
-        ),
+    counter!("front_streams_taken_up_total", "outcome" => outcome).increment(1);
+    let first = job.meta.resumes.as_deref().unwrap_or_default();
+    let last = job.meta.last_event_id.unwrap_or_default();
+    let origin = origin.map_or_else(SmolStr::default, |v| SmolStr::new(v.to_string()));
+    let detail = format_args!(
+        "{first} after event {last}: {outcome}, origin {origin}, {serving} of {recent} recent \
+         versions serve"
     );
-    let Continuation::At(version) = decision else {
-        return Err(Failure::not_resumable(label, detail));
-    };
-    let found = recent.into_iter().find(|(_, v)| *v == version);
-    Ok(found)
+    job.log("taken_up", "", detail);
 }
 
 /// Sends new origins to the fronts that remember them for this one, and questions to all.
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -64,6 +64,7 @@
             job.version.set(Some(version));
         }
         Err(failure) => {
+            job.log("failed", "", failure.code);
             counter!("front_failures_total", "code" => failure.code).increment(1);
             return failure.response();
         }
