Let the first report of a peer raise the usage that was restored before it

A peer's first report now raises the usage to what the peer knows. The new test of tests/shared_limit.rs failed before.

--- a/crates/sesamehaven/src/shared_limit.rs
+++ b/crates/sesamehaven/src/shared_limit.rs
@@ -204,12 +204,19 @@
     /// Updates the running total of another process, with its usage of the window if it
     /// knows it.
     pub fn on_peer(&mut self, peer: PeerId, total: u64, usage: Option<u64>, now: Instant) {
-        let previous = self.peers.insert(peer, total).unwrap_or(total);
+        let previous = self.peers.insert(peer, total);
         self.window.expire(now);
-        match usage {
-            Some(usage) if self.usage(now).is_none() => self.set_usage(usage as f64, now),
+        let is_first_window = now.since(self.started) < self.limit.window;
+        match (usage, previous) {
+            (Some(usage), _) if self.usage(now).is_none() => self.set_usage(usage as f64, now),
+            // What was restored is older than what a peer knows.
+            (Some(usage), None) if is_first_window => {
+                let missing = usage as f64 - self.window.sum;
+                self.window.add(missing.max(0.0), now);
+            }
+            (_, None) => {}
             // A smaller total results from refunds.
-            _ => self.window.add(total as f64 - previous as f64, now),
+            (_, Some(previous)) => self.window.add(total as f64 - previous as f64, now),
         }
     }
 
--- a/crates/sesamehaven/tests/shared_limit.rs
+++ b/crates/sesamehaven/tests/shared_limit.rs
@@ -152,3 +152,24 @@
     }
     assert!(taken.len() > 300, "{}", taken.len());
 }
+
+/// A snapshot is older than what the other processes know, and lacks what they consumed since.
+#[test]
+fn the_first_report_of_a_peer_raises_the_usage_restored_before_it() {
+    let limit = WindowLimit {
+        window: Millis(8_000),
+        amount: 1_000,
+    };
+    let now = Instant(100_000);
+    let mut window = SharedWindow::new(limit, now);
+    window.on_restored(Some(600), now);
+    assert!(window.consume(50, 1.0, now).is_ok());
+    window.on_peer(7, 400, Some(900), now);
+    assert_eq!(window.usage(now), Some(900));
+    // Later reports add what has been consumed since, and nothing twice.
+    window.on_peer(7, 420, Some(970), now);
+    assert_eq!(window.usage(now), Some(920));
+    window.on_peer(8, 10, Some(300), now);
+    assert_eq!(window.usage(now), Some(920));
+    assert!(window.consume(100, 1.0, now).is_err());
+}
