Let the first report of a peer replace the usage assumed before it

The first report of a peer replaces the estimate now, and counts for a whole window; estimates are not reported to others. With the new branch taken out, the new test of tests/shared_limit.rs fails.

--- a/crates/sesamehaven-front/src/shared_limits.rs
+++ b/crates/sesamehaven-front/src/shared_limits.rs
@@ -97,7 +97,7 @@
             .map(|(name, window)| Usage {
                 organisation: name_hash(name),
                 total: window.consumed(),
-                sum: window.usage(now),
+                sum: window.reported_usage(now),
             })
             .collect()
     }
--- a/crates/sesamehaven/src/shared_limit.rs
+++ b/crates/sesamehaven/src/shared_limit.rs
@@ -114,6 +114,8 @@
     peers: HashMap<PeerId, u64>,
     started: Instant,
     is_assumed: bool,
+    /// Whether part of the usage is an estimate, until a peer reports it or one window has passed.
+    is_estimated: bool,
 }
 
 impl SharedWindow {
@@ -128,6 +130,7 @@
             peers: HashMap::new(),
             started: now,
             is_assumed: true,
+            is_estimated: false,
         }
     }
 
@@ -176,6 +179,12 @@
         is_known.then_some(self.window.sum.max(0.0) as u64)
     }
 
+    /// Returns the usage for other processes, or [`None`] while it is unknown or an estimate.
+    pub fn reported_usage(&self, now: Instant) -> Option<u64> {
+        let is_exact = !self.is_estimated || now.since(self.started) >= self.limit.window;
+        self.usage(now).filter(|_| is_exact)
+    }
+
     /// Returns the usage if it is high enough that it must survive a restart.
     pub fn high_usage(&self, now: Instant) -> Option<u64> {
         let threshold = self.limit.amount as f64 * HIGH_USAGE_SHARE;
@@ -196,6 +205,7 @@
                 self.window
                     .spread(self.limit.amount as f64 * HIGH_USAGE_SHARE, now);
                 self.window.add(own, now);
+                self.is_estimated = true;
             }
         }
         self.is_assumed = false;
@@ -209,6 +219,11 @@
         let is_first_window = now.since(self.started) < self.limit.window;
         match (usage, previous) {
             (Some(usage), _) if self.usage(now).is_none() => self.set_usage(usage as f64, now),
+            // An estimate says nothing of the times of consumption, so it may expire too early.
+            (Some(usage), None) if is_first_window && self.is_estimated => {
+                self.is_estimated = false;
+                self.set_usage((usage + self.total) as f64, now);
+            }
             // What was restored is older than what a peer knows.
             (Some(usage), None) if is_first_window => {
                 let missing = usage as f64 - self.window.sum;
--- a/crates/sesamehaven/tests/shared_limit.rs
+++ b/crates/sesamehaven/tests/shared_limit.rs
@@ -173,3 +173,22 @@
     assert_eq!(window.usage(now), Some(920));
     assert!(window.consume(100, 1.0, now).is_err());
 }
+
+/// Half of the limit is assumed to have been consumed evenly; all of it may have been a moment ago.
+#[test]
+fn the_first_report_of_a_peer_replaces_the_usage_assumed_before_it() {
+    let limit = WindowLimit {
+        window: Millis(8_000),
+        amount: 1_000,
+    };
+    let now = Instant(100_000);
+    let mut window = SharedWindow::new(limit, now);
+    window.on_restored(None, now);
+    assert!(window.consume(50, 1.0, now).is_ok());
+    assert_eq!(window.reported_usage(now), None);
+    window.on_peer(7, 400, Some(450), now);
+    let later = now.after(Millis(7_000));
+    window.on_peer(7, 400, Some(450), later);
+    assert_eq!(window.usage(later), Some(500));
+    assert_eq!(window.reported_usage(later), Some(500));
+}
