Count the outcomes of a rollout's requests by class, side and endpoint

The interface of Part 2 of docs/design/rollouts-and-load.md: the totals that fronts send each other, the reference for slow responses, and the types of the assessment. The judge itself finds nothing proven yet.

--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -66,6 +66,8 @@
 pub mod restore;
 pub mod retry;
 pub mod retry_detector;
+pub mod rollout_evidence;
+pub mod rollout_judge;
 mod roster;
 pub mod router;
 pub mod running;
