Roll out software versions by order of the directory

Totals of outcomes go with the digests, each front assesses their sums, and the verdict is written under the condition that the order has not changed. A candidate is promoted before the status is written, so that little is lost when the other versions stop.

--- a/crates/sesamehaven-front/src/front.rs
+++ b/crates/sesamehaven-front/src/front.rs
@@ -24,6 +24,7 @@
 use crate::peers::Peers;
 use crate::pools::Pools;
 use crate::protocol::Protocol;
+use crate::rollouts::Rollouts;
 use crate::settings::Settings;
 use crate::shared_limits::SharedLimits;
 
@@ -49,6 +50,8 @@
     pub shared_limits: RefCell<SharedLimits>,
     /// The software versions that began streams.
     pub origins: Origins,
+    /// The rollouts of software versions.
+    pub rollouts: Rollouts,
     /// The other fronts.
     pub peers: RefCell<Peers>,
     /// Detects requests that callers send again after a refusal.
@@ -94,6 +97,7 @@
             connections: ConnectionPool::default(),
             shared_limits: RefCell::new(SharedLimits::default()),
             origins: Origins::default(),
+            rollouts: Rollouts::default(),
             settings: RefCell::new(settings),
             peers: RefCell::new(peers),
             retry_detector: RefCell::default(),
--- a/crates/sesamehaven-front/src/gossip.rs
+++ b/crates/sesamehaven-front/src/gossip.rs
@@ -23,6 +23,7 @@
 };
 use crate::protocol::{ListingRead, Protocol};
 use crate::refresh::{apply_config, apply_listing};
+use crate::rollouts;
 use crate::shared_limits::{Usage, UsageChanges};
 
 /// The minimum interval between periodic digests to a group of fronts.
@@ -94,6 +95,7 @@
                 requests: front.quarantine.borrow().latest(DIGEST_MAX_NOTICES, now),
                 parts: front.part_quarantine.borrow().summary(JOIN_MAX_PARTS, now),
                 limits: front.pools.limits().summary(JOIN_MAX_LIMITS, now),
+                rollouts: front.rollouts.reports(now),
             },
             leaving: false,
         }
@@ -124,6 +126,7 @@
             requests: requests.fresh(&mut self.requests, DIGEST_MAX_NOTICES, now),
             parts: parts.fresh(&mut self.parts, DIGEST_MAX_PART_NEWS, now),
             limits: limits.fresh(&mut self.limits, DIGEST_MAX_LIMIT_NEWS, now),
+            rollouts: front.rollouts.reports(now),
         };
         if detail == DigestDetail::Full {
             let again = requests.again(&mut self.requests, DIGEST_REQUESTS_AGAIN, now);
@@ -305,6 +308,7 @@
         if !front.stalls.is_recovering(now) {
             merge_part_notices(front, &news.parts, now);
             front.merge_limits(&news.limits);
+            rollouts::merge_reports(front, digest.from, &news.rollouts, now);
         }
     }
     front
@@ -349,7 +353,7 @@
     }
 
     /// Returns whether digests that arrive now may have waited in the socket during a stall.
-    fn is_recovering(&self, now: Instant) -> bool {
+    pub(crate) fn is_recovering(&self, now: Instant) -> bool {
         let last_tick = self.last_tick.get();
         if last_tick > Instant(0) && now.since(last_tick) >= STALL_TIME {
             self.recovers_at.set(now.after(STALL_RECOVERY));
--- a/crates/sesamehaven-front/src/lib.rs
+++ b/crates/sesamehaven-front/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod protocol;
 pub mod refresh;
 pub mod relay;
+pub mod rollouts;
 pub mod routing_table;
 pub mod run;
 pub mod serve;
--- a/crates/sesamehaven-front/src/peers.rs
+++ b/crates/sesamehaven-front/src/peers.rs
@@ -23,6 +23,7 @@
 use sesamehaven::quarantine::Notice;
 use sesamehaven::restore::{Era, Report};
 use sesamehaven::retry_detector::RefusalReport;
+use sesamehaven::rollout::RolloutReport;
 use sesamehaven::shared_limit::{PeerId, PeerTracker};
 use sesamehaven::unit::{Instant, Millis};
 
@@ -31,7 +32,7 @@
 use crate::shared_limits::Usage;
 
 /// The version of the digest format; digests of other versions are dropped.
-const DIGEST_VERSION: u8 = 5;
+const DIGEST_VERSION: u8 = 6;
 /// The maximum size of a digest in bytes, which common networks deliver as one datagram.
 pub(crate) const DIGEST_MAX_BYTES: usize = 8 << 10;
 /// How long a front is retained as a peer after its last digest.
@@ -109,6 +110,8 @@
     pub parts: Vec<PartNotice>,
     /// The limits that endpoints have named.
     pub limits: Vec<LimitNotice>,
+    /// The rollouts that are under way.
+    pub rollouts: Vec<RolloutReport>,
 }
 
 /// The state that a front broadcasts several times a second.
--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -14,8 +14,10 @@
 use sesamehaven::digest::hash_of;
 use sesamehaven::dispatcher::{Dispatcher, Refusal, Step, Work};
 use sesamehaven::endpoint_limits::{EndpointLimits, LimitNotice, own_share};
+use sesamehaven::exposure::VersionRules;
 use sesamehaven::placement::{DispatchOutcome, ListedEndpoint};
 use sesamehaven::request_rate::RequestRate;
+use sesamehaven::rollout_evidence::Evidence;
 use sesamehaven::software_version::PoolVersion;
 use sesamehaven::unit::Millis;
 
@@ -135,7 +137,14 @@
     }
 
     /// Replaces the endpoints with those that the directory lists.
-    pub fn set_endpoints(&self, entries: &[EndpointEntry], data_centre: &str) {
+    ///
+    /// The rules for software versions apply before any request is sent there.
+    pub fn set_endpoints(
+        &self,
+        entries: &[EndpointEntry],
+        data_centre: &str,
+        rules: impl Fn(&str) -> VersionRules,
+    ) {
         let mut listed: HashMap<SmolStr, Vec<ListedEndpoint>> = HashMap::new();
         for entry in entries {
             let mut announcements = self.announcements.borrow_mut();
@@ -155,10 +164,12 @@
         {
             let mut pools = self.pools.borrow_mut();
             for (name, pool) in pools.iter_mut() {
+                pool.set_version_rules(rules(name));
                 pool.set_endpoints(listed.remove(name).unwrap_or_default());
             }
             for (name, listed) in listed {
                 let mut pool = Dispatcher::new(self.seed);
+                pool.set_version_rules(rules(&name));
                 pool.set_endpoints(listed);
                 pools.insert(name, pool);
             }
@@ -168,6 +179,33 @@
         self.tick();
     }
 
+    /// Replaces the rules for the software versions of each pool.
+    pub fn set_version_rules(&self, rules: impl Fn(&str) -> VersionRules) {
+        for (name, pool) in self.pools.borrow_mut().iter_mut() {
+            pool.set_version_rules(rules(name));
+        }
+        self.tick();
+    }
+
+    /// Passes on how the responses of a pool's versions compare, while one of them is rolled out.
+    pub fn with_rollout_evidence(&self, pool: &str, read: impl FnOnce(&Evidence)) {
+        if let Some(evidence) = self
+            .pools
+            .borrow()
+            .get(pool)
+            .and_then(Dispatcher::rollout_evidence)
+        {
+            read(evidence);
+        }
+    }
+
+    /// Returns the number of requests that run at endpoints other than those of a version, as far as
+    /// this front knows.
+    pub fn running_elsewhere(&self, pool: &str, version: PoolVersion) -> u32 {
+        let pools = self.pools.borrow();
+        pools.get(pool).map_or(0, |d| d.running_elsewhere(version))
+    }
+
     /// Applies what an endpoint said about itself, and returns the part that begins with it.
     pub fn on_announcement(
         &self,
--- a/crates/sesamehaven-front/src/protocol.rs
+++ b/crates/sesamehaven-front/src/protocol.rs
@@ -16,6 +16,7 @@
 use sesamehaven::announcement::Announcement;
 use sesamehaven::digest::hash_of;
 use sesamehaven::restore::{Era, Report};
+use sesamehaven::rollout::{RolloutOrder, StatusWrite};
 use sesamehaven::software_version::SoftwareVersion;
 use sesamehaven::unit::Millis;
 use sesamehaven_wire::http1::Head;
@@ -110,6 +111,9 @@
     pub entries: Vec<EndpointEntry>,
     /// The names of the invalid entries, each with the reason.
     pub unreadable: Vec<(SmolStr, SmolStr)>,
+    /// The orders to roll out versions, read after the endpoints, so that no endpoint of a new version
+    /// is known without its order.
+    pub rollouts: Vec<RolloutOrder>,
 }
 
 impl Listing {
@@ -176,6 +180,16 @@
     /// Reads the list of endpoints.
     fn endpoints(&self) -> impl Future<Output = Result<Reading<ListingRead>>>;
 
+    /// Reads the orders to roll out versions.
+    fn rollouts(&self) -> impl Future<Output = Result<Reading<Vec<RolloutOrder>>>>;
+
+    /// Writes the status of a rollout if its order is still the one that the status is for; returns
+    /// whether it was written.
+    fn write_rollout_status(
+        &self,
+        write: &StatusWrite,
+    ) -> impl Future<Output = Result<Reading<bool>>>;
+
     /// Reads the usage snapshots of all fronts.
     fn load_snapshots(&self) -> impl Future<Output = Result<Reading<Vec<Bytes>>>>;
 
--- a/crates/sesamehaven-front/src/refresh.rs
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -10,7 +10,7 @@
 
 use crate::clock;
 use crate::directory_cache::should_poll_directory;
-use crate::error::Error;
+use crate::error::{Error, Result};
 use crate::front::Front;
 use crate::protocol::{Directory, Listing, ListingRead, Protocol, Reading};
 
@@ -22,7 +22,7 @@
 }
 
 impl Dependency {
-    pub(crate) fn record(&mut self, outcome: Result<(), &Error>) {
+    pub(crate) fn record(&mut self, outcome: std::result::Result<(), &Error>) {
         let label = if outcome.is_ok() { "ok" } else { "failed" };
         counter!("front_directory_calls_total", "what" => self.name, "outcome" => label)
             .increment(1);
@@ -79,7 +79,7 @@
             wait_for_next_poll(&front, sent).await;
             continue;
         }
-        match directory.endpoints().await {
+        match read_endpoints(&front, &*directory).await {
             Ok(reading) => {
                 dependency.record(Ok(()));
                 if reading.era > era && era.is_some() {
@@ -100,6 +100,24 @@
     }
 }
 
+/// Reads the list of endpoints and then, in deployments that have them, the orders to roll out versions.
+async fn read_endpoints<P: Protocol>(
+    front: &Front<P>,
+    directory: &impl Directory,
+) -> Result<Reading<ListingRead>> {
+    let mut read = directory.endpoints().await?;
+    if front.settings.borrow().rollouts.is_none() {
+        return Ok(read);
+    }
+    let orders = directory.rollouts().await?;
+    if orders.era != read.era {
+        let reason = "the endpoints and the orders are of two eras";
+        return Err(Error::unavailable("the list of rollouts", reason));
+    }
+    read.value.listing.rollouts = orders.value;
+    Ok(read)
+}
+
 /// Records the era of an answer, and reports when the directory has come back from an older copy.
 ///
 /// The next list is then compared with what the front knows.
@@ -200,6 +218,14 @@
     };
     let listing = front.endpoints.listing();
     front.origins.on_listing(&listing, clock::now());
+    let (rollout_bounds, refresh_interval) = {
+        let settings = front.settings.borrow();
+        (settings.rollouts, settings.refresh_interval)
+    };
+    if rollout_bounds.is_some() {
+        let rollouts = &front.rollouts;
+        rollouts.on_listing(&listing, refresh_interval, clock::now());
+    }
     for entry in &listing.entries {
         if !previous.entries.contains(entry) {
             spdlog::info!("endpoint listed", kv: {
@@ -224,7 +250,12 @@
     }
     let data_centre = front.settings.borrow().data_centre.clone();
     front.connections.set_endpoints(&listing.entries);
-    front.pools.set_endpoints(&listing.entries, &data_centre);
+    let share = rollout_bounds.map_or(0.0, |b| b.max_share);
+    front
+        .pools
+        .set_endpoints(&listing.entries, &data_centre, |pool| {
+            front.rollouts.rules(pool, share, &listing)
+        });
     gauge!("front_listed_endpoints").set(listing.entries.len() as f64);
 }
 
--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -26,6 +26,7 @@
 use crate::peers::Proximity;
 use crate::protocol::{Directory, Protocol};
 use crate::refresh;
+use crate::rollouts;
 use crate::serve::serve;
 use crate::settings::Settings;
 use crate::snapshot;
@@ -99,6 +100,7 @@
         Rc::clone(&front),
         Rc::clone(&directory),
     ));
+    actix_rt::spawn(rollouts::run(Rc::clone(&front), Rc::clone(&directory)));
     actix_rt::spawn(snapshot::save_snapshots(Rc::clone(&front), directory));
     for proximity in [Proximity::Near, Proximity::Far] {
         let (front, udp) = (Rc::clone(&front), Rc::clone(&udp));
--- a/crates/sesamehaven-front/src/settings.rs
+++ b/crates/sesamehaven-front/src/settings.rs
@@ -43,6 +43,13 @@
     }
 }
 
+/// How much of a version's risk a rollout may take.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RolloutBounds {
+    /// The share of a pool's requests that the candidate may get, from 0 to 1.
+    pub max_share: f64,
+}
+
 /// The settings of one front.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -69,4 +76,6 @@
     pub max_body_memory: Bytes,
     /// The bounds and parameters shared by all fronts.
     pub bounds: Bounds,
+    /// The bounds of rollouts, or [`None`] if the deployment has none.
+    pub rollouts: Option<RolloutBounds>,
 }
--- a/crates/sesamehaven-front/tests/directory_cache.rs
+++ b/crates/sesamehaven-front/tests/directory_cache.rs
@@ -95,6 +95,7 @@
     Listing {
         entries: entries.collect(),
         unreadable: Vec::new(),
+        rollouts: Vec::new(),
     }
 }
 
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -31,9 +31,13 @@
 
 use crate::announcement::Standing;
 use crate::backlog::{Backlog, Length, Rank, Ticket, WaitingRequest, drain_time};
+use crate::digest::hash_of;
+use crate::exposure::VersionRules;
 use crate::placement::{Demand, DispatchOutcome, ListedEndpoint, Placement};
 use crate::refusal::{self, RETRY_AFTER_MAX};
 use crate::request_rate::RequestRate;
+use crate::rollout_evidence::Evidence;
+use crate::rollout_traffic::{RolloutTraffic, Sample};
 use crate::software_version::PoolVersion;
 use crate::unit::{Instant, Millis};
 
@@ -91,6 +95,15 @@
     slot_ms: f64,
     first_event_ms: f64,
     started: Instant,
+    /// How the response counts while a version is rolled out.
+    sample: Option<Sample>,
+}
+
+impl Run {
+    /// Returns the time since the start, as a multiple of the expected time to the first event.
+    fn first_event_factor(&self, now: Instant) -> f64 {
+        now.since(self.started).0 as f64 / self.first_event_ms.max(1.0)
+    }
 }
 
 /// The queue and the endpoints of one pool.
@@ -108,6 +121,8 @@
     peers_updated_at: Instant,
     /// The moving average of the time that requests hold their slots, in milliseconds.
     mean_hold_ms: f64,
+    /// What was sent and seen since a rollout began, while one is under way.
+    rollout: Option<RolloutTraffic>,
 }
 
 impl Default for Dispatcher {
@@ -129,6 +144,7 @@
             waiting_share: 1.0,
             peers_updated_at: Instant(0),
             mean_hold_ms: 0.0,
+            rollout: None,
         }
     }
 
@@ -137,6 +153,35 @@
         self.placement.set_endpoints(listed);
     }
 
+    /// Replaces the rules for software versions.
+    ///
+    /// What was sent and seen is counted from when a version begins to be tried until the rules name no
+    /// version any more that is tried or retired.
+    pub fn set_version_rules(&mut self, rules: VersionRules) {
+        if let Some(candidate) = rules.candidate
+            && self
+                .rollout
+                .as_ref()
+                .is_none_or(|r| r.candidate() != candidate)
+        {
+            self.rollout = Some(RolloutTraffic::new(candidate, rules.share));
+        }
+        if rules.candidate.is_none() && rules.retired.is_empty() {
+            self.rollout = None;
+        }
+        self.placement.set_version_rules(rules);
+    }
+
+    /// Returns how the responses of the versions compare, while a version is rolled out.
+    pub fn rollout_evidence(&self) -> Option<&Evidence> {
+        self.rollout.as_ref().map(RolloutTraffic::evidence)
+    }
+
+    /// Returns the number of requests that run at endpoints other than those of a version.
+    pub fn running_elsewhere(&self, version: PoolVersion) -> u32 {
+        self.placement.running_elsewhere(version)
+    }
+
     /// Updates whether each endpoint takes requests, by its own account.
     pub fn set_standings(&mut self, standing: impl Fn(&str) -> Standing) {
         self.placement.set_standings(standing);
@@ -268,9 +313,13 @@
 
     /// Records that the first event of a request's response, or the response, has arrived.
     pub fn on_first_event(&mut self, ticket: Ticket, now: Instant) {
-        if let Some(run) = self.running.get(&ticket) {
-            let factor = now.since(run.started).0 as f64 / run.first_event_ms.max(1.0);
-            self.placement.on_first_event(&run.endpoint, factor);
+        let Some(run) = self.running.get_mut(&ticket) else {
+            return;
+        };
+        let factor = run.first_event_factor(now);
+        self.placement.on_first_event(&run.endpoint, factor);
+        if let (Some(rollout), Some(sample)) = (&mut self.rollout, &mut run.sample) {
+            rollout.on_first_event(sample, factor);
         }
     }
 
@@ -292,6 +341,9 @@
             self.mean_hold_ms += weight * (took - self.mean_hold_ms);
             self.time_factor += SAMPLE_WEIGHT * (ratio - self.time_factor);
         }
+        if let (Some(rollout), Some(sample)) = (&mut self.rollout, run.sample) {
+            rollout.on_end(sample, outcome, run.first_event_factor(now));
+        }
         let is_long = Length::of(run.slot_ms).is_long();
         self.placement
             .on_end(&run.endpoint, is_long, outcome, factor, now);
@@ -348,10 +400,14 @@
             let Some(work) = self.pending.get(&ticket) else {
                 continue;
             };
+            let demand = work.demand(ticket, now);
+            if let Some(endpoint) = self.choose_candidate(work, &demand, now) {
+                self.start(ticket, &demand, endpoint, now, steps);
+                return true;
+            }
             if !starved && free <= self.reserve(work, slots, now) {
                 continue;
             }
-            let demand = work.demand(ticket, now);
             // A starved long request is exempt from the cap on slots held by long requests.
             let chosen = Demand {
                 is_long: demand.is_long && !starved,
@@ -360,25 +416,49 @@
             let Some(endpoint) = self.placement.choose(&chosen, &work.tried, now) else {
                 continue;
             };
-            let Some(work) = self.pending.remove(&ticket) else {
-                continue;
-            };
-            self.backlog.start(ticket, now);
-            self.placement.on_start(&endpoint, &demand, now);
-            let run = Run {
-                endpoint: endpoint.clone(),
-                rank: work.rank,
-                slot_ms: work.slot_ms,
-                first_event_ms: work.first_event_ms,
-                started: now,
-            };
-            self.running.insert(ticket, run);
-            steps.push(Step::Start { ticket, endpoint });
+            self.start(ticket, &demand, endpoint, now, steps);
             return true;
         }
         false
     }
 
+    /// Chooses an endpoint of the version that is tried, if the request may go there.
+    fn choose_candidate(&self, work: &Work, demand: &Demand, now: Instant) -> Option<SmolStr> {
+        let rollout = self.rollout.as_ref()?;
+        let is_first_attempt = work.version.is_none() && work.tried.is_empty();
+        match is_first_attempt && rollout.may_expose(&work.class) {
+            true => self.placement.choose_candidate(demand, now),
+            false => None,
+        }
+    }
+
+    fn start(
+        &mut self,
+        ticket: Ticket,
+        demand: &Demand,
+        endpoint: SmolStr,
+        now: Instant,
+        steps: &mut Steps,
+    ) {
+        let Some(work) = self.pending.remove(&ticket) else {
+            return;
+        };
+        self.backlog.start(ticket, now);
+        self.placement.on_start(&endpoint, demand, now);
+        let version = self.placement.version(&endpoint);
+        let rollout = self.rollout.as_mut();
+        let run = Run {
+            sample: rollout.map(|r| r.on_start(&work.class, version, hash_of(&endpoint))),
+            endpoint: endpoint.clone(),
+            rank: work.rank,
+            slot_ms: work.slot_ms,
+            first_event_ms: work.first_event_ms,
+            started: now,
+        };
+        self.running.insert(ticket, run);
+        steps.push(Step::Start { ticket, endpoint });
+    }
+
     /// Estimates the wait for a slot behind the requests that precede this one.
     fn expected_wait(&self, ticket: Ticket, work: &Work, now: Instant) -> Millis {
         let opens_at = self.placement.opens_at(work.version, &work.tried, now);
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -13,6 +13,7 @@
 
 use crate::announcement::Standing;
 use crate::digest::{mix_bits, to_unit_interval};
+use crate::exposure::{Access, VersionRules};
 use crate::pool_endpoint::{PoolEndpoint, QUEUED_AHEAD};
 use crate::request_rate::{Allowance, RequestRate};
 use crate::session_table::SessionTable;
@@ -60,6 +61,10 @@
 const CONTENTION_SHARE: f64 = 0.5;
 /// The average number of processes that may claim one free slot.
 const CLAIMS_PER_SLOT: f64 = 2.0;
+/// The mean load of the endpoints that are used of a version that is tried, as a share of their slots.
+const CANDIDATE_LOAD: f64 = 0.7;
+/// The number of endpoints that are used of it at least.
+const MIN_CANDIDATES: usize = 3;
 /// The share of an endpoint's slots that long requests may hold.
 const LONG_SLOT_SHARE: f64 = 0.67;
 
@@ -80,6 +85,7 @@
     endpoints: Vec<PoolEndpoint>,
     sessions: SessionTable,
     seed: u64,
+    rules: VersionRules,
     /// Whether other processes dispatch to the same endpoints.
     is_shared: bool,
     peer_updates: u64,
@@ -93,6 +99,7 @@
             endpoints: Vec::new(),
             sessions: SessionTable::default(),
             seed,
+            rules: VersionRules::default(),
             is_shared: false,
             peer_updates: 0,
         }
@@ -117,6 +124,27 @@
             e
         });
         self.endpoints.extend(retired);
+        self.apply_version_rules();
+    }
+
+    /// Replaces the rules for software versions.
+    pub fn set_version_rules(&mut self, rules: VersionRules) {
+        self.rules = rules;
+        self.apply_version_rules();
+    }
+
+    fn apply_version_rules(&mut self) {
+        for endpoint in &mut self.endpoints {
+            endpoint.access = self.rules.access(endpoint.listed.version);
+        }
+    }
+
+    /// Returns the number of requests that run at endpoints other than those of a version, as far as
+    /// this process knows.
+    pub fn running_elsewhere(&self, version: PoolVersion) -> u32 {
+        let others = self.endpoints.iter();
+        let others = others.filter(|e| e.listed.version != version);
+        others.map(PoolEndpoint::load).sum()
     }
 
     /// Updates whether each endpoint takes requests, by its own account.
@@ -182,13 +210,15 @@
     /// Returns the number of requests that all ready endpoints accept, including
     /// `QUEUED_AHEAD` for each.
     pub fn slots(&self, now: Instant) -> u32 {
-        self.open(now).map(|e| e.listed.slots + QUEUED_AHEAD).sum()
+        let endpoints = self.open(now).filter(|e| e.takes(None));
+        endpoints.map(|e| e.listed.slots + QUEUED_AHEAD).sum()
     }
 
     /// Returns how many more requests the ready endpoints accept, including
     /// `QUEUED_AHEAD` for each.
     pub fn free(&self, now: Instant) -> u32 {
-        self.open(now).map(PoolEndpoint::free).sum()
+        let endpoints = self.open(now).filter(|e| e.takes(None));
+        endpoints.map(PoolEndpoint::free).sum()
     }
 
     /// Returns whether any endpoint that a request may go to, of its version if it has one, accepts
@@ -264,6 +294,30 @@
         best.map(|(_, endpoint)| endpoint.listed.id.clone())
     }
 
+    /// Chooses an endpoint of the version that is tried, which has a slot free at once.
+    ///
+    /// All processes fill the same few endpoints, so that these run at full load, and choose the less
+    /// loaded of two of them, so that counts that are out of date do not lead all to the same one.
+    pub fn choose_candidate(&self, demand: &Demand, now: Instant) -> Option<SmolStr> {
+        let median = self.median_time_factor();
+        let takes = |e: &&PoolEndpoint| e.access == Access::Candidate;
+        let mut candidates: SmallVec<[&PoolEndpoint; 64]> = self.open(now).filter(takes).collect();
+        candidates.sort_by_key(|e| mix_bits(e.hash));
+        let running: u32 = candidates.iter().map(|e| e.load()).sum();
+        let slots = candidates.first()?.listed.slots.max(1);
+        let needed = f64::from(running) / (f64::from(slots) * CANDIDATE_LOAD);
+        let used = (needed.ceil() as usize + 1).max(MIN_CANDIDATES);
+        candidates.truncate(used);
+        let draw = mix_bits(demand.tie_breaker ^ self.seed);
+        let count = candidates.len() as u64;
+        let picks = [draw % count, (draw >> 32) % count];
+        let picked = picks.iter().filter_map(|at| candidates.get(*at as usize));
+        let has_slot =
+            |e: &&&PoolEndpoint| e.load() < e.listed.slots && self.has_room(e, demand, median, now);
+        let chosen = picked.filter(has_slot).min_by_key(|e| e.load());
+        chosen.map(|e| e.listed.id.clone())
+    }
+
     /// Records that a request was dispatched.
     pub fn on_start(&mut self, id: &str, demand: &Demand, now: Instant) {
         let Some(endpoint) = self.endpoint(id) else {
@@ -374,7 +428,9 @@
     }
 
     fn ready(&self) -> impl Iterator<Item = &PoolEndpoint> {
-        let is_ready = |e: &&PoolEndpoint| e.listed.is_ready && !e.standing.is_draining;
+        let is_ready = |e: &&PoolEndpoint| {
+            e.listed.is_ready && !e.standing.is_draining && e.access != Access::Closed
+        };
         self.endpoints.iter().filter(is_ready)
     }
 
@@ -384,9 +440,8 @@
         version: Option<PoolVersion>,
         tried: &[SmolStr],
     ) -> impl Iterator<Item = &PoolEndpoint> {
-        self.ready().filter(move |e| {
-            version.is_none_or(|v| v == e.listed.version) && !tried.contains(&e.listed.id)
-        })
+        self.ready()
+            .filter(move |e| e.takes(version) && !tried.contains(&e.listed.id))
     }
 
     /// Returns the ready endpoints that have not asked for a pause and are not at their limits.
--- a/crates/sesamehaven/src/pool_endpoint.rs
+++ b/crates/sesamehaven/src/pool_endpoint.rs
@@ -4,6 +4,7 @@
 
 use crate::announcement::Standing;
 use crate::digest::hash_of;
+use crate::exposure::Access;
 use crate::request_rate::Allowance;
 use crate::software_version::PoolVersion;
 use crate::unit::{Instant, Millis};
@@ -53,7 +54,7 @@
 
 impl Demand {
     pub(crate) fn allows(&self, endpoint: &PoolEndpoint) -> bool {
-        self.version.is_none_or(|v| v == endpoint.listed.version)
+        endpoint.takes(self.version)
     }
 }
 
@@ -61,6 +62,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct PoolEndpoint {
     pub(crate) listed: ListedEndpoint,
+    /// The requests that it takes because of its software version.
+    pub(crate) access: Access,
     pub(crate) standing: Standing,
     /// What this process may send of the limit that the endpoint named.
     pub(crate) allowance: Option<Allowance>,
@@ -85,6 +88,7 @@
         PoolEndpoint {
             hash: hash_of(&listed.id),
             listed,
+            access: Access::Open,
             standing: Standing::default(),
             allowance: None,
             own_running: 0,
@@ -111,6 +115,15 @@
         allowed_at.max(self.standing.paused_until)
     }
 
+    /// Returns whether its version takes requests that begin anywhere, or those of a stream that a
+    /// version has begun.
+    pub(crate) fn takes(&self, begun_by: Option<PoolVersion>) -> bool {
+        match begun_by {
+            Some(version) => version == self.listed.version && self.access != Access::Closed,
+            None => self.access == Access::Open,
+        }
+    }
+
     pub(crate) fn load(&self) -> u32 {
         self.own_running + self.peer_running
     }
--- a/crates/sesamehaven/src/software_version.rs
+++ b/crates/sesamehaven/src/software_version.rs
@@ -24,6 +24,13 @@
     }
 }
 
+impl SoftwareVersion {
+    /// Returns the version that stands for one that cannot be read; no endpoint has it.
+    pub fn unknown() -> Self {
+        SoftwareVersion(SmolStr::default())
+    }
+}
+
 impl FromStr for SoftwareVersion {
     type Err = Infallible;
 
