--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod restore;
 pub mod retry;
 pub mod retry_detector;
+mod rollout_comparison;
 pub mod rollout_evidence;
 pub mod rollout_judge;
 mod roster;
--- a/crates/sesamehaven/src/rollout_evidence.rs
+++ b/crates/sesamehaven/src/rollout_evidence.rs
@@ -66,6 +66,15 @@
         }
     }
 
+    /// Returns what was counted since `earlier`, or [`None`] if a count has decreased.
+    pub(crate) fn since(self, earlier: Outcomes) -> Option<Outcomes> {
+        Some(Outcomes {
+            requests: self.requests.checked_sub(earlier.requests)?,
+            failed: self.failed.checked_sub(earlier.failed)?,
+            slow: self.slow.checked_sub(earlier.slow)?,
+        })
+    }
+
     fn record(&mut self, outcome: Outcome) {
         let one = Outcomes {
             requests: 1,
@@ -130,7 +139,8 @@
 impl Evidence {
     /// Counts a request of this process.
     ///
-    /// Classes beyond the first 31 and endpoints beyond the first 15 are counted together as number 0.
+    /// Classes beyond the first 31 and endpoints beyond the first 15 are counted together as number 0, so
+    /// that no class or endpoint of its own has this number. Only the candidate's endpoints are counted.
     pub fn record(&mut self, side: Side, class: u32, endpoint: u32, outcome: Outcome) {
         let is_known = |c: &ClassOutcomes| c.class == class;
         let class = match self.classes.len() + 1 < MAX_CLASSES || self.classes.iter().any(is_known)
@@ -167,6 +177,25 @@
         sides.fold(Outcomes::default(), Outcomes::plus)
     }
 
+    /// Returns the outcomes of a class, zero if there are none.
+    pub(crate) fn class(&self, class: u32) -> ClassOutcomes {
+        let at = self.classes.binary_search_by_key(&class, |c| c.class);
+        let known = at.ok().and_then(|i| self.classes.get(i).copied());
+        known.unwrap_or(ClassOutcomes {
+            class,
+            ..ClassOutcomes::default()
+        })
+    }
+
+    /// Returns the candidate's outcomes at an endpoint, zero if there are none.
+    pub(crate) fn endpoint(&self, endpoint: u32) -> Outcomes {
+        let at = self
+            .endpoints
+            .binary_search_by_key(&endpoint, |e| e.endpoint);
+        let known = at.ok().and_then(|i| self.endpoints.get(i));
+        known.map(|e| e.outcomes).unwrap_or_default()
+    }
+
     fn record_endpoint(&mut self, endpoint: u32, outcome: Outcome) {
         let is_known = |e: &EndpointOutcomes| e.endpoint == endpoint;
         let has_room = self.endpoints.len() + 1 < MAX_ENDPOINTS;
