--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod retry;
 pub mod retry_detector;
 pub mod rollout;
+mod rollout_comparison;
 pub mod rollout_evidence;
 pub mod rollout_judge;
 mod rollout_traffic;
