Keep a rollout's age and verdict through the loss of all fronts

They were lost with the fronts, so that a rollout began anew. Its age, in steps of 2 s, and its phase are saved with what else must survive.

--- a/crates/sesamehaven-front/src/rollouts.rs
+++ b/crates/sesamehaven-front/src/rollouts.rs
@@ -13,7 +13,7 @@
 
 use sesamehaven::exposure::VersionRules;
 use sesamehaven::rollout::{
-    OrderState, Phase, Rollout, RolloutOrder, RolloutReport, StatusWrite, Surroundings,
+    Phase, Rollout, RolloutOrder, RolloutReport, SavedRollout, StatusWrite, Surroundings,
 };
 use sesamehaven::rollout_evidence::Outcomes;
 use sesamehaven::shared_limit::PeerId;
@@ -50,6 +50,8 @@
     tracked: RefCell<BTreeMap<SmolStr, Tracked>>,
     /// The candidates of orders that were withdrawn or changed, and when they were last listed.
     closed: RefCell<HashMap<PoolVersion, (SmolStr, Instant)>>,
+    /// What was saved before the start.
+    restored: RefCell<Vec<SavedRollout>>,
 }
 
 impl Rollouts {
@@ -82,7 +84,9 @@
                 }
                 None => {
                     closed.remove(&order.candidate());
-                    let rollout = begin(order, listing, max_age, now);
+                    let mut rollout = begin(order, listing, max_age, now);
+                    let restored = self.restored.borrow();
+                    restore(&mut rollout, &restored, listing, now);
                     let rollout = Tracked {
                         rollout,
                         logged_at: now,
@@ -130,18 +134,37 @@
         rules
     }
 
+    /// Returns what must survive a restart of all fronts.
+    pub(crate) fn saved(&self, now: Instant) -> Vec<SavedRollout> {
+        let tracked = self.tracked.borrow();
+        let active = tracked.values().filter(|t| t.rollout.is_open());
+        active.map(|t| t.rollout.saved(now)).collect()
+    }
+
+    /// Applies what was saved before the start, also to orders that are listed later.
+    pub(crate) fn restore(&self, saved: Vec<SavedRollout>, listing: &Listing, now: Instant) {
+        for t in self.tracked.borrow_mut().values_mut() {
+            restore(&mut t.rollout, &saved, listing, now);
+        }
+        *self.restored.borrow_mut() = saved;
+    }
+
     /// Returns what the other fronts have to know.
     pub(crate) fn reports(&self, now: Instant) -> Vec<RolloutReport> {
         let tracked = self.tracked.borrow();
-        let active = tracked.values().filter(|t| is_active(&t.rollout));
+        let active = tracked.values().filter(|t| t.rollout.is_open());
         let reports = active.map(|t| t.rollout.report(now));
         reports.take(MAX_REPORTS).collect()
     }
 }
 
-/// Returns whether the directory has no verdict yet.
-fn is_active(rollout: &Rollout) -> bool {
-    matches!(rollout.order().state, OrderState::New | OrderState::Running)
+fn restore(rollout: &mut Rollout, saved: &[SavedRollout], listing: &Listing, now: Instant) {
+    let id = rollout.order().id();
+    for saved in saved.iter().filter(|s| s.order == id) {
+        if let Some(phase) = rollout.on_restored(saved, now) {
+            on_phase(rollout, phase, listing);
+        }
+    }
 }
 
 fn begin(order: &RolloutOrder, listing: &Listing, max_age: Millis, now: Instant) -> Rollout {
@@ -299,7 +322,7 @@
             on_phase(&mut t.rollout, phase, &listing);
             has_changed = true;
         }
-        if is_active(&t.rollout) && now.since(t.logged_at) >= LOG_INTERVAL {
+        if t.rollout.is_open() && now.since(t.logged_at) >= LOG_INTERVAL {
             t.logged_at = now;
             log_event(&t.rollout, "assessed", "");
         }
--- a/crates/sesamehaven-front/src/snapshot.rs
+++ b/crates/sesamehaven-front/src/snapshot.rs
@@ -9,12 +9,14 @@
 
 use sesamehaven::part_quarantine::SavedPart;
 use sesamehaven::restore::EraChange;
+use sesamehaven::rollout::SavedRollout;
 
 use crate::clock;
 use crate::front::Front;
 use crate::origins::VersionSnapshot;
 use crate::protocol::{Directory, Protocol, Reading};
 use crate::refresh::{Dependency, observe_era};
+use crate::rollouts::apply_rules;
 use crate::shared_limits::UsageSnapshot;
 
 /// What a front saves in the directory for a restart of all fronts.
@@ -27,6 +29,9 @@
     /// The parts of prompts that crash endpoints.
     #[serde(default)]
     parts: Vec<SavedPart>,
+    /// The rollouts that are under way.
+    #[serde(default)]
+    rollouts: Vec<SavedRollout>,
 }
 
 /// The interval between snapshots while there is something to save.
@@ -40,8 +45,8 @@
 /// The pause between these attempts.
 const SNAPSHOT_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Saves the usage of limits that are nearly exhausted, the versions of pools that have had several, and
-/// the parts of prompts that crash endpoints, because they are lost if all fronts restart.
+/// Saves the usage of limits that are nearly exhausted, the versions of pools that have had several, the
+/// parts of prompts that crash endpoints, and rollouts, because they are lost if all fronts restart.
 pub(crate) async fn save_snapshots<P: Protocol>(
     front: Rc<Front<P>>,
     directory: Rc<impl Directory>,
@@ -63,6 +68,7 @@
                 usage: front.shared_limits.borrow().snapshot(now),
                 versions: front.origins.snapshot(now),
                 parts: front.part_quarantine.borrow().saved(SNAPSHOT_MAX_PARTS),
+                rollouts: front.rollouts.saved(now),
             },
             false => Snapshot::default(),
         };
@@ -100,6 +106,11 @@
     let Some(snapshots) = loaded else {
         return;
     };
+    let rollouts = snapshots.iter().flat_map(|s| s.rollouts.clone());
+    let listing = front.endpoints.listing();
+    let rollouts = rollouts.collect();
+    front.rollouts.restore(rollouts, &listing, clock::now());
+    apply_rules(front, &listing);
     front.config.wait_for_first().await;
     let mut shared_limits = front.shared_limits.borrow_mut();
     let usage: Vec<&UsageSnapshot> = snapshots.iter().map(|s| &s.usage).collect();
--- a/crates/sesamehaven/src/rollout.rs
+++ b/crates/sesamehaven/src/rollout.rs
@@ -37,6 +37,8 @@
 const UNKNOWN_POOL_GRACE: Millis = Millis(3_000);
 /// The delay of a process's attempt to write a status, for each process before it in rank.
 const WRITE_RANK_DELAY: Millis = Millis(400);
+/// The step in which the age of an order is saved, so that it is not written more often.
+pub const SAVED_AGE_STEP: Millis = Millis(2_000);
 /// The pause between attempts of a process to write a status.
 const WRITE_RETRY_INTERVAL: Millis = Millis(1_000);
 
@@ -97,6 +99,11 @@
     }
 }
 
+/// Returns whether the directory has no verdict on an order yet.
+fn is_open(state: OrderState) -> bool {
+    matches!(state, OrderState::New | OrderState::Running)
+}
+
 /// How far a rollout is; a later phase overrides an earlier one of another process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Phase {
@@ -143,6 +150,21 @@
     pub evidence: Evidence,
 }
 
+/// What is saved of a rollout, so that it survives the loss of all processes.
+///
+/// What came of the requests is not saved: a candidate is tried anew after a restart.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SavedRollout {
+    /// The hash of the order.
+    pub order: u64,
+    /// How long ago the order had been given, in steps of [`SAVED_AGE_STEP`].
+    pub age: Millis,
+    /// The phase.
+    pub phase: Phase,
+    /// Why the candidate was rolled back, or empty.
+    pub reason: SmolStr,
+}
+
 /// What a process sees of a pool and of the other processes.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Surroundings {
@@ -216,6 +238,11 @@
         &self.order
     }
 
+    /// Returns whether the directory has no verdict yet.
+    pub fn is_open(&self) -> bool {
+        is_open(self.order.state)
+    }
+
     /// Returns the phase.
     pub fn phase(&self) -> Phase {
         self.phase
@@ -260,11 +287,7 @@
         let ordered_at = Instant(now.0.saturating_sub(report.age.into()));
         self.ordered_at = self.ordered_at.min(ordered_at);
         self.peers.insert(peer, report.evidence.clone());
-        let is_listed_final = matches!(
-            self.order.state,
-            OrderState::Succeeded | OrderState::RolledBack
-        );
-        match report.phase > self.phase && !is_listed_final {
+        match report.phase > self.phase && is_open(self.order.state) {
             true => self.enter(report.phase, &report.reason, now),
             false => None,
         }
@@ -281,6 +304,27 @@
         }
     }
 
+    /// Returns what has to be saved.
+    pub fn saved(&self, now: Instant) -> SavedRollout {
+        let age = now.since(self.ordered_at).0;
+        SavedRollout {
+            order: self.order.id(),
+            age: Millis(age - age % SAVED_AGE_STEP.0),
+            phase: self.phase,
+            reason: self.reason.clone(),
+        }
+    }
+
+    /// Applies what was saved before a restart; returns the phase that begins thereby.
+    pub fn on_restored(&mut self, saved: &SavedRollout, now: Instant) -> Option<Phase> {
+        let ordered_at = Instant(now.0.saturating_sub(saved.age.0));
+        self.ordered_at = self.ordered_at.min(ordered_at);
+        let has_verdict = saved.phase > self.phase && is_open(self.order.state);
+        has_verdict
+            .then(|| self.enter(saved.phase, &saved.reason, now))
+            .flatten()
+    }
+
     /// Updates the totals of this process.
     pub fn set_own_evidence(&mut self, evidence: &Evidence) {
         self.own.clone_from(evidence);
