Start background tasks of a front again after a panic, and count panics

A task that panicked was gone for good, while the process went on: a front whose poll of the configuration had panicked served the old one until keys could not be confirmed any more, and nothing in the log or the metrics said so. Tasks are now started again, the panic is logged with its place (`task panicked`) and counted (`front_panics_total`).

Requests were safe before: the connection ends, slots and counters are released.

--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -12,6 +12,7 @@
 use actix_rt::signal::unix::{Signal, SignalKind, signal};
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::Bytes;
+use metrics::counter;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
@@ -48,6 +49,8 @@
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// The pause after a failure to accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// The pause before a background task that panicked is started again.
+const TASK_RESTART_DELAY: Duration = Duration::from_millis(100);
 /// How often the settings are re-read without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -67,9 +70,38 @@
     let recorder = PrometheusBuilder::new().build_recorder();
     let handle = recorder.handle();
     metrics::set_global_recorder(recorder).map_err(io::Error::other)?;
+    report_panics();
     actix_rt::System::new().block_on(main::<P>(settings, Rc::new(directory), reload, handle))
 }
 
+/// Counts and logs each panic.
+///
+/// A panic ends only the task that it happens in: one connection of a caller, or one step of a
+/// background task.
+fn report_panics() {
+    let print = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        print(info);
+        counter!("front_panics_total").increment(1);
+        spdlog::error!("task panicked", kv: { reason = info.to_string() });
+    }));
+}
+
+/// Runs a background task for the lifetime of the process.
+///
+/// A task that panics is started again, since a front without it would go on with outdated state.
+fn spawn_task<F>(name: &'static str, start: impl Fn() -> F + 'static)
+where
+    F: Future<Output = ()> + 'static,
+{
+    actix_rt::spawn(async move {
+        while let Err(err) = actix_rt::spawn(start()).await {
+            spdlog::error!("background task started again", kv: { name, reason = err.to_string() });
+            tokio::time::sleep(TASK_RESTART_DELAY).await;
+        }
+    });
+}
+
 async fn main<P: Protocol>(
     settings: Settings,
     directory: Rc<impl Directory>,
@@ -91,27 +123,47 @@
         peers = settings.peers.to_string(),
         seeds = settings.seeds.len()
     });
-    actix_rt::spawn(refresh::poll_config(
-        Rc::clone(&front),
-        Rc::clone(&directory),
-    ));
-    actix_rt::spawn(refresh::poll_endpoints(
-        Rc::clone(&front),
-        Rc::clone(&directory),
-    ));
-    actix_rt::spawn(snapshot::save_snapshots(Rc::clone(&front), directory));
+    let (shared, dir) = (Rc::clone(&front), Rc::clone(&directory));
+    spawn_task("poll_config", move || {
+        refresh::poll_config(Rc::clone(&shared), Rc::clone(&dir))
+    });
+    let (shared, dir) = (Rc::clone(&front), Rc::clone(&directory));
+    spawn_task("poll_endpoints", move || {
+        refresh::poll_endpoints(Rc::clone(&shared), Rc::clone(&dir))
+    });
+    let shared = Rc::clone(&front);
+    spawn_task("save_snapshots", move || {
+        snapshot::save_snapshots(Rc::clone(&shared), Rc::clone(&directory))
+    });
     for proximity in [Proximity::Near, Proximity::Far] {
-        let (front, udp) = (Rc::clone(&front), Rc::clone(&udp));
-        actix_rt::spawn(gossip::send_digests(front, udp, proximity));
+        let (shared, socket) = (Rc::clone(&front), Rc::clone(&udp));
+        spawn_task("send_digests", move || {
+            gossip::send_digests(Rc::clone(&shared), Rc::clone(&socket), proximity)
+        });
     }
-    actix_rt::spawn(gossip::apply_peer_loads(Rc::clone(&front)));
-    actix_rt::spawn(gossip::receive_digests(Rc::clone(&front), Rc::clone(&udp)));
-    actix_rt::spawn(gossip::sync_from_peers(Rc::clone(&front)));
-    actix_rt::spawn(origins::send_origins(Rc::clone(&front), Rc::clone(&udp)));
+    let shared = Rc::clone(&front);
+    spawn_task("apply_peer_loads", move || {
+        gossip::apply_peer_loads(Rc::clone(&shared))
+    });
+    let (shared, socket) = (Rc::clone(&front), Rc::clone(&udp));
+    spawn_task("receive_digests", move || {
+        gossip::receive_digests(Rc::clone(&shared), Rc::clone(&socket))
+    });
+    let shared = Rc::clone(&front);
+    spawn_task("sync_from_peers", move || {
+        gossip::sync_from_peers(Rc::clone(&shared))
+    });
+    let (shared, socket) = (Rc::clone(&front), Rc::clone(&udp));
+    spawn_task("send_origins", move || {
+        origins::send_origins(Rc::clone(&shared), Rc::clone(&socket))
+    });
     actix_rt::spawn(gossip::serve_state(Rc::clone(&front), tcp));
     actix_rt::spawn(reload_settings(Rc::clone(&front), hangup, reload));
     let pools = Rc::clone(&front.pools);
-    actix_rt::spawn(async move { pools.run().await });
+    spawn_task("run_pools", move || {
+        let pools = Rc::clone(&pools);
+        async move { pools.run().await }
+    });
     let (shutdown_tx, shutdown) = watch::channel(false);
     listen_for_callers(&front, &settings, shutdown)?;
     listen_for_admin(&front, &settings, metrics)?;
@@ -307,7 +359,7 @@
                 });
             }
             Err(err) => {
-                metrics::counter!("front_accept_errors_total").increment(1);
+                counter!("front_accept_errors_total").increment(1);
                 spdlog::warn!("failed to accept connection", kv: { reason = err.to_string() });
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
