Take no numbers from other fronts that overflow when they are added up

Loads and ages in a digest were added up as they came. A datagram with a huge load ended the task that applies the loads of other fronts with "attempt to add with overflow" (peers.rs, debug build); a release build went on with the wrapped sum. Sums of loads are now limited, ages saturate, and listed slots, which fronts also get from each other, are limited to 65,536.

--- a/crates/sesamehaven-front/src/peers.rs
+++ b/crates/sesamehaven-front/src/peers.rs
@@ -51,6 +51,9 @@
 /// The maximum number of peers listed in a digest.
 const DIGEST_MAX_PEERS: usize = 24;
 
+/// The largest sum of requests that is taken from digests, so that nothing added to it overflows.
+const MAX_LOAD: u32 = 1 << 20;
+
 /// The requests running and waiting at one front.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
@@ -78,10 +81,12 @@
         self.fronts += 1;
         self.ids.push(id);
         for (endpoint, n) in &load.running {
-            *self.running.entry(*endpoint).or_insert(0) += n;
+            let sum = self.running.entry(*endpoint).or_insert(0);
+            *sum = sum.saturating_add(*n).min(MAX_LOAD);
         }
         for (pool, n) in &load.waiting {
-            *self.waiting.entry(*pool).or_insert(0) += n;
+            let sum = self.waiting.entry(*pool).or_insert(0);
+            *sum = sum.saturating_add(*n).min(MAX_LOAD);
         }
     }
 }
@@ -353,8 +358,11 @@
         let live = self.seen_within(REPORT_MAX_AGE, now);
         let gain = |p: &Peer| {
             let since = now.since(p.last_seen).0;
-            let config = local.config_age.0.saturating_sub(p.config_age.0 + since);
-            let listing = local.listing_age.0.saturating_sub(p.listing_age.0 + since);
+            // The ages were read from a datagram, so any number is possible.
+            let fresher =
+                |own: Millis, age: Millis| own.0.saturating_sub(age.0.saturating_add(since));
+            let config = fresher(local.config_age, p.config_age);
+            let listing = fresher(local.listing_age, p.listing_age);
             let is_ahead = p.config_version > local.config_version
                 || (p.listing_digest != local.listing_digest && listing > 0);
             match is_ahead {
--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -37,6 +37,9 @@
 
 type Assignment = Result<SmolStr, Rejection>;
 
+/// The largest number of slots that is taken from a list, so that sums over endpoints do not overflow.
+const MAX_SLOTS: u32 = 1 << 16;
+
 /// The request queues and endpoint slots of all pools.
 #[derive(Debug, Default)]
 pub struct Pools {
@@ -146,7 +149,7 @@
                 .or_default()
                 .push(ListedEndpoint {
                     id: entry.id.clone(),
-                    slots: entry.slots,
+                    slots: entry.slots.min(MAX_SLOTS),
                     is_near: entry.data_centre == data_centre,
                     is_ready: entry.is_ready,
                     version: PoolVersion::new(&entry.pool, &entry.version),
