--- a/crates/sesamehaven-front/src/connection_pool.rs
+++ b/crates/sesamehaven-front/src/connection_pool.rs
@@ -137,7 +137,10 @@
         .filter_map(|p| p.trim().strip_prefix("timeout="))
         .next();
     match timeout.and_then(|secs| secs.trim().parse::<u64>().ok()) {
-        Some(secs) => Millis((secs * 1_000).saturating_sub(IDLE_TIMEOUT_MARGIN.0)),
+        Some(secs) => {
+            let timeout = secs.saturating_mul(1_000);
+            Millis(timeout.saturating_sub(IDLE_TIMEOUT_MARGIN.0))
+        }
         None => DEFAULT_IDLE_TIMEOUT,
     }
 }
