--- a/crates/sesamehaven-front/src/rollouts.rs
+++ b/crates/sesamehaven-front/src/rollouts.rs
@@ -33,6 +33,8 @@
 const MIN_CONNECTED_SHARE: f64 = 0.5;
 /// How long the candidate of an order that was withdrawn gets nothing after it was last listed.
 const CLOSED_RETENTION: Millis = Millis(60_000);
+/// Why an order that was changed while it was carried out is rolled back.
+const CHANGED: &str = "the order was changed while it was carried out: delete it, and order anew";
 /// The maximum number of rollouts that are reported to other fronts.
 const MAX_REPORTS: usize = 4;
 
@@ -57,44 +59,32 @@
 impl Rollouts {
     /// Applies the orders of a new list, before its endpoints are used.
     pub(crate) fn on_listing(&self, listing: &Listing, max_age: Millis, now: Instant) {
+        let changed = self.drop_withdrawn(listing, now);
         let mut tracked = self.tracked.borrow_mut();
         let mut closed = self.closed.borrow_mut();
-        tracked.retain(|name, t| {
-            let order = t.rollout.order();
-            let listed = listing.rollouts.iter().find(|o| o.name == *name);
-            let is_same = listed.is_some_and(|o| o.id() == order.id());
-            if !is_same {
-                log_event(
-                    &t.rollout,
-                    "withdrawn",
-                    "the order was withdrawn or changed",
-                );
-                if t.rollout.phase() != Phase::Succeeded {
-                    closed.insert(order.candidate(), (order.pool.clone(), now));
-                }
-            }
-            is_same
-        });
         for order in &listing.rollouts {
-            match tracked.get_mut(&order.name) {
-                Some(t) => {
-                    if let Some(phase) = t.rollout.on_listed(order.clone(), now) {
-                        on_phase(&mut t.rollout, phase, listing);
-                    }
-                }
-                None => {
-                    closed.remove(&order.candidate());
-                    let mut rollout = begin(order, listing, max_age, now);
-                    let restored = self.restored.borrow();
-                    restore(&mut rollout, &restored, listing, now);
-                    let rollout = Tracked {
-                        rollout,
-                        logged_at: now,
-                        counted: [0; 2],
-                    };
-                    tracked.insert(order.name.clone(), rollout);
+            let mut order = order.clone();
+            if let Some(t) = tracked.get_mut(&order.name) {
+                order.error = order.error.or_else(|| t.rollout.order().error.clone());
+                if let Some(phase) = t.rollout.on_listed(order, now) {
+                    on_phase(&mut t.rollout, phase, listing);
                 }
+                continue;
             }
+            if changed.contains(&order.name) {
+                order.error = Some(CHANGED.into());
+            } else {
+                closed.remove(&order.candidate());
+            }
+            let name = order.name.clone();
+            let mut rollout = begin(order, listing, max_age, now);
+            restore(&mut rollout, &self.restored.borrow(), listing, now);
+            let t = Tracked {
+                rollout,
+                logged_at: now,
+                counted: [0; 2],
+            };
+            tracked.insert(name, t);
         }
         let listed = versions(listing);
         closed.retain(|version, (_, last_listed)| {
@@ -105,6 +95,29 @@
         });
     }
 
+    /// Drops the rollouts whose orders were withdrawn or changed, and returns the names of those that
+    /// were changed while they were carried out.
+    fn drop_withdrawn(&self, listing: &Listing, now: Instant) -> SmallVec<[SmolStr; 1]> {
+        let mut changed = SmallVec::new();
+        let mut closed = self.closed.borrow_mut();
+        self.tracked.borrow_mut().retain(|name, t| {
+            let order = t.rollout.order();
+            let listed = listing.rollouts.iter().find(|o| o.name == *name);
+            if listed.is_some_and(|o| o.id() == order.id()) {
+                return true;
+            }
+            log_event(&t.rollout, "withdrawn", "");
+            if t.rollout.is_open() && listed.is_some_and(|o| o.is_changed(order)) {
+                changed.push(name.clone());
+            }
+            if t.rollout.phase() != Phase::Succeeded {
+                closed.insert(order.candidate(), (order.pool.clone(), now));
+            }
+            false
+        });
+        changed
+    }
+
     /// Returns the rules for the versions of a pool.
     pub(crate) fn rules(&self, pool: &str, max_share: f64, listing: &Listing) -> VersionRules {
         let mut rules = VersionRules::default();
@@ -167,13 +180,14 @@
     }
 }
 
-fn begin(order: &RolloutOrder, listing: &Listing, max_age: Millis, now: Instant) -> Rollout {
-    let mut rollout = Rollout::new(order.clone(), max_age, now);
-    let event = match order.error {
+fn begin(order: RolloutOrder, listing: &Listing, max_age: Millis, now: Instant) -> Rollout {
+    let reason = order.error.clone();
+    let event = match reason {
         Some(_) => "rejected",
         None => "ordered",
     };
-    let reason = order.error.clone().unwrap_or_default();
+    let reason = reason.unwrap_or_default();
+    let mut rollout = Rollout::new(order, max_age, now);
     log_event(&rollout, event, &reason);
     let phase = rollout.phase();
     if phase == Phase::Succeeded {
--- a/crates/sesamehaven/src/rollout.rs
+++ b/crates/sesamehaven/src/rollout.rs
@@ -93,6 +93,11 @@
         ))
     }
 
+    /// Returns whether it is the same object in the directory as another order, with other contents.
+    pub fn is_changed(&self, earlier: &RolloutOrder) -> bool {
+        self.created == earlier.created && self.id() != earlier.id()
+    }
+
     /// Returns the candidate as a version of its pool.
     pub fn candidate(&self) -> PoolVersion {
         PoolVersion::new(&self.pool, &self.candidate)
