Ask another endpoint for a stream that is silent before its head

A resumable stream whose endpoint accepted the request and then sent nothing, not even a response head, ended with 504 at its deadline. After the head, the same silence made the front ask another endpoint.

Before the head, a long queue looks the same as a stall, and a second request would double its load. Connections report received bytes to an observer, which is shared by all connections of an endpoint. The first endpoint that sends an event has the stream.

Two attempts may now be in flight before the caller has a response. If one endpoint says that it has not run the request, the other may still run it, so RunStatus counts attempts instead of going back to the status before the attempt.

Attempts, sources, failover and the memory of bodies have their own files.

--- a/crates/sesamehaven-front/src/connection_pool.rs
+++ b/crates/sesamehaven-front/src/connection_pool.rs
@@ -1,16 +1,17 @@
 //! Idle connections to endpoints, kept for reuse.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use metrics::counter;
 use smol_str::SmolStr;
 
 use sesamehaven::unit::{Instant, Millis};
-use sesamehaven_wire::http1::{Connection, Head};
+use sesamehaven_wire::http1::{Connection, Head, ReceiveObserver};
 
 use crate::clock;
 use crate::protocol::EndpointEntry;
@@ -25,9 +26,29 @@
 /// The maximum number of idle connections to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 12;
 
+/// When an endpoint last sent a byte to this front, on any connection.
+#[derive(Debug, Clone, Default)]
+pub struct LastReceived(Rc<Cell<Option<Instant>>>);
+
+impl LastReceived {
+    /// Returns the time, or [`None`] if nothing has been received.
+    pub fn get(&self) -> Option<Instant> {
+        self.0.get()
+    }
+}
+
+impl ReceiveObserver for LastReceived {
+    fn on_received(&self) {
+        self.0.set(Some(clock::now()));
+    }
+}
+
+/// A connection to an endpoint.
+pub type EndpointConnection = Connection<LastReceived>;
+
 #[derive(Debug)]
 struct IdleConnection {
-    conn: Connection,
+    conn: EndpointConnection,
     expires_at: Instant,
 }
 
@@ -35,6 +56,7 @@
 struct EndpointConnections {
     address: SocketAddr,
     idle: Vec<IdleConnection>,
+    last_received: LastReceived,
 }
 
 /// Idle connections, by the incarnation of their endpoint.
@@ -57,6 +79,7 @@
                 .or_insert_with(|| EndpointConnections {
                     address: entry.address,
                     idle: Vec::new(),
+                    last_received: LastReceived::default(),
                 });
         }
     }
@@ -66,14 +89,14 @@
     /// # Errors
     ///
     /// Fails if the endpoint is not listed or cannot be reached.
-    pub async fn acquire(&self, endpoint: &str) -> io::Result<Connection> {
+    pub async fn acquire(&self, endpoint: &str) -> io::Result<EndpointConnection> {
         if let Some(conn) = self.take_idle(endpoint)? {
             return Ok(conn);
         }
         self.open(endpoint).await
     }
 
-    fn take_idle(&self, endpoint: &str) -> io::Result<Option<Connection>> {
+    fn take_idle(&self, endpoint: &str) -> io::Result<Option<EndpointConnection>> {
         let mut endpoints = self.endpoints.borrow_mut();
         let endpoint_conns = endpoints.get_mut(endpoint).ok_or(io::ErrorKind::NotFound)?;
         let now = clock::now();
@@ -90,31 +113,30 @@
     /// # Errors
     ///
     /// Fails if the endpoint is not listed or cannot be reached.
-    pub async fn open(&self, endpoint: &str) -> io::Result<Connection> {
-        let address = {
+    pub async fn open(&self, endpoint: &str) -> io::Result<EndpointConnection> {
+        let (address, last_received) = {
             let endpoints = self.endpoints.borrow();
-            endpoints
-                .get(endpoint)
-                .ok_or(io::ErrorKind::NotFound)?
-                .address
+            let found = endpoints.get(endpoint).ok_or(io::ErrorKind::NotFound)?;
+            (found.address, found.last_received.clone())
         };
         counter!("front_endpoint_connections_total").increment(1);
-        Connection::open(address, CONNECT_TIMEOUT).await
+        let conn = Connection::open(address, CONNECT_TIMEOUT).await?;
+        Ok(conn.with_observer(last_received))
     }
 
     /// Returns a connection to the pool if its last exchange left it reusable.
-    pub fn release(&self, endpoint: &str, conn: Connection, head: &Head) {
+    pub fn release(&self, endpoint: &str, conn: EndpointConnection, head: &Head) {
         if conn.is_reusable() {
             self.add_idle(endpoint, conn, idle_timeout(head));
         }
     }
 
     /// Adds a connection that has carried no request yet.
-    pub fn release_unused(&self, endpoint: &str, conn: Connection) {
+    pub fn release_unused(&self, endpoint: &str, conn: EndpointConnection) {
         self.add_idle(endpoint, conn, DEFAULT_IDLE_TIMEOUT);
     }
 
-    fn add_idle(&self, endpoint: &str, conn: Connection, timeout: Millis) {
+    fn add_idle(&self, endpoint: &str, conn: EndpointConnection, timeout: Millis) {
         let mut endpoints = self.endpoints.borrow_mut();
         let Some(endpoint_conns) = endpoints.get_mut(endpoint) else {
             return;
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -3,11 +3,10 @@
 use std::cell::{Cell, RefCell};
 use std::fmt::Display;
 use std::rc::Rc;
-use std::time::Duration;
 
-use actix_http::{Method, StatusCode};
+use actix_http::Method;
 use bytes::{BufMut, Bytes, BytesMut};
-use metrics::{counter, histogram};
+use metrics::histogram;
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
@@ -17,13 +16,13 @@
 use sesamehaven::placement::DispatchOutcome;
 use sesamehaven::software_version::PoolVersion;
 use sesamehaven::unit::{Instant, Millis};
-use sesamehaven_wire::http1::{Connection, Error as WireError, Head};
 
+use crate::attempt::EndpointResponse;
 use crate::clock;
 use crate::front::Front;
-use crate::in_flight::{InFlightGuard, SentRequest};
+use crate::in_flight::SentRequest;
 use crate::pools::{Rejection, Slot};
-use crate::protocol::{ForwardedMeta, Protocol, RequestMeta, ResponseClass};
+use crate::protocol::{ForwardedMeta, Protocol, RequestMeta};
 use crate::routing_table::{Organisation, RetryPolicy, Route};
 
 /// The latency of an idle engine before it processes the prompt, in milliseconds.
@@ -38,21 +37,34 @@
 const DEFAULT_OUTPUT_SHARE: f64 = 0.5;
 /// The service time of a request to a plain service, in milliseconds.
 const PLAIN_CALL_MS: f64 = 60.0;
-/// The maximum number of responses to other requests that are skipped on one connection.
-const MAX_MISMATCHED_RESPONSES: usize = 4;
-/// The longest response body that is read and discarded, in bytes.
-const DISCARDED_BODY_MAX_BYTES: usize = 1 << 20;
-
-/// How long a front waits for the body of a refusal, so that its connection can be used again.
-const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Whether a request may have started to run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunStatus {
     /// No endpoint can have started to run it.
     NotRun,
-    /// An endpoint may have started to run it.
-    MayHaveRun,
+    /// As many endpoints as given may have started to run it.
+    MayHaveRun(u32),
+}
+
+impl RunStatus {
+    /// The request is sent to one more endpoint.
+    pub(crate) fn after_send(self) -> Self {
+        match self {
+            RunStatus::NotRun => RunStatus::MayHaveRun(1),
+            RunStatus::MayHaveRun(endpoints) => RunStatus::MayHaveRun(endpoints + 1),
+        }
+    }
+
+    /// It turns out that one endpoint has not run it.
+    ///
+    /// Others may be running it at the same time, so this need not mean that it has not run at all.
+    pub(crate) fn after_not_run(self) -> Self {
+        match self {
+            RunStatus::NotRun | RunStatus::MayHaveRun(0 | 1) => RunStatus::NotRun,
+            RunStatus::MayHaveRun(endpoints) => RunStatus::MayHaveRun(endpoints - 1),
+        }
+    }
 }
 
 /// An admitted request.
@@ -96,74 +108,6 @@
     pub runs: Cell<u32>,
 }
 
-/// A response whose head has been read.
-#[derive(Debug)]
-pub struct EndpointResponse {
-    /// The response head.
-    pub head: Head,
-    /// The connection that carries the body.
-    pub conn: Connection,
-    /// The slot that the request occupies.
-    pub slot: Slot,
-    in_flight: InFlightGuard,
-}
-
-impl EndpointResponse {
-    /// Returns the request as it was sent.
-    pub fn request(&self) -> &SentRequest {
-        self.in_flight.request()
-    }
-}
-
-/// An attempt that may be withdrawn; the endpoint can be asked again then.
-struct PendingAttempt<'a, P: Protocol> {
-    job: &'a Job<P>,
-    endpoint: &'a str,
-    /// The number of attempts before.
-    runs: u32,
-    is_settled: bool,
-}
-
-impl<'a, P: Protocol> PendingAttempt<'a, P> {
-    fn new(job: &'a Job<P>, endpoint: &'a str) -> Self {
-        job.tried.borrow_mut().push(endpoint.into());
-        PendingAttempt {
-            job,
-            endpoint,
-            runs: job.runs.get(),
-            is_settled: false,
-        }
-    }
-
-    fn settle(mut self) {
-        self.is_settled = true;
-    }
-}
-
-impl<P: Protocol> Drop for PendingAttempt<'_, P> {
-    fn drop(&mut self) {
-        if !self.is_settled {
-            self.job.runs.set(self.runs);
-            self.job.tried.borrow_mut().retain(|e| e != self.endpoint);
-        }
-    }
-}
-
-/// The outcome of an attempt at one endpoint.
-#[derive(Debug)]
-pub enum Attempt {
-    /// The response head was received.
-    Responded(Box<EndpointResponse>),
-    /// Nothing was sent: the endpoint was unreachable, or the connection broke first.
-    NotSent,
-    /// Nothing was sent, since the prompt has a part that crashes endpoints.
-    Quarantined,
-    /// The endpoint reported that it did not run the request.
-    NotRun,
-    /// The request may have run, but there is no usable response.
-    Unknown(&'static str),
-}
-
 impl<P: Protocol> Job<P> {
     /// Returns the time left until the deadline.
     pub fn remaining(&self, now: Instant) -> Millis {
@@ -239,87 +183,7 @@
         self.log(event, &endpoint, detail);
     }
 
-    /// Sends the request to an endpoint and reads the response head.
-    pub async fn attempt(&self, slot: Slot, last_event_id: Option<u64>) -> Attempt {
-        let endpoint = slot.endpoint.clone();
-        let pending = PendingAttempt::new(self, &endpoint);
-        let mut conn = match self.front.connections.acquire(&endpoint).await {
-            Ok(conn) => conn,
-            Err(err) => {
-                pending.settle();
-                self.log("unreachable", &endpoint, err.to_string());
-                slot.mark_unreachable();
-                return Attempt::NotSent;
-            }
-        };
-        // The endpoint may have announced a drain or a pause while the connection was opened.
-        let standing = self.front.pools.standing(&endpoint);
-        if !standing.accepts(clock::now()) {
-            counter!("front_withheld_total").increment(1);
-            self.log("withheld", &endpoint, standing);
-            self.front.connections.release_unused(&endpoint, conn);
-            return Attempt::NotSent;
-        }
-        // The part may have been recognized while the request waited.
-        let sent = self.sent_request();
-        if self.front.is_quarantined(&sent.parts) {
-            self.log("quarantined", &endpoint, "");
-            self.front.connections.release_unused(&endpoint, conn);
-            return Attempt::Quarantined;
-        }
-        let in_flight = self.front.in_flight.track(&endpoint, sent);
-        let head = self.request_head(&endpoint, last_event_id);
-        let run_status = self.run_status.replace(RunStatus::MayHaveRun);
-        let runs = self.runs.replace(self.runs.get() + 1);
-        conn.send(head, self.body.clone());
-        let head = self.read_response_head(&mut conn, &endpoint).await;
-        pending.settle();
-        match head {
-            Ok((head, ResponseClass::Valid)) => Attempt::Responded(Box::new(EndpointResponse {
-                head,
-                conn,
-                slot,
-                in_flight,
-            })),
-            Ok((head, ResponseClass::NotRun)) => {
-                self.run_status.set(run_status);
-                self.runs.set(runs);
-                let status = head.status.as_u16();
-                let body = conn.read_body(DISCARDED_BODY_MAX_BYTES);
-                // The connection is worth less than the time of the request, which goes elsewhere.
-                if let Ok(Ok(_)) = tokio::time::timeout(DISCARD_TIMEOUT, body).await {
-                    conn.finish(&head);
-                    self.front.connections.release(&endpoint, conn, &head);
-                }
-                self.log("not_run", &endpoint, status);
-                match head.status {
-                    // The address now belongs to another endpoint.
-                    StatusCode::MISDIRECTED_REQUEST => slot.mark_unreachable(),
-                    _ => slot.mark_full(),
-                }
-                Attempt::NotRun
-            }
-            Ok((head, _)) => {
-                self.log("doubtful", &endpoint, head.status.as_u16());
-                slot.complete(DispatchOutcome::Failure);
-                Attempt::Unknown("the response is untrusted")
-            }
-            Err(_) if !conn.has_sent() => {
-                self.run_status.set(run_status);
-                self.runs.set(runs);
-                slot.mark_unreachable();
-                Attempt::NotSent
-            }
-            Err(err) => {
-                self.log("broken_off", &endpoint, err.to_string());
-                self.front.probe_for_crash(&endpoint, &err);
-                slot.complete(DispatchOutcome::Failure);
-                Attempt::Unknown("the endpoint dropped the connection before its response")
-            }
-        }
-    }
-
-    fn sent_request(&self) -> SentRequest {
+    pub(crate) fn sent_request(&self) -> SentRequest {
         let pool = PoolId::new(&self.pool);
         SentRequest {
             id: self.meta.id.clone(),
@@ -338,30 +202,8 @@
         parts.map(|part| PartId::new(pool, *part)).collect()
     }
 
-    /// Reads the response head, skipping responses to other requests.
-    async fn read_response_head(
-        &self,
-        conn: &mut Connection,
-        endpoint: &str,
-    ) -> Result<(Head, ResponseClass), WireError> {
-        for _ in 0..MAX_MISMATCHED_RESPONSES {
-            let head = conn.read_head(&self.method).await?;
-            let class = P::classify_response(&self.meta.id, endpoint, &head);
-            if class != ResponseClass::Mismatched {
-                let announcement = P::parse_announcement(&head);
-                self.front.on_announcement(endpoint, announcement);
-                return Ok((head, class));
-            }
-            self.log("foreign_answer", endpoint, head.status.as_u16());
-            conn.read_body(DISCARDED_BODY_MAX_BYTES).await?;
-        }
-        Err(WireError::Malformed(
-            "only responses to other requests were received",
-        ))
-    }
-
     /// Serializes the request head for an endpoint.
-    fn request_head(&self, endpoint: &str, last_event_id: Option<u64>) -> Bytes {
+    pub(crate) fn request_head(&self, endpoint: &str, last_event_id: Option<u64>) -> Bytes {
         let mut head = BytesMut::with_capacity(self.headers.len() + 256);
         head.put_slice(self.method.as_str().as_bytes());
         head.put_u8(b' ');
--- a/crates/sesamehaven-front/src/lib.rs
+++ b/crates/sesamehaven-front/src/lib.rs
@@ -9,13 +9,16 @@
 
 mod admission;
 mod announcements;
+pub mod attempt;
 pub mod body;
+mod body_memory;
 pub mod clock;
 pub mod connection_pool;
 pub mod crash;
 pub mod directory_cache;
 pub mod error;
 pub mod events;
+pub mod failover;
 pub mod failure;
 pub mod front;
 pub mod gossip;
@@ -35,5 +38,6 @@
 pub mod settings;
 pub mod shared_limits;
 mod snapshot;
+pub mod source;
 
 pub use crate::error::{Error, Result};
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -1,12 +1,9 @@
 //! Request handling, from the request head to the response.
 
-use std::cell::Cell;
 use std::rc::Rc;
 
 use actix_http::{Request, Response, StatusCode};
-use bytes::Bytes;
 use metrics::counter;
-use smallvec::SmallVec;
 use smol_str::SmolStr;
 
 use sesamehaven::dispatcher::Refusal;
@@ -15,22 +12,23 @@
 use sesamehaven::software_version::PoolVersion;
 use sesamehaven::stream_origin::{StreamId, StreamOrigin};
 use sesamehaven::unit::{Instant, Millis};
-use sesamehaven_wire::http1::{Connection, Error as WireError, Result as WireResult};
 
 use crate::admission::{QUARANTINE_RETRY_AFTER, admit, charge, log_denied};
+use crate::attempt::{Attempt, EndpointResponse};
 use crate::body::Body;
+use crate::body_memory::{BodyMemoryGuard, read_body};
 use crate::clock;
+use crate::failover::{self, StreamAttempt};
 use crate::failure::{self, Failure, ServeResult};
 use crate::front::{CounterGuard, Front};
 use crate::headers::copy_response_headers;
-use crate::job::{Attempt, EndpointResponse, Job, RunStatus};
+use crate::job::{Job, RunStatus};
 use crate::origins;
 use crate::protocol::Protocol;
 use crate::relay;
 use crate::routing_table::RetryPolicy;
+use crate::source::FirstEvents;
 
-/// The maximum size of a non-streamed response, in bytes.
-const RESPONSE_MAX_BYTES: u64 = 16 << 20;
 /// The maximum number of attempts at endpoints that were unreachable or did not run the request;
 /// one more fails the request.
 const MAX_ATTEMPTS_WITHOUT_RUN: u32 = 3;
@@ -167,7 +165,7 @@
 /// A response that is ready for the caller.
 enum Served {
     Full(Response<Body>),
-    Stream(Box<relay::FirstEvents>),
+    Stream(Box<FirstEvents>),
 }
 
 /// What identifies a request when its caller sends it again.
@@ -209,7 +207,10 @@
         };
         let endpoint = slot.endpoint.clone();
         job.log("dispatch", &endpoint, job.runs.get());
-        let attempt = job.attempt(slot, job.meta.last_event_id).await;
+        let attempt = match failover::attempt(job, slot, job.meta.last_event_id).await {
+            StreamAttempt::Events(first) => return Ok(serve_stream(job, first)),
+            StreamAttempt::Endpoint(attempt) => attempt,
+        };
         let response = match attempt {
             Attempt::Responded(response) => response,
             Attempt::NotSent | Attempt::NotRun => {
@@ -261,12 +262,17 @@
     job: &Job<P>,
     response: Box<EndpointResponse>,
 ) -> ResponseAction {
-    let Ok(first) = relay::read_first_events(job, response).await else {
-        return ResponseAction::Unusable;
-    };
+    match failover::read_first_events(job, response).await {
+        Ok(first) => ResponseAction::Serve(serve_stream(job, Box::new(first))),
+        Err(_) => ResponseAction::Unusable,
+    }
+}
+
+/// Binds a stream to the endpoint that sent its first events.
+fn serve_stream<P: Protocol>(job: &Job<P>, first: Box<FirstEvents>) -> Served {
     first.response().slot.on_first_event();
     bind_version(job, first.response().slot.version);
-    ResponseAction::Serve(Served::Stream(Box::new(first)))
+    Served::Stream(first)
 }
 
 /// Binds a stream to the version of the endpoint that began it, and remembers it for its caller.
@@ -319,25 +325,6 @@
     ResponseAction::Serve(Served::Full(res))
 }
 
-/// Reads a whole body while the bodies that the front holds fit into its memory.
-async fn read_body<P: Protocol>(front: &Front<P>, conn: &mut Connection) -> WireResult<Bytes> {
-    let max_total = front.settings.borrow().max_body_memory.0;
-    let mut held = BodyMemoryGuard::new(&front.body_bytes, 0);
-    let mut parts: SmallVec<[Bytes; 4]> = SmallVec::new();
-    while let Some(part) = conn.read_part().await? {
-        held.add(part.len() as u64);
-        if held.bytes > RESPONSE_MAX_BYTES || front.body_bytes.get() > max_total {
-            counter!("front_bodies_too_long_total").increment(1);
-            return Err(WireError::Malformed("response body is too long"));
-        }
-        parts.push(part);
-    }
-    match parts.as_slice() {
-        [only] => Ok(only.clone()),
-        _ => Ok(Bytes::from(parts.concat())),
-    }
-}
-
 impl<P: Protocol> Job<P> {
     /// Returns whether a failed request has an attempt left and enough time for it.
     fn has_time_for_retry(&self) -> bool {
@@ -348,7 +335,7 @@
 fn timed_out<P: Protocol>(job: &Job<P>) -> Failure {
     match job.run_status.get() {
         RunStatus::NotRun => rejected(Refusal::Overdue, rejected_retry_after(job)),
-        RunStatus::MayHaveRun => Failure::outcome_unknown(
+        RunStatus::MayHaveRun(_) => Failure::outcome_unknown(
             StatusCode::GATEWAY_TIMEOUT,
             "timeout",
             "the endpoint did not answer in time",
@@ -396,28 +383,3 @@
     let message = "the endpoint broke off; the request may have run";
     Failure::outcome_unknown(StatusCode::BAD_GATEWAY, "endpoint_failed", message)
 }
-
-/// Accounts for the bytes of a request's body while it is being dispatched, or of a response's while it
-/// is being read.
-struct BodyMemoryGuard<'a> {
-    total: &'a Cell<u64>,
-    bytes: u64,
-}
-
-impl<'a> BodyMemoryGuard<'a> {
-    fn new(total: &'a Cell<u64>, bytes: u64) -> Self {
-        total.set(total.get() + bytes);
-        BodyMemoryGuard { total, bytes }
-    }
-
-    fn add(&mut self, bytes: u64) {
-        self.total.set(self.total.get() + bytes);
-        self.bytes += bytes;
-    }
-}
-
-impl Drop for BodyMemoryGuard<'_> {
-    fn drop(&mut self) {
-        self.total.set(self.total.get() - self.bytes);
-    }
-}
--- /dev/null
+++ b/crates/sesamehaven-front/src/source.rs
@@ -0,0 +1,97 @@
+//! The reading of an event stream from one endpoint.
+
+use bytes::Bytes;
+use smol_str::SmolStr;
+
+use sesamehaven::placement::DispatchOutcome;
+
+use crate::attempt::EndpointResponse;
+use crate::events::Splitter;
+use crate::job::Job;
+use crate::protocol::Protocol;
+
+/// A stream as it is read from one endpoint.
+#[derive(Debug)]
+pub(crate) struct Source {
+    pub(crate) response: Box<EndpointResponse>,
+    pub(crate) splitter: Splitter,
+    /// Why nothing more can be read.
+    failure: Option<&'static str>,
+}
+
+/// What was read from a stream.
+#[derive(Debug)]
+pub(crate) enum StreamRead {
+    Events(Bytes),
+    Complete,
+}
+
+impl Source {
+    pub(crate) fn new(response: Box<EndpointResponse>, last_id: Option<u64>) -> Self {
+        Source {
+            response,
+            splitter: Splitter::resume_after(last_id),
+            failure: None,
+        }
+    }
+
+    pub(crate) fn endpoint(&self) -> &SmolStr {
+        &self.response.slot.endpoint
+    }
+
+    /// Reads until at least one event is complete.
+    pub(crate) async fn read<P: Protocol>(
+        &mut self,
+        job: &Job<P>,
+    ) -> Result<StreamRead, &'static str> {
+        if let Some(reason) = self.failure {
+            return Err(reason);
+        }
+        loop {
+            match self.response.conn.read_part().await {
+                Ok(Some(bytes)) => match self.splitter.push(&bytes) {
+                    Ok(Some(events)) => {
+                        job.front.record_begun(self.response.request());
+                        return Ok(StreamRead::Events(events));
+                    }
+                    Ok(None) => {}
+                    Err(_) => {
+                        const REASON: &str = "an event is missing or too long";
+                        self.failure = Some(REASON);
+                        let before = self.splitter.take_complete();
+                        return before.map(StreamRead::Events).ok_or(REASON);
+                    }
+                },
+                Ok(None) if self.splitter.has_partial_event() => {
+                    return Err("the stream ended inside an event");
+                }
+                Ok(None) => return Ok(StreamRead::Complete),
+                Err(err) => {
+                    job.front.probe_for_crash(self.endpoint(), &err);
+                    return Err("the endpoint dropped the connection");
+                }
+            }
+        }
+    }
+
+    /// Closes the connection, which ends the run at this endpoint, and releases its slot.
+    pub(crate) fn abandon(self) {
+        let EndpointResponse { conn, slot, .. } = *self.response;
+        drop(conn);
+        slot.complete(DispatchOutcome::Failure);
+    }
+}
+
+/// The first events of a stream, and the endpoint that sent them.
+#[derive(Debug)]
+pub struct FirstEvents {
+    pub(crate) source: Source,
+    pub(crate) read: StreamRead,
+}
+
+impl FirstEvents {
+    /// Returns the response of the endpoint.
+    pub fn response(&self) -> &EndpointResponse {
+        &self.source.response
+    }
+}
--- a/crates/sesamehaven-wire/src/http1.rs
+++ b/crates/sesamehaven-wire/src/http1.rs
@@ -101,10 +101,21 @@
     Done,
 }
 
+/// Is notified when bytes arrive on a connection.
+pub trait ReceiveObserver {
+    /// At least one byte has arrived.
+    fn on_received(&self);
+}
+
+impl ReceiveObserver for () {
+    fn on_received(&self) {}
+}
+
 /// A client connection that carries one request at a time.
 #[derive(Debug)]
-pub struct Connection {
+pub struct Connection<O = ()> {
     io: TcpStream,
+    observer: O,
     buf: BytesMut,
     outgoing: SmallVec<[Bytes; 2]>,
     framing: Framing,
@@ -131,6 +142,7 @@
         socket.set_tcp_keepalive(&keepalive.with_retries(2))?;
         Ok(Connection {
             io,
+            observer: (),
             buf: BytesMut::new(),
             outgoing: SmallVec::new(),
             framing: Framing::Done,
@@ -139,6 +151,26 @@
         })
     }
 
+    /// Notifies an observer of all bytes that arrive from now on.
+    pub fn with_observer<O: ReceiveObserver>(self, observer: O) -> Connection<O> {
+        Connection {
+            io: self.io,
+            observer,
+            buf: self.buf,
+            outgoing: self.outgoing,
+            framing: self.framing,
+            sent: self.sent,
+            reusable: self.reusable,
+        }
+    }
+}
+
+impl<O: ReceiveObserver> Connection<O> {
+    /// Returns the observer.
+    pub fn observer(&self) -> &O {
+        &self.observer
+    }
+
     /// Returns whether an idle connection is open and has received no unsolicited bytes.
     pub fn is_clean(&mut self) -> bool {
         if !self.reusable || !self.buf.is_empty() {
@@ -298,7 +330,12 @@
                 self.buf.reserve(READ_BYTES);
                 match self.io.try_read_buf(&mut self.buf) {
                     Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
-                    read => return read,
+                    read => {
+                        if matches!(read, Ok(1..)) {
+                            self.observer.on_received();
+                        }
+                        return read;
+                    }
                 }
             }
         }
--- a/crates/sesamehaven-wire/tests/http1.rs
+++ b/crates/sesamehaven-wire/tests/http1.rs
@@ -2,7 +2,9 @@
 
 #![allow(clippy::unwrap_used)] // The helpers run only in tests.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +12,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use sesamehaven_wire::http1::{Connection, Error};
+use sesamehaven_wire::http1::{Connection, Error, ReceiveObserver};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 const GET: http::Method = http::Method::GET;
@@ -201,3 +203,40 @@
     drop(listener);
     assert!(Connection::open(address, TIMEOUT).await.is_err());
 }
+
+/// Counts the notifications of one or more connections.
+#[derive(Debug, Clone, Default)]
+struct Receipts(Rc<Cell<usize>>);
+
+impl ReceiveObserver for Receipts {
+    fn on_received(&self) {
+        self.0.set(self.0.get() + 1);
+    }
+}
+
+/// Guards against peers that look silent although a part of their response head has arrived.
+#[actix_rt::test]
+async fn an_observer_learns_of_bytes_before_the_head_is_complete() {
+    let address = start_endpoint(|mut io| async move {
+        read_head(&mut io).await;
+        io.write_all(b"HTTP/1.1 200 OK\r\n").await.unwrap();
+        // The peer goes on only when it has seen the first part.
+        let mut byte = [0];
+        io.read_exact(&mut byte).await.unwrap();
+        io.write_all(b"content-length: 0\r\n\r\n").await.unwrap();
+    })
+    .await;
+    let receipts = Receipts::default();
+    let mut conn = send(address).await.with_observer(receipts.clone());
+    assert_eq!(receipts.0.get(), 0);
+    let waited = tokio::time::timeout(TIMEOUT, async {
+        tokio::select! {
+            head = conn.read_head(&GET) => panic!("{head:?}"),
+            () = async { while receipts.0.get() == 0 { tokio::task::yield_now().await } } => {}
+        }
+    });
+    waited.await.unwrap();
+    conn.send(Bytes::from_static(b"x"), Bytes::new());
+    conn.read_head(&GET).await.unwrap();
+    assert!(receipts.0.get() >= 2);
+}
