Serve organisations at their rate right after the loss of all fronts

A front that started before the others compared the usage of all fronts, as saved before the loss, with its own share of the limit. A front that found nothing saved took the first report of another just started front for older usage and counted it again for a whole window.

Usage is now saved by age, from an eighth of a limit, and expires after a start no earlier than it would have. What lost fronts used reduces what is left for all, of which each group of fronts has its share. Reports count only from fronts that were there before.

--- a/crates/sesamehaven-front/src/gossip.rs
+++ b/crates/sesamehaven-front/src/gossip.rs
@@ -296,7 +296,9 @@
         return;
     }
     let mut shared_limits = front.shared_limits.borrow_mut();
-    shared_limits.merge_usage(digest.from, &digest.usage, now);
+    // Only a full digest names other fronts.
+    let is_whole = !digest.peers.is_empty();
+    shared_limits.merge_usage(digest.from, &digest.usage, is_whole, now);
     drop(shared_limits);
     if let Some(news) = &digest.news {
         if front.quarantine.borrow_mut().merge(&news.requests, now) {
--- a/crates/sesamehaven-front/src/shared_limits.rs
+++ b/crates/sesamehaven-front/src/shared_limits.rs
@@ -7,7 +7,7 @@
 
 use sesamehaven::digest::hash_of;
 use sesamehaven::shared_limit::{
-    PeerId, PeerTracker, SharedRetryBudget, SharedWindow, WindowLimit,
+    PeerId, PeerTracker, SavedUsage, SharedRetryBudget, SharedWindow, WindowLimit,
 };
 use sesamehaven::unit::{Instant, Millis};
 
@@ -15,11 +15,50 @@
 use crate::routing_table::{RateLimit, RoutingTable};
 use crate::settings::Bounds;
 
-/// The usage of nearly exhausted limits, saved so that it survives a restart of all fronts.
+/// The usage of limits, saved so that it survives a restart of all fronts.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageSnapshot {
-    /// The usage of all fronts within the window, by organisation.
+    /// The usage of all fronts within the window, by organisation, of nearly exhausted limits.
+    ///
+    /// Fronts that save no ages read and write this alone.
     pub sums: BTreeMap<SmolStr, u64>,
+    /// The same with its ages, of all limits that are used to a degree; [`None`] if the front saves
+    /// none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ages: Option<BTreeMap<SmolStr, SavedUsage>>,
+}
+
+impl UsageSnapshot {
+    /// Returns the usage of an organisation; a sum without ages counts as the latest.
+    fn saved_usage(&self, organisation: &str) -> Option<SavedUsage> {
+        let ages = self.ages.as_ref().and_then(|ages| ages.get(organisation));
+        let without_ages = || {
+            Some(SavedUsage {
+                by_age: vec![*self.sums.get(organisation)?],
+                since_loss: 0,
+            })
+        };
+        ages.cloned().or_else(without_ages)
+    }
+}
+
+/// Returns the least usage that expires no earlier than any of the given ones.
+///
+/// Snapshots of fronts that no longer save cannot be told from current ones.
+fn latest_of(usages: impl Iterator<Item = SavedUsage>) -> Option<SavedUsage> {
+    usages.reduce(|a, b| {
+        let (mut sum_a, mut sum_b, mut sum) = (0, 0, 0);
+        let spans = (0..a.by_age.len().max(b.by_age.len())).map(|n| {
+            sum_a += a.by_age.get(n).copied().unwrap_or_default();
+            sum_b += b.by_age.get(n).copied().unwrap_or_default();
+            let previous = std::mem::replace(&mut sum, sum_a.max(sum_b));
+            sum - previous
+        });
+        SavedUsage {
+            by_age: spans.collect(),
+            since_loss: a.since_loss.max(b.since_loss),
+        }
+    })
 }
 
 /// The usage of an organisation's limit at one front.
@@ -121,12 +160,15 @@
         usage.collect()
     }
 
-    /// Merges the usage that another front reported.
-    pub fn merge_usage(&mut self, peer: PeerId, usage: &[Usage], now: Instant) {
+    /// Merges the usage that another front reported; only a whole report has the sums that the front knows.
+    pub fn merge_usage(&mut self, peer: PeerId, usage: &[Usage], is_whole: bool, now: Instant) {
         for (name, window) in &mut self.windows {
             let hash = name_hash(name);
             if let Some(usage) = usage.iter().find(|d| d.organisation == hash) {
                 window.on_peer(peer, usage.total, usage.sum, now);
+                if is_whole && usage.sum.is_none() {
+                    window.on_recent_start(peer, now);
+                }
             }
         }
     }
@@ -135,14 +177,23 @@
     pub fn snapshot(&self, now: Instant) -> UsageSnapshot {
         let windows = self.windows.iter();
         let nearly_used = windows.filter_map(|(name, w)| Some((name.clone(), w.high_usage(now)?)));
+        let windows = self.windows.iter();
+        let used = windows.filter_map(|(name, w)| Some((name.clone(), w.saved_usage(now)?)));
         UsageSnapshot {
             sums: nearly_used.collect(),
+            ages: Some(used.collect()),
         }
     }
 
     /// Restores the usage from before the start.
     pub fn restore(&mut self, snapshots: &[&UsageSnapshot], now: Instant) {
+        let has_ages = snapshots.iter().any(|s| s.ages.is_some());
         for (name, window) in &mut self.windows {
+            if has_ages {
+                let usage = latest_of(snapshots.iter().filter_map(|s| s.saved_usage(name)));
+                window.on_restored_with_ages(usage.as_ref(), now);
+                continue;
+            }
             let sums = snapshots.iter().filter_map(|s| s.sums.get(name));
             window.on_restored(sums.max().copied(), now);
         }
--- a/crates/sesamehaven-front/tests/shared_limits.rs
+++ b/crates/sesamehaven-front/tests/shared_limits.rs
@@ -67,12 +67,12 @@
 fn a_lost_change_is_made_up_for_by_the_next(#[case] lost: usize) {
     let (mut sender, mut receiver, peers) = (limits(1), limits(1), peers());
     let mut changes = UsageChanges::default();
-    receiver.merge_usage(7, &sender.usage(Instant(1)), Instant(1));
+    receiver.merge_usage(7, &sender.usage(Instant(1)), true, Instant(1));
     for n in 0..5 {
         charge(&mut sender, 0, &peers);
         let usage = sender.usage_changes(&mut changes);
         if n != lost {
-            receiver.merge_usage(7, &usage, Instant(1));
+            receiver.merge_usage(7, &usage, false, Instant(1));
         }
     }
     let used = |limits: &SharedLimits| limits.usage(Instant(1))[0].sum;
--- a/crates/sesamehaven/src/shared_limit.rs
+++ b/crates/sesamehaven/src/shared_limit.rs
@@ -5,14 +5,27 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use serde::{Deserialize, Serialize};
+
 use crate::unit::{Instant, Millis};
 
 /// How long a process that sends no messages still counts as consuming its share.
 const PEER_RETENTION: Millis = Millis(15_000);
 /// The maximum age of the last message of a process that counts as connected.
 const PEER_FRESHNESS: Millis = Millis(500);
-/// The share of a limit from which usage is persisted across restarts.
+/// The share of a limit from which its usage is persisted as one sum.
 const HIGH_USAGE_SHARE: f64 = 0.5;
+/// The share of a limit from which its usage is persisted with its ages. With nothing saved, this much counts
+/// as used for a whole window, so it is well below what an organisation needs to continue at its rate.
+const SAVED_USAGE_SHARE: f64 = 0.125;
+/// The number of spans of a window whose usage is persisted separately.
+const SPANS: u64 = 8;
+/// How old a persisted usage may be at the loss of all processes.
+const MAX_SAVE_AGE: Millis = Millis(500);
+/// How long after it was first heard a process from before the start reports its usage at the latest.
+/// Reports come each second, so this is two of them. A later one is by a process that did not know the usage itself
+/// until one window after its start.
+const MAX_REPORT_DELAY: Millis = Millis(2_500);
 /// The number of buckets of a sliding window.
 const BUCKETS: u64 = 40;
 /// The share of the retry budget that may be used, since the number of processes is only
@@ -100,22 +113,81 @@
     pub amount: u64,
 }
 
+/// The usage of a limit as persisted for a restart of all processes.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SavedUsage {
+    /// The usage of all processes by age, in equal spans of the window, the latest first.
+    pub by_age: Vec<u64>,
+    /// The part of it that was used since the last loss of all processes, while some of it was from
+    /// before that loss.
+    #[serde(default)]
+    pub since_loss: u64,
+}
+
+/// Where the recorded usage of a process comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum UsageSource {
+    /// Nothing is known; the whole limit counts as used.
+    Assumed,
+    /// Nothing was persisted; the bound below which that is so counts as used.
+    Estimated,
+    /// What was persisted before the start.
+    Restored,
+    /// A process that was there before.
+    Peer,
+}
+
 /// The consumption of several processes against one limit within a sliding window.
 ///
 /// Each process sends the others its running total, so that the next message makes
 /// up for a lost one. A process that has just started does not know the earlier
 /// consumption and assumes that the limit is used up until another process reports
 /// the usage, the persisted usage is restored or one window has passed.
+///
+/// # After the loss of all processes
+///
+/// No window that begins before the loss may contain more than the limit, although the window allows
+/// the whole limit to be used in one moment. Continuing at the rate is therefore safe only if it is known when the
+/// earlier amounts were used. The usage is persisted by age, and after the start each part counts
+/// for as long as if no time had passed since it was saved, so it never expires too early. An
+/// organisation that used `rate x span + burst` at most in any span can continue at the rate, since
+/// as much expires as it uses. What was used in the [`MAX_SAVE_AGE`] after the last save is unknown; the mean
+/// usage of that long counts for it, and only an excess over the mean may exceed the limit. Ages are rounded
+/// down to an eighth of the window, so usage near the whole limit waits up to that long.
+/// Where nothing was persisted, less than [`SAVED_USAGE_SHARE`] was used, all of it perhaps in the last
+/// moment, and that much counts for a whole window.
+///
+/// What the lost processes used falls to no process that runs now. It reduces what all groups of
+/// connected processes may use, each by its share: with `R` of the limit `A` restored, a group
+/// with the share `s` may use `s x (A - R)`, and all groups together `A - R`. Against `s x A`, as usage otherwise
+/// counts, a process that starts before the others could use nothing until `R` had fallen
+/// below its share. The usage that a peer from before the start reports includes that of
+/// its own group and counts against the share in full.
+///
+/// The amount of the limit may include a part of a tolerance; the rest of the tolerance covers totals that are
+/// on their way, before and after a start.
 #[derive(Debug)]
 pub struct SharedWindow {
     limit: WindowLimit,
     window: SlidingWindow,
+    /// The part of the usage that was persisted by processes that are gone.
+    lost: SlidingWindow,
     total: u64,
-    peers: HashMap<PeerId, u64>,
+    peers: HashMap<PeerId, PeerTotal>,
     started: Instant,
-    is_assumed: bool,
-    /// Whether part of the usage is an estimate, until a peer reports it or one window has passed.
-    is_estimated: bool,
+    source: UsageSource,
+    /// The part of the restored usage that may be of processes which run now.
+    restored_since_loss: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct PeerTotal {
+    total: u64,
+    /// The total when the peer was first heard.
+    first: u64,
+    first_heard: Instant,
+    /// Whether the peer has reported the usage of the window.
+    has_reported: bool,
 }
 
 impl SharedWindow {
@@ -126,11 +198,12 @@
         SharedWindow {
             limit,
             window,
+            lost: SlidingWindow::new(limit.window),
             total: 0,
             peers: HashMap::new(),
             started: now,
-            is_assumed: true,
-            is_estimated: false,
+            source: UsageSource::Assumed,
+            restored_since_loss: 0,
         }
     }
 
@@ -150,7 +223,9 @@
     /// Returns the time to wait if the limit would be exceeded.
     pub fn consume(&mut self, amount: u64, share: f64, now: Instant) -> Result<(), Millis> {
         self.window.expire(now);
-        let available = self.limit.amount as f64 * share;
+        self.lost.expire(now);
+        let lost = self.lost.sum.max(0.0);
+        let available = lost + (self.limit.amount as f64 - lost) * share;
         let excess = self.window.sum + amount as f64 - available;
         // A request larger than the whole limit is admitted when the window is empty.
         if excess > 0.0 && self.window.sum > 0.0 {
@@ -175,77 +250,167 @@
     /// Returns the consumption of all processes within the window, or [`None`] while it is
     /// unknown after a start.
     pub fn usage(&self, now: Instant) -> Option<u64> {
-        let is_known = !self.is_assumed || now.since(self.started) >= self.limit.window;
+        let is_known = self.source != UsageSource::Assumed || !self.is_first_window(now);
         is_known.then_some(self.window.sum.max(0.0) as u64)
     }
 
-    /// Returns the usage for other processes, or [`None`] while it is unknown or an estimate.
+    /// Returns the usage for other processes, or [`None`] while no process from before the start has
+    /// reported it.
+    ///
+    /// A receiver takes a reported usage for that of a process from before the start.
     pub fn reported_usage(&self, now: Instant) -> Option<u64> {
-        let is_exact = !self.is_estimated || now.since(self.started) >= self.limit.window;
+        let is_exact = self.source == UsageSource::Peer || !self.is_first_window(now);
         self.usage(now).filter(|_| is_exact)
     }
 
     /// Returns the usage if it is high enough that it must survive a restart.
     pub fn high_usage(&self, now: Instant) -> Option<u64> {
-        let threshold = self.limit.amount as f64 * HIGH_USAGE_SHARE;
+        self.usage_from(HIGH_USAGE_SHARE, now)
+    }
+
+    /// Returns the usage with its ages if it must survive a restart with them.
+    pub fn saved_usage(&self, now: Instant) -> Option<SavedUsage> {
+        let usage = self.usage_from(SAVED_USAGE_SHARE, now)?;
+        let is_after_loss = self.source != UsageSource::Peer && self.is_first_window(now);
+        let peers = self.peers.values();
+        let of_peers = peers.map(|p| p.total.saturating_sub(p.first)).sum::<u64>();
+        Some(SavedUsage {
+            by_age: self.window.spans(now),
+            since_loss: match is_after_loss {
+                true => usage.min(self.total + of_peers),
+                false => 0,
+            },
+        })
+    }
+
+    fn usage_from(&self, share: f64, now: Instant) -> Option<u64> {
+        let threshold = self.limit.amount as f64 * share;
         self.usage(now).filter(|usage| *usage as f64 >= threshold)
     }
 
-    /// Applies the usage persisted before the start; [`None`] means that it was below
+    fn is_first_window(&self, now: Instant) -> bool {
+        now.since(self.started) < self.limit.window
+    }
+
+    /// Applies the usage persisted before the start without ages; [`None`] means that it was below
     /// `HIGH_USAGE_SHARE` of the limit, which is then assumed.
     pub fn on_restored(&mut self, usage: Option<u64>, now: Instant) {
         if self.usage(now).is_some() {
             return;
         }
+        let mut lost = SlidingWindow::new(self.limit.window);
         match usage {
-            Some(usage) => self.set_usage(usage as f64, now),
+            // The times of consumption are unknown, so all of it counts for a full window from now.
+            Some(usage) => {
+                lost.add(usage as f64, now);
+                self.restore(lost, UsageSource::Restored, 0, now);
+            }
             None => {
-                let own = self.total as f64;
-                self.window.clear();
-                self.window
-                    .spread(self.limit.amount as f64 * HIGH_USAGE_SHARE, now);
-                self.window.add(own, now);
-                self.is_estimated = true;
+                let bound = self.limit.amount as f64 * HIGH_USAGE_SHARE;
+                lost.spread(bound, now);
+                self.restore(lost, UsageSource::Estimated, bound as u64, now);
             }
         }
-        self.is_assumed = false;
+    }
+
+    /// Applies the usage persisted before the start with its ages; [`None`] means that it was below
+    /// `SAVED_USAGE_SHARE` of the limit, which then counts for a full window.
+    pub fn on_restored_with_ages(&mut self, usage: Option<&SavedUsage>, now: Instant) {
+        if self.usage(now).is_some() {
+            return;
+        }
+        let mut lost = SlidingWindow::new(self.limit.window);
+        let Some(usage) = usage else {
+            let bound = self.limit.amount as f64 * SAVED_USAGE_SHARE;
+            lost.add(bound, now);
+            return self.restore(lost, UsageSource::Estimated, bound as u64, now);
+        };
+        let sum = usage.by_age.iter().sum::<u64>() as f64;
+        lost.set_spans(&usage.by_age, now);
+        // What was used after the last save.
+        let window = self.limit.window.0.max(1) as f64;
+        lost.add(sum * MAX_SAVE_AGE.0 as f64 / window, now);
+        self.restore(lost, UsageSource::Restored, usage.since_loss, now);
+    }
+
+    fn restore(&mut self, lost: SlidingWindow, source: UsageSource, since_loss: u64, now: Instant) {
+        self.window = lost.clone();
+        self.lost = lost;
+        // What was consumed since the start is not in what was persisted before.
+        self.window.add(self.total as f64, now);
+        for peer in self.peers.values() {
+            self.window.add(peer.total as f64 - peer.first as f64, now);
+            // A peer that started earlier may have persisted its usage, which is not lost.
+            self.lost.add(-(peer.total as f64), now);
+        }
+        self.source = source;
+        self.restored_since_loss = since_loss;
     }
 
     /// Updates the running total of another process, with its usage of the window if it
     /// knows it.
     pub fn on_peer(&mut self, peer: PeerId, total: u64, usage: Option<u64>, now: Instant) {
-        let previous = self.peers.insert(peer, total);
+        let previous = self.peers.get(&peer).copied();
+        let is_first_window = self.is_first_window(now);
         self.window.expire(now);
-        let is_first_window = now.since(self.started) < self.limit.window;
-        match (usage, previous) {
-            (Some(usage), _) if self.usage(now).is_none() => self.set_usage(usage as f64, now),
+        match previous {
+            // A smaller total results from refunds.
+            Some(previous) => self.window.add(total as f64 - previous.total as f64, now),
+            // What it consumed earlier may be part of what was persisted, but is not lost.
+            None if is_first_window => self.lost.add(-(total as f64), now),
+            None => {}
+        }
+        let first_heard = previous.map_or(now, |p| p.first_heard);
+        let has_reported = previous.is_some_and(|p| p.has_reported);
+        let current = PeerTotal {
+            total,
+            first: previous.map_or(total, |p| p.first),
+            first_heard,
+            has_reported: has_reported || usage.is_some(),
+        };
+        self.peers.insert(peer, current);
+        let Some(usage) = usage.filter(|_| is_first_window && !has_reported) else {
+            return;
+        };
+        // The peer's usage includes that of the group that it is connected to.
+        self.lost.clear();
+        let is_late = now.since(first_heard) > MAX_REPORT_DELAY;
+        match self.source {
+            UsageSource::Assumed if !is_late => self.set_usage(usage as f64, now),
             // An estimate says nothing of the times of consumption, so it may expire too early.
-            (Some(usage), None) if is_first_window && self.is_estimated => {
-                self.is_estimated = false;
-                self.set_usage((usage + self.total) as f64, now);
-            }
+            UsageSource::Estimated if !is_late => self.set_usage((usage + self.total) as f64, now),
             // What was restored is older than what a peer knows.
-            (Some(usage), None) if is_first_window => {
+            _ => {
                 let missing = usage as f64 - self.window.sum;
                 self.window.add(missing.max(0.0), now);
             }
-            (_, None) => {}
-            // A smaller total results from refunds.
-            (_, Some(previous)) => self.window.add(total as f64 - previous as f64, now),
         }
+        self.source = UsageSource::Peer;
+    }
+
+    /// Counts what a process that started less than one window ago had consumed when it was first heard, as far as
+    /// that is not part of what was restored.
+    pub fn on_recent_start(&mut self, peer: PeerId, now: Instant) {
+        let Some(peer) = self.peers.get_mut(&peer).filter(|p| !p.has_reported) else {
+            return;
+        };
+        let consumed = std::mem::take(&mut peer.first);
+        let restored = consumed.min(self.restored_since_loss);
+        self.restored_since_loss -= restored;
+        self.window.expire(now);
+        self.window.add((consumed - restored) as f64, now);
     }
 
     /// Replaces the usage assumed at the start.
     fn set_usage(&mut self, usage: f64, now: Instant) {
         self.window.clear();
-        self.is_assumed = false;
         // The times of consumption are unknown, so all of it counts for a full window from now.
         self.window.add(usage.max(self.total as f64), now);
     }
 }
 
 /// A sum over a sliding window, in buckets.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct SlidingWindow {
     span: Millis,
     buckets: VecDeque<(u64, f64)>,
@@ -284,6 +449,37 @@
         self.sum = self.buckets.iter().map(|(_, n)| n).sum();
     }
 
+    /// Returns the amounts by age, rounded up, the latest span first.
+    fn spans(&self, now: Instant) -> Vec<u64> {
+        let newest = now.0 / self.bucket_ms();
+        let mut amounts = vec![0.0; SPANS as usize];
+        for (bucket, n) in &self.buckets {
+            let span = newest.saturating_sub(*bucket) * SPANS / BUCKETS;
+            amounts[span.min(SPANS - 1) as usize] += n;
+        }
+        // A span with more refunds than consumption reduces the next older one.
+        let mut refunds = 0.0;
+        let spans = amounts.into_iter().map(|amount| {
+            let left: f64 = amount + refunds;
+            refunds = left.min(0.0);
+            left.max(0.0).ceil() as u64
+        });
+        spans.collect()
+    }
+
+    /// Fills an empty window with amounts by age, each counted at the lowest age of its span.
+    fn set_spans(&mut self, spans: &[u64], now: Instant) {
+        let newest = now.0 / self.bucket_ms();
+        let ages = (0..).map(|span| span * BUCKETS / SPANS);
+        let dated: Vec<(u64, f64)> = ages
+            .zip(spans)
+            .take(SPANS as usize)
+            .map(|(age, n)| (newest.saturating_sub(age), *n as f64))
+            .collect();
+        self.buckets.extend(dated.into_iter().rev());
+        self.sum = self.buckets.iter().map(|(_, n)| n).sum();
+    }
+
     fn clear(&mut self) {
         self.buckets.clear();
         self.sum = 0.0;
