Place requests by the load that endpoints report

Endpoints of some services report running and waiting requests, slots and the current work time in X-Sesamehaven-Replica-Load. Nothing read it, so the requests of fronts that were not heard, or heard late, did not count.

The header is decoded once, into `Announcement::load`. The requests of others at an endpoint are now the mean of what fronts announced and what the endpoint reported, less this front's own requests. The weight of the report falls evenly to zero over two intervals between digests (300 ms to 2 s), or 2 s while no other front is heard. Requests sent in the 10 ms before a report arrived count as not reported.

--- a/crates/sesamehaven-front/src/announcements.rs
+++ b/crates/sesamehaven-front/src/announcements.rs
@@ -12,7 +12,10 @@
 
 impl<P: Protocol> Front<P> {
     /// Applies what an endpoint said about itself in a response to a request of this front.
-    pub(crate) fn on_announcement(&self, endpoint: &str, announcement: Announcement) {
+    pub(crate) fn on_announcement(&self, pool: &str, endpoint: &str, announcement: Announcement) {
+        if let Some(load) = announcement.load {
+            self.pools.on_load(pool, endpoint, load);
+        }
         self.on_limit(endpoint, announcement.limit);
         if announcement.is_empty() {
             return;
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -349,7 +349,8 @@
             let class = P::classify_response(&self.meta.id, endpoint, &head);
             if class != ResponseClass::Mismatched {
                 let announcement = P::parse_announcement(&head);
-                self.front.on_announcement(endpoint, announcement);
+                self.front
+                    .on_announcement(&self.pool, endpoint, announcement);
                 return Ok((head, class));
             }
             self.log("foreign_answer", endpoint, head.status.as_u16());
--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -14,6 +14,7 @@
 use sesamehaven::digest::hash_of;
 use sesamehaven::dispatcher::{Dispatcher, Refusal, Step, Work};
 use sesamehaven::endpoint_limits::{EndpointLimits, LimitNotice, own_share};
+use sesamehaven::endpoint_load::EndpointLoad;
 use sesamehaven::placement::{DispatchOutcome, ListedEndpoint};
 use sesamehaven::request_rate::RequestRate;
 use sesamehaven::software_version::PoolVersion;
@@ -182,6 +183,13 @@
         news
     }
 
+    /// Records the load that an endpoint of a pool reported in a response.
+    pub fn on_load(&self, pool: &str, endpoint: &str, load: EndpointLoad) {
+        if let Some(dispatcher) = self.pools.borrow_mut().get_mut(pool) {
+            dispatcher.on_load(endpoint, load, clock::now());
+        }
+    }
+
     /// Records the limit that an endpoint named in a response, or that it named none; returns whether
     /// it has changed.
     pub fn on_limit(&self, endpoint: &str, limit: Option<RequestRate>) -> bool {
--- a/crates/sesamehaven/src/announcement.rs
+++ b/crates/sesamehaven/src/announcement.rs
@@ -9,6 +9,7 @@
 
 use smol_str::SmolStr;
 
+use crate::endpoint_load::EndpointLoad;
 use crate::request_rate::RequestRate;
 use crate::unit::{Instant, Millis};
 
@@ -26,6 +27,8 @@
     pub pause: Option<Millis>,
     /// The requests per second that the endpoint takes from all processes together, while it says so.
     pub limit: Option<RequestRate>,
+    /// The load of the endpoint when it made the response.
+    pub load: Option<EndpointLoad>,
 }
 
 impl Announcement {
@@ -112,6 +115,7 @@
                 .pause
                 .filter(|pause| self.begin_pause(id, *pause, now)),
             limit: None,
+            load: None,
         }
     }
 
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -31,6 +31,7 @@
 
 use crate::announcement::Standing;
 use crate::backlog::{Backlog, Length, Rank, Ticket, WaitingRequest, drain_time};
+use crate::endpoint_load::{EndpointLoad, freshness};
 use crate::placement::{Demand, DispatchOutcome, ListedEndpoint, Placement};
 use crate::refusal::{self, RETRY_AFTER_MAX};
 use crate::request_rate::RequestRate;
@@ -148,6 +149,11 @@
         self.placement.set_limits(share, now);
     }
 
+    /// Records the load that an endpoint reported in a response that has just arrived.
+    pub fn on_load(&mut self, endpoint: &str, load: EndpointLoad, now: Instant) {
+        self.placement.on_load(endpoint, load, now);
+    }
+
     /// Updates the number of other processes, the requests that wait there, and the
     /// requests that they run at each endpoint.
     pub fn set_peers(
@@ -159,11 +165,12 @@
     ) {
         let own = self.backlog.len() as f64 + 1.0;
         self.waiting_share = own / (own + f64::from(waiting) + others as f64);
-        let age = now.since(self.peers_updated_at).0 as f64;
+        let age = now.since(self.peers_updated_at);
         self.peers_updated_at = now;
-        let is_informative = others > 0 && self.mean_hold_ms > age * MIN_HOLD_INTERVALS;
+        let is_informative = others > 0 && self.mean_hold_ms > age.0 as f64 * MIN_HOLD_INTERVALS;
         let share = is_informative.then_some(self.waiting_share);
-        self.placement.set_peers(share, running);
+        self.placement
+            .set_peers(share, freshness(others, age), now, running);
     }
 
     /// Returns the hash of each endpoint with the number of requests that this process
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod dispatcher;
 pub mod election;
 pub mod endpoint_limits;
+pub mod endpoint_load;
 mod endpoint_state;
 pub mod error;
 pub mod estimate;
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -13,6 +13,7 @@
 
 use crate::announcement::Standing;
 use crate::digest::{mix_bits, to_unit_interval};
+use crate::endpoint_load::EndpointLoad;
 use crate::pool_endpoint::{PoolEndpoint, QUEUED_AHEAD};
 use crate::request_rate::{Allowance, RequestRate};
 use crate::session_table::SessionTable;
@@ -154,13 +155,21 @@
     ///
     /// All processes see the same few free slots. Each therefore draws at random which of
     /// them it may claim until the next update, in proportion to `waiting_share`, its share of
-    /// all waiting requests; without one it may claim any of them.
-    pub fn set_peers(&mut self, waiting_share: Option<f64>, running: impl Fn(u64) -> u32) {
+    /// all waiting requests; without one it may claim any of them. Reports of endpoints about all
+    /// requests count for `freshness`.
+    pub fn set_peers(
+        &mut self,
+        waiting_share: Option<f64>,
+        freshness: Millis,
+        now: Instant,
+        running: impl Fn(u64) -> u32,
+    ) {
         self.is_shared = waiting_share.is_some();
         let waiting_share = waiting_share.unwrap_or(1.0);
         self.peer_updates += 1;
         for endpoint in &mut self.endpoints {
             endpoint.peer_running = running(endpoint.hash);
+            endpoint.freshness = freshness;
         }
         let draw = mix_bits(self.seed ^ self.peer_updates);
         for endpoint in &mut self.endpoints {
@@ -168,7 +177,7 @@
                 to_unit_interval(mix_bits(endpoint.hash ^ draw ^ u64::from(*slot)))
                     < waiting_share * CLAIMS_PER_SLOT
             };
-            endpoint.claimable = (0..endpoint.free()).filter(is_claimed).count() as u32;
+            endpoint.claimable = (0..endpoint.free(now)).filter(is_claimed).count() as u32;
         }
     }
 
@@ -188,7 +197,7 @@
     /// Returns how many more requests the ready endpoints accept, including
     /// `QUEUED_AHEAD` for each.
     pub fn free(&self, now: Instant) -> u32 {
-        self.open(now).map(PoolEndpoint::free).sum()
+        self.open(now).map(|e| e.free(now)).sum()
     }
 
     /// Returns whether any endpoint that a request may go to, of its version if it has one, accepts
@@ -256,7 +265,7 @@
             if !endpoint.is_on_time(demand) && is_slow() {
                 continue;
             }
-            let score = self.score(endpoint, demand, last);
+            let score = self.score(endpoint, demand, last, now);
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, endpoint));
             }
@@ -274,6 +283,7 @@
             allowance.consume(now);
         }
         endpoint.claimable = endpoint.claimable.saturating_sub(1);
+        endpoint.reports.on_start(now);
         endpoint.own_long_running += u32::from(demand.is_long);
         let hash = endpoint.hash;
         if let Some(session) = demand.session {
@@ -281,6 +291,13 @@
         }
     }
 
+    /// Records the load that an endpoint reported in a response that has just arrived.
+    pub fn on_load(&mut self, id: &str, load: EndpointLoad, now: Instant) {
+        if let Some(endpoint) = self.endpoint(id) {
+            endpoint.reports.on_report(load, endpoint.own_running, now);
+        }
+    }
+
     /// Records the first event of a response; `factor` is the ratio of the actual to the expected
     /// time to it.
     pub fn on_first_event(&mut self, id: &str, factor: f64) {
@@ -405,7 +422,7 @@
         median: f64,
         now: Instant,
     ) -> bool {
-        if endpoint.free() == 0 {
+        if endpoint.free(now) == 0 {
             return false;
         }
         if endpoint.ejected_until > now || endpoint.full_until > now {
@@ -422,8 +439,14 @@
     }
 
     /// Returns the score of an endpoint for a request; lower is better.
-    fn score(&self, endpoint: &PoolEndpoint, demand: &Demand, last: Option<u64>) -> f64 {
-        let load = f64::from(endpoint.load() + 1) / f64::from(endpoint.listed.slots.max(1));
+    fn score(
+        &self,
+        endpoint: &PoolEndpoint,
+        demand: &Demand,
+        last: Option<u64>,
+        now: Instant,
+    ) -> f64 {
+        let load = f64::from(endpoint.load(now) + 1) / f64::from(endpoint.listed.slots.max(1));
         let ran_session = last == Some(endpoint.hash);
         let session_bonus = if ran_session { SESSION_BONUS } else { 0.0 };
         let near_bonus = if endpoint.listed.is_near {
--- a/crates/sesamehaven/src/pool_endpoint.rs
+++ b/crates/sesamehaven/src/pool_endpoint.rs
@@ -4,6 +4,7 @@
 
 use crate::announcement::Standing;
 use crate::digest::hash_of;
+use crate::endpoint_load::{LoadReports, freshness};
 use crate::request_rate::Allowance;
 use crate::software_version::PoolVersion;
 use crate::unit::{Instant, Millis};
@@ -68,6 +69,9 @@
     pub(crate) own_running: u32,
     pub(crate) own_long_running: u32,
     pub(crate) peer_running: u32,
+    pub(crate) reports: LoadReports,
+    /// How long the number of requests in a report counts.
+    pub(crate) freshness: Millis,
     /// The free slots that this process may claim until the next peer update.
     pub(crate) claimable: u32,
     pub(crate) time_factor: f64,
@@ -90,6 +94,8 @@
             own_running: 0,
             own_long_running: 0,
             peer_running: 0,
+            reports: LoadReports::default(),
+            freshness: freshness(0, Millis(0)),
             claimable: 0,
             time_factor: 1.0,
             first_event_factor: 1.0,
@@ -111,8 +117,11 @@
         allowed_at.max(self.standing.paused_until)
     }
 
-    pub(crate) fn load(&self) -> u32 {
-        self.own_running + self.peer_running
+    /// Returns the number of requests of all processes, by their own counts and by the endpoint's
+    /// latest report.
+    pub(crate) fn load(&self, now: Instant) -> u32 {
+        let others = self.reports.others(self.peer_running, self.freshness, now);
+        self.own_running.saturating_add(others)
     }
 
     /// Ejects the endpoint; the duration doubles with each consecutive ejection up to
@@ -131,7 +140,7 @@
             .is_none_or(|left| expected_ms <= left.0 as f64)
     }
 
-    pub(crate) fn free(&self) -> u32 {
-        (self.listed.slots + QUEUED_AHEAD).saturating_sub(self.load())
+    pub(crate) fn free(&self, now: Instant) -> u32 {
+        (self.listed.slots + QUEUED_AHEAD).saturating_sub(self.load(now))
     }
 }
--- a/crates/sesamehaven/tests/announcement.rs
+++ b/crates/sesamehaven/tests/announcement.rs
@@ -20,6 +20,7 @@
     is_draining: true,
     pause: None,
     limit: None,
+    load: None,
 };
 const NOW: Instant = Instant(1_000);
 /// When the draining endpoint started.
@@ -91,7 +92,7 @@
         for (gap, pause) in steps {
             now = now.after(Millis(gap));
             let was_paused = ends.iter().any(|end| *end > now);
-            let said = Announcement { is_draining: false, pause: pause.map(Millis), limit: None };
+            let said = Announcement { is_draining: false, pause: pause.map(Millis), limit: None, load: None };
             let news = announcements.on_announcement("a", None, said, now);
             prop_assert_eq!(news.pause.is_some(), pause.is_some() && !was_paused);
             ends.extend(pause.map(|pause| now.after(Millis(pause + 1))));
