--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -32,6 +32,7 @@
 use crate::announcement::Standing;
 use crate::backlog::{Backlog, Length, Rank, Ticket, WaitingRequest, drain_time};
 use crate::digest::hash_of;
+use crate::endpoint_load::{EndpointLoad, freshness};
 use crate::exposure::VersionRules;
 use crate::placement::{Demand, DispatchOutcome, ListedEndpoint, Placement};
 use crate::refusal::{self, RETRY_AFTER_MAX};
@@ -178,8 +179,8 @@
     }
 
     /// Returns the number of requests that run at endpoints other than those of a version.
-    pub fn running_elsewhere(&self, version: PoolVersion) -> u32 {
-        self.placement.running_elsewhere(version)
+    pub fn running_elsewhere(&self, version: PoolVersion, now: Instant) -> u32 {
+        self.placement.running_elsewhere(version, now)
     }
 
     /// Updates whether each endpoint takes requests, by its own account.
@@ -193,6 +194,11 @@
         self.placement.set_limits(share, now);
     }
 
+    /// Records the load that an endpoint reported in a response that has just arrived.
+    pub fn on_load(&mut self, endpoint: &str, load: EndpointLoad, now: Instant) {
+        self.placement.on_load(endpoint, load, now);
+    }
+
     /// Updates the number of other processes, the requests that wait there, and the
     /// requests that they run at each endpoint.
     pub fn set_peers(
@@ -204,11 +210,12 @@
     ) {
         let own = self.backlog.len() as f64 + 1.0;
         self.waiting_share = own / (own + f64::from(waiting) + others as f64);
-        let age = now.since(self.peers_updated_at).0 as f64;
+        let age = now.since(self.peers_updated_at);
         self.peers_updated_at = now;
-        let is_informative = others > 0 && self.mean_hold_ms > age * MIN_HOLD_INTERVALS;
+        let is_informative = others > 0 && self.mean_hold_ms > age.0 as f64 * MIN_HOLD_INTERVALS;
         let share = is_informative.then_some(self.waiting_share);
-        self.placement.set_peers(share, running);
+        self.placement
+            .set_peers(share, freshness(others, age), now, running);
     }
 
     /// Returns the hash of each endpoint with the number of requests that this process
