--- a/crates/sesamehaven/src/rollout_comparison.rs
+++ b/crates/sesamehaven/src/rollout_comparison.rs
@@ -8,7 +8,7 @@
 const EXCLUDED_PART: usize = 4;
 /// The chance with which more endpoints are broken than are excluded, if the baseline's bad responses are
 /// due to broken endpoints.
-const EXCLUSION_CHANCE: f64 = 0.003;
+const EXCLUSION_CHANCE: f64 = 0.001;
 
 /// The candidate's bad responses in comparison with the baseline.
 ///
@@ -78,23 +78,40 @@
         self.requests * divergence(share, common) + baseline * divergence(base_share, common)
     }
 
-    /// Returns the comparison without some endpoints, which had a part of the candidate's requests and some
-    /// bad responses above the expected ones.
-    pub(crate) fn without(self, part: f64, excess: f64) -> Comparison {
-        let kept = (1.0 - part).max(0.0);
+    /// Returns the comparison without some endpoints, all of whose bad responses above the expected ones are
+    /// deducted.
+    pub(crate) fn without(self, excluded: Excluded) -> Comparison {
+        let kept = (1.0 - excluded.part).max(0.0);
         let expected = self.expected * kept;
         Comparison {
             requests: self.requests * kept,
-            bad: (expected + self.excess() - excess).clamp(0.0, self.requests * kept),
+            bad: (expected + self.excess() - excluded.excess).clamp(0.0, self.requests * kept),
             expected,
             imprecision: self.imprecision * kept * kept,
         }
     }
 }
 
-/// Returns the part of the candidate's requests at the endpoints that are excluded as the worst ones, and
-/// their bad responses above the expected ones.
-pub(crate) fn excluded(evidence: &Evidence, expected_share: f64) -> (f64, f64) {
+/// The endpoints that are excluded as the worst ones.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Excluded {
+    /// Their part of the candidate's requests.
+    part: f64,
+    /// Their bad responses above the expected ones.
+    excess: f64,
+}
+
+/// How many of the candidate's endpoints are excluded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Exclusion {
+    /// A quarter.
+    Quarter,
+    /// As many as may be broken by chance, at least a quarter.
+    Chance,
+}
+
+/// Returns the worst of the candidate's endpoints, by their bad responses above the expected ones.
+pub(crate) fn excluded(evidence: &Evidence, expected_share: f64, exclusion: Exclusion) -> Excluded {
     let used = evidence.endpoints.iter().map(|e| counts(e.outcomes));
     let mut used: SmallVec<[(f64, f64); 16]> = used
         .filter(|[requests, _]| *requests > 0.0)
@@ -102,14 +119,24 @@
         .collect();
     used.sort_by(|a, b| b.0.total_cmp(&a.0));
     let all: f64 = used.iter().map(|(_, requests)| requests).sum();
-    let worst = used.iter().take(excluded_count(used.len(), expected_share));
+    let count = match exclusion {
+        Exclusion::Quarter => quarter(used.len()),
+        Exclusion::Chance => quarter(used.len()).max(broken_by_chance(used.len(), expected_share)),
+    };
+    let worst = used.iter().take(count.min(used.len().saturating_sub(1)));
     let (excess, requests) = worst.fold((0.0, 0.0), |sum, e| (sum.0 + e.0.max(0.0), sum.1 + e.1));
-    (ratio(requests, all), excess)
+    Excluded {
+        part: ratio(requests, all),
+        excess,
+    }
+}
+
+fn quarter(endpoints: usize) -> usize {
+    endpoints.div_ceil(EXCLUDED_PART)
 }
 
-/// Returns how many of the candidate's endpoints may be broken by chance.
-fn excluded_count(endpoints: usize, share: f64) -> usize {
-    let quarter = endpoints.div_ceil(EXCLUDED_PART);
+/// Returns how many of some endpoints may be broken, if a share of all endpoints is.
+fn broken_by_chance(endpoints: usize, share: f64) -> usize {
     let share = share.clamp(0.0, 1.0);
     let mut chance_of_more = 1.0;
     let mut count = 0;
@@ -120,7 +147,7 @@
             break;
         }
     }
-    count.max(quarter).min(endpoints.saturating_sub(1))
+    count
 }
 
 /// Returns the chance of `k` successes of `n`.
