Serve organisations that have used less of their limits first

When capacity was short, one organisation that sent seven times its usual load took a part of the others' capacity, since queues knew ranks, classes and lengths only. Within a rank, requests of organisations that have used less of their limits at all fronts now precede the others, and do not count the others' wait for themselves; so the others wait or are refused first. Steps of a factor of two keep the order by age among organisations that are alike. One without a limit counts as average.

--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -13,6 +13,7 @@
 
 use sesamehaven::backlog::Rank;
 use sesamehaven::dispatcher::Work;
+use sesamehaven::limit_use::LimitUse;
 use sesamehaven::part_quarantine::{PartId, PartIds, PoolId};
 use sesamehaven::placement::DispatchOutcome;
 use sesamehaven::software_version::PoolVersion;
@@ -195,6 +196,7 @@
             session: self.meta.session,
             tried: self.tried.borrow().clone(),
             version: self.version.get(),
+            limit_use: self.limit_use(),
         };
         let started = clock::now();
         let slot = self.front.pools.acquire(&self.pool, work).await;
@@ -204,6 +206,13 @@
         slot
     }
 
+    /// Returns how much of its limit the caller's organisation has used, at all fronts.
+    fn limit_use(&self) -> LimitUse {
+        let organisation = self.organisation.as_ref().map(|o| o.name.as_str());
+        let shared_limits = self.front.shared_limits.borrow();
+        shared_limits.limit_use(organisation, clock::now())
+    }
+
     /// Records the time to the response, or to the first event of a stream.
     pub fn record_response_latency(&self) {
         let tier = self.rank.tier.to_string();
--- a/crates/sesamehaven-front/src/shared_limits.rs
+++ b/crates/sesamehaven-front/src/shared_limits.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 
 use sesamehaven::digest::hash_of;
+use sesamehaven::limit_use::LimitUse;
 use sesamehaven::shared_limit::{
     PeerId, PeerTracker, SharedRetryBudget, SharedWindow, WindowLimit,
 };
@@ -90,6 +91,17 @@
         }
     }
 
+    /// Returns how much of its limit an organisation has used at all fronts.
+    ///
+    /// Without a limit, or while its use is unknown after a start, it counts as average.
+    pub fn limit_use(&self, organisation: Option<&str>, now: Instant) -> LimitUse {
+        let window = organisation.and_then(|name| self.windows.get(name));
+        let known = window.and_then(|window| window.limit_use(now));
+        known.unwrap_or_else(|| {
+            LimitUse::mean(self.windows.values().filter_map(|w| w.limit_use(now)))
+        })
+    }
+
     /// Returns the usage of this front, by organisation.
     pub fn usage(&self, now: Instant) -> Vec<Usage> {
         let windows = self.windows.iter();
--- a/crates/sesamehaven-front/tests/shared_limits.rs
+++ b/crates/sesamehaven-front/tests/shared_limits.rs
@@ -2,6 +2,7 @@
 
 use rstest::rstest;
 
+use sesamehaven::limit_use::LimitUse;
 use sesamehaven::unit::Instant;
 use sesamehaven_front::peers::{Digest, Peers, encode};
 use sesamehaven_front::routing_table::{Organisation, RateLimit, RoutingTable};
@@ -59,6 +60,28 @@
     assert_eq!(limits.usage_changes(&mut far).len(), 2);
 }
 
+/// Guards against requests of one front being ordered by its own part of the usage only, and against an
+/// organisation without a limit that always goes first or last.
+#[test]
+fn the_order_of_organisations_follows_the_usage_at_all_fronts() {
+    let (mut own, mut other, peers) = (limits(4), limits(4), peers());
+    // What was assumed at the start has left the window.
+    let now = Instant(20_000);
+    own.merge_usage(7, &other.usage(now), now);
+    let name = "organisation-2";
+    let charged = other.charge(name, 4_000_000, &peers.liveness, now);
+    assert!(charged.is_ok());
+    own.merge_usage(7, &other.usage(now), now);
+    let used = own.limit_use(Some(name), now);
+    assert_eq!(used, other.limit_use(Some(name), now));
+    let unused = own.limit_use(Some("organisation-1"), now);
+    assert_eq!(unused, LimitUse::default());
+    for unlimited in [None, Some("without-a-limit")] {
+        let average = own.limit_use(unlimited, now).level();
+        assert!(unused.level() < average && average < used.level());
+    }
+}
+
 /// Changes alone, with a lost one among them, add up to what was used.
 #[rstest]
 #[case::none_lost(usize::MAX)]
--- a/crates/sesamehaven/examples/replay/caller.rs
+++ b/crates/sesamehaven/examples/replay/caller.rs
@@ -8,6 +8,7 @@
 use sesamehaven::Tier;
 use sesamehaven::backlog::Rank;
 use sesamehaven::dispatcher::Work;
+use sesamehaven::limit_use::LimitUse;
 use sesamehaven::unit::{Instant, Millis};
 
 use crate::engine::TOKENS_PER_EVENT;
@@ -176,5 +177,6 @@
         session: Some(req.session),
         tried: req.tried.clone(),
         version: None,
+        limit_use: LimitUse::default(),
     }
 }
--- a/crates/sesamehaven/src/backlog.rs
+++ b/crates/sesamehaven/src/backlog.rs
@@ -11,6 +11,7 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
+use crate::limit_use::LimitUse;
 use crate::tier::Tier;
 use crate::unit::{Instant, Millis};
 
@@ -101,6 +102,8 @@
     pub give_up_at: Instant,
     /// The expected time in a slot, in milliseconds.
     pub slot_ms: f64,
+    /// How much of its limit its organisation has used.
+    pub limit_use: LimitUse,
 }
 
 /// The queue of the requests of one class, length and rank.
@@ -135,13 +138,15 @@
     /// Returns the queue index of the request that is served next.
     ///
     /// The newest request that can still be on time goes first: under overload, serving
-    /// the oldest first would start every request just too late.
+    /// the oldest first would start every request just too late. Those of organisations that
+    /// have used less of their limits precede it.
     fn next(&self, now: Instant) -> Option<usize> {
-        let on_time = self
-            .queue
-            .iter()
-            .rposition(|w| w.latest_on_time_start >= now);
-        on_time.or(if self.queue.is_empty() { None } else { Some(0) })
+        let queue = self.queue.iter().enumerate();
+        let on_time = queue.clone().filter(|(_, w)| w.latest_on_time_start >= now);
+        let level = |(_, w): &(usize, &WaitingRequest)| w.limit_use.level();
+        // The first of several equal requests is chosen.
+        let next = on_time.rev().min_by_key(level);
+        next.or_else(|| queue.min_by_key(level)).map(|(at, _)| at)
     }
 }
 
@@ -181,13 +186,16 @@
             class.decay(now);
         }
         let all = share(self.classes.iter());
-        let mut heads: Vec<(bool, Rank, Instant, Ticket)> = Vec::new();
+        let mut heads: Vec<(bool, Rank, u32, Instant, Ticket)> = Vec::new();
         for class in &self.classes {
-            let Some(at) = class.next(now) else { continue };
+            let Some(at) = class.next(now) else {
+                continue;
+            };
             let head = &class.queue[at];
             heads.push((
                 !self.is_below_floor(class, all),
                 class.rank,
+                head.limit_use.level(),
                 head.arrived,
                 head.ticket,
             ));
@@ -220,11 +228,18 @@
     }
 
     /// Returns the total expected slot time of the requests that precede a request of the
-    /// given rank; a late request also waits behind the late ones of its rank.
-    pub fn slot_ms_ahead(&self, rank: Rank, is_late: bool, now: Instant) -> f64 {
+    /// given rank and use of a limit; a late request also waits behind the late ones of its rank.
+    pub fn slot_ms_ahead(
+        &self,
+        rank: Rank,
+        limit_use: LimitUse,
+        is_late: bool,
+        now: Instant,
+    ) -> f64 {
         let ahead = self.classes.iter().filter(|c| c.rank <= rank);
         let waiting = ahead.flat_map(|c| c.queue.iter().map(move |w| (c.rank, w)));
         waiting
+            .filter(|(above, w)| *above < rank || w.limit_use.level() <= limit_use.level())
             .filter(|(above, w)| *above < rank || is_late || w.latest_on_time_start >= now)
             .map(|(_, w)| w.slot_ms)
             .sum()
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -254,6 +254,7 @@
             latest_on_time_start: work.latest_on_time_start(),
             give_up_at,
             slot_ms: work.slot_ms * self.time_factor,
+            limit_use: work.limit_use,
         };
         self.backlog.push(waiting, now);
         self.pending.insert(ticket, work);
@@ -392,8 +393,10 @@
         let above = self.running.values().filter(|r| r.rank < work.rank);
         let capacity_share = 1.0 - above.count() as f64 / self.running.len().max(1) as f64;
         let is_late = work.latest_on_time_start() < now;
-        let ahead =
-            self.backlog.slot_ms_ahead(work.rank, is_late, now) + work.slot_ms * self.time_factor;
+        let ahead = self
+            .backlog
+            .slot_ms_ahead(work.rank, work.limit_use, is_late, now)
+            + work.slot_ms * self.time_factor;
         let own_slots = f64::from(slots.max(1)) * self.waiting_share;
         // A rank is assumed to get at least a quarter of the slots, however many of the running
         // requests have a higher rank.
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod ledger;
 pub mod lifecycle;
 pub mod limit;
+pub mod limit_use;
 mod lru;
 pub mod membership;
 pub mod offer;
--- a/crates/sesamehaven/src/shared_limit.rs
+++ b/crates/sesamehaven/src/shared_limit.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use crate::limit_use::LimitUse;
 use crate::unit::{Instant, Millis};
 
 /// How long a process that sends no messages still counts as consuming its share.
@@ -161,6 +162,13 @@
         Ok(())
     }
 
+    /// Returns how much of the limit all processes have used within the window, or [`None`] while it is
+    /// unknown after a start.
+    pub fn limit_use(&self, now: Instant) -> Option<LimitUse> {
+        let used = self.usage(now)?;
+        Some(LimitUse::of(used, self.limit.amount))
+    }
+
     /// Refunds the amount of a request that has not run.
     pub fn refund(&mut self, amount: u64, now: Instant) {
         self.window.add(-(amount as f64), now);
--- a/crates/sesamehaven/src/work.rs
+++ b/crates/sesamehaven/src/work.rs
@@ -4,6 +4,7 @@
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::backlog::{Length, Rank, Ticket};
+use crate::limit_use::LimitUse;
 use crate::placement::Demand;
 use crate::software_version::PoolVersion;
 use crate::tier::Tier;
@@ -38,6 +39,8 @@
     pub tried: SmallVec<[SmolStr; 2]>,
     /// The software version that began its stream, if it goes on with one; it runs only there.
     pub version: Option<PoolVersion>,
+    /// How much of its limit its organisation has used, or the average if it has none.
+    pub limit_use: LimitUse,
 }
 
 impl Work {
@@ -55,6 +58,7 @@
             session: None,
             tried: SmallVec::new(),
             version: None,
+            limit_use: LimitUse::default(),
         }
     }
 
