--- a/crates/sesamehaven-front/tests/shared_limits.rs
+++ b/crates/sesamehaven-front/tests/shared_limits.rs
@@ -67,11 +67,11 @@
     let (mut own, mut other, peers) = (limits(4), limits(4), peers());
     // What was assumed at the start has left the window.
     let now = Instant(20_000);
-    own.merge_usage(7, &other.usage(now), now);
+    own.merge_usage(7, &other.usage(now), true, now);
     let name = "organisation-2";
     let charged = other.charge(name, 4_000_000, &peers.liveness, now);
     assert!(charged.is_ok());
-    own.merge_usage(7, &other.usage(now), now);
+    own.merge_usage(7, &other.usage(now), true, now);
     let used = own.limit_use(Some(name), now);
     assert_eq!(used, other.limit_use(Some(name), now));
     let unused = own.limit_use(Some("organisation-1"), now);
