Place no requests by a list of endpoints from before a stall

A front that was frozen for longer than the time of a drain used its old list in the first moment after it: of 24 requests that it found in its sockets, 7 reached an endpoint that had been listed as draining, or had been taken off the list, 2.6 s before. Requests now wait for a list that was asked for after the stall, for a second at most; a slot that was assigned before the stall is given back.

--- a/crates/sesamehaven-front/src/front.rs
+++ b/crates/sesamehaven-front/src/front.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::marker::PhantomData;
 use std::rc::Rc;
+use std::time::Duration;
 
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -30,6 +31,11 @@
 /// Keys are rejected this long before the configuration reaches its maximum age.
 const KEY_MAX_AGE_MARGIN: Millis = Millis(250);
 
+/// How long after a stall requests wait for a new list of endpoints.
+const STALL_LIST_TIMEOUT: Millis = Millis(1_000);
+/// How often a waiting request checks whether there is a new list.
+const STALL_LIST_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// The shared state of a front.
 #[derive(Debug)]
 pub struct Front<P> {
@@ -117,6 +123,24 @@
         self.config.age(now).0 < max_age.saturating_sub(KEY_MAX_AGE_MARGIN.0)
     }
 
+    /// Returns whether the list of endpoints is from before a stall and may be outdated.
+    ///
+    /// If the directory does not respond soon after the stall, the list is used as in any outage.
+    pub fn is_list_outdated(&self, now: Instant) -> bool {
+        let since_stall = now.since(self.stalls.resumed_at(now));
+        since_stall < STALL_LIST_TIMEOUT && self.endpoints.age(now) > since_stall
+    }
+
+    /// Waits until the list of endpoints is not outdated by a stall.
+    ///
+    /// Endpoints that left during the stall have drained by the rules for a front that runs, so the
+    /// first requests after it must not be sent there.
+    pub async fn wait_for_list(&self) {
+        while self.is_list_outdated(clock::now()) {
+            tokio::time::sleep(STALL_LIST_POLL_INTERVAL).await;
+        }
+    }
+
     /// Returns whether the front is ready for callers.
     pub fn is_ready(&self) -> bool {
         !self.is_draining.get()
--- a/crates/sesamehaven-front/src/gossip.rs
+++ b/crates/sesamehaven-front/src/gossip.rs
@@ -340,6 +340,8 @@
 pub struct StallDetector {
     last_tick: Cell<Instant>,
     recovers_at: Cell<Instant>,
+    /// The tick before the last stall, and when the process resumed after it.
+    last_stall: Cell<(Instant, Instant)>,
 }
 
 impl StallDetector {
@@ -353,9 +355,18 @@
         let last_tick = self.last_tick.get();
         if last_tick > Instant(0) && now.since(last_tick) >= STALL_TIME {
             self.recovers_at.set(now.after(STALL_RECOVERY));
+            if self.last_stall.get().0 != last_tick {
+                self.last_stall.set((last_tick, now));
+            }
         }
         now < self.recovers_at.get()
     }
+
+    /// Returns when the process resumed after its last stall, or zero if it had none.
+    pub(crate) fn resumed_at(&self, now: Instant) -> Instant {
+        self.is_recovering(now);
+        self.last_stall.get().1
+    }
 }
 
 /// Fetches state from a peer that has a newer or fresher configuration or endpoint list.
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -179,6 +179,17 @@
     /// Returns the reason and a retry delay if the pool is unknown or no slot becomes available in
     /// time.
     pub async fn acquire(&self) -> Result<Slot, Rejection> {
+        loop {
+            self.front.wait_for_list().await;
+            let slot = self.acquire_slot().await;
+            // An endpoint that was chosen before a stall may have left during it.
+            if slot.is_err() || !self.front.is_list_outdated(clock::now()) {
+                return slot;
+            }
+        }
+    }
+
+    async fn acquire_slot(&self) -> Result<Slot, Rejection> {
         let waiting_since = match self.runs.get() {
             0 => self.arrived,
             _ => clock::now(),
