Answer what was accepted just before a front's listener closes

- The runtime knows only of connections that were queued when it last asked the system; those that came after were reset when the listener closed.
The queue is now emptied before.
- A connection that was accepted at that moment counted as idle, and was closed before its first request was read.
New connections now stay open for 300 ms.

--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use metrics::counter;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
 use sesamehaven::unit::{Instant, Millis};
@@ -43,6 +43,8 @@
 const BALANCER_REACTION_TIME: Millis = Millis(2_800);
 /// How long before the end of the grace period the process exits.
 const GRACE_MARGIN: Millis = Millis(400);
+/// How long a new connection stays open for its first request while idle ones are being closed.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
 /// How long a draining front must be idle before it exits.
 const DRAIN_IDLE_TIME: Millis = Millis(150);
 /// How often a draining front checks whether it is idle.
@@ -296,6 +298,16 @@
     Ok(())
 }
 
+/// Waits until a connection that has just been accepted is to be closed after its current request.
+///
+/// A request that the caller sent before the shutdown must not find its connection closed.
+fn shutdown_after_first_request(shutdown: watch::Receiver<bool>) -> impl Future<Output = ()> {
+    let first_request = tokio::time::sleep(FIRST_REQUEST_TIME);
+    async move {
+        tokio::join!(shutdown_requested(shutdown), first_request);
+    }
+}
+
 /// Waits until connections are to be closed after their current request.
 async fn shutdown_requested(mut shutdown: watch::Receiver<bool>) {
     if shutdown
@@ -337,27 +349,28 @@
         .client_disconnect_timeout(DISCONNECT_TIMEOUT)
         .h1_allow_half_closed(false)
         .tcp_nodelay(true)
-        .graceful_shutdown_signal(move || shutdown_requested(signal.clone()))
+        .graceful_shutdown_signal(move || shutdown_after_first_request(signal.clone()))
         .h1(fn_service(handler))
         .tcp();
     let Ok(service) = factory.new_service(()).await else {
         spdlog::error!("failed to create the HTTP service");
         return;
     };
+    let serve = |io: TcpStream| {
+        let serving = service.call(io);
+        let connections = Rc::clone(&connections);
+        actix_rt::spawn(async move {
+            let _open = CounterGuard::new(&connections);
+            serving.await
+        });
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = shutdown_requested(shutdown.clone()) => return,
+            () = shutdown_requested(shutdown.clone()) => break,
         };
         match accepted {
-            Ok((io, _)) => {
-                let serving = service.call(io);
-                let connections = Rc::clone(&connections);
-                actix_rt::spawn(async move {
-                    let _open = CounterGuard::new(&connections);
-                    serving.await
-                });
-            }
+            Ok((io, _)) => serve(io),
             Err(err) => {
                 counter!("front_accept_errors_total").increment(1);
                 spdlog::warn!("failed to accept connection", kv: { reason = err.to_string() });
@@ -365,4 +378,20 @@
             }
         }
     }
+    for io in queued_connections(listener) {
+        serve(io);
+    }
+}
+
+/// Accepts the connections that wait in the queue of a listener, and closes it.
+///
+/// They would be reset when it closes, although their callers may have sent a request. The runtime
+/// knows only of those that were queued when it last asked the system.
+fn queued_connections(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
+    let listener = listener.into_std().ok();
+    std::iter::from_fn(move || {
+        let (io, _) = listener.as_ref()?.accept().ok()?;
+        io.set_nonblocking(true).ok()?;
+        TcpStream::from_std(io).ok()
+    })
 }
