Replay loads with uneven engines that report their load

Twelve loads have engines of five speeds with fluctuations, whose reports are 20 or 200 ms old when they arrive, and compare placement with and without the reports.

tests/replay.rs requires a gain of 0.05 in the first two loads.

--- a/crates/sesamehaven/examples/replay/engine.rs
+++ b/crates/sesamehaven/examples/replay/engine.rs
@@ -6,6 +6,8 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use sesamehaven::endpoint_load::EndpointLoad;
+
 /// The duration of a step with one run, in milliseconds.
 const STEP_MS: f64 = 4.37;
 /// The additional duration of a step per further run, in milliseconds.
@@ -66,6 +68,8 @@
     pub(crate) memory: u64,
     /// The factor by which a step takes longer than specified.
     pub(crate) time_factor: f64,
+    /// The same for a short time, by a fluctuation.
+    pub(crate) fluctuation: f64,
     pub(crate) cold_until: f64,
     pub(crate) is_up: bool,
     pub(crate) is_ready: bool,
@@ -88,6 +92,7 @@
             slots,
             memory,
             time_factor,
+            fluctuation: 1.0,
             cold_until: 0.0,
             is_up: true,
             is_ready: true,
@@ -202,13 +207,28 @@
         }
         self.cache_ended();
         self.preempt();
+        let decode = STEP_MS + STEP_MS_PER_RUN * (runs - 1.0);
+        (decode + (CHUNK_TOKENS - chunk) as f64 / PREFILL_PER_MS) * self.current_factor()
+    }
+
+    /// Returns the factor by which a step takes longer than specified at the time.
+    fn current_factor(&self) -> f64 {
         let cold = if self.next_step < self.cold_until {
             COLD_FACTOR
         } else {
             1.0
         };
-        let decode = STEP_MS + STEP_MS_PER_RUN * (runs - 1.0);
-        (decode + (CHUNK_TOKENS - chunk) as f64 / PREFILL_PER_MS) * self.time_factor * cold
+        self.time_factor * self.fluctuation * cold
+    }
+
+    /// Returns the load that the engine reports.
+    pub(crate) fn load(&self) -> EndpointLoad {
+        EndpointLoad {
+            running: self.running.len() as u32,
+            waiting: self.waiting.len() as u32,
+            slots: self.slots as u32,
+            work_percent: Some((self.current_factor() * 100.0) as u32),
+        }
     }
 
     /// Caches the prompts of runs that have ended, evicting the oldest if memory runs out.
--- a/crates/sesamehaven/examples/replay/main.rs
+++ b/crates/sesamehaven/examples/replay/main.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod disturbance;
 mod engine;
+mod reporting;
 mod scenario;
 mod simulation;
 mod tally;
@@ -21,7 +22,7 @@
     println!(
         "scenario | policy | credit share | served % | served, in time % by class | large served % | refused | p95 wait before refusal / objective | refused with free slots | wasted %"
     );
-    let mut sum = [0.0; 3];
+    let mut sums = [[0.0; 4]; 2];
     for mut scenario in scenarios() {
         if !scenario.name.contains(&filter) {
             continue;
@@ -29,15 +30,20 @@
         scenario.seed = seed;
         for policy in [
             Policy::Sesamehaven,
+            Policy::IgnoringReports,
             Policy::LeastOutstanding,
             Policy::RoundRobin,
         ] {
+            if policy == Policy::IgnoringReports && scenario.reports.is_none() {
+                continue;
+            }
             let tally = Simulation::new(scenario.clone(), policy).run();
-            sum[policy as usize] += tally.credit_share();
+            sums[usize::from(scenario.reports.is_some())][policy as usize] += tally.credit_share();
             println!("{} | {policy:?} | {}", scenario.name, row(&tally));
         }
     }
-    println!("sum {sum:.3?}");
+    println!("sum without reports {:.3?}", sums[0]);
+    println!("sum with reports {:.3?}", sums[1]);
 }
 
 fn row(tally: &Tally) -> String {
--- a/crates/sesamehaven/examples/replay/scenario.rs
+++ b/crates/sesamehaven/examples/replay/scenario.rs
@@ -77,6 +77,8 @@
     Release { gap_ms: u64 },
     /// One front in four is down.
     FrontsLost,
+    /// Fronts do not hear from each other.
+    FrontsApart,
 }
 
 /// A disturbance and the time during which it lasts.
@@ -105,8 +107,26 @@
     /// The tiers of the organisations, in equal parts.
     pub(crate) tiers: &'static [u8],
     pub(crate) phases: Vec<Phase>,
+    /// How the engines report their load, if they do.
+    pub(crate) reports: Option<Reports>,
 }
 
+/// How engines report their load.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Reports {
+    /// How old a report is when it arrives.
+    pub(crate) age_ms: u64,
+    /// The share of the time during which an engine is slower by [`FLUCTUATION`].
+    pub(crate) fluctuating: f64,
+    /// The interval at which fluctuations begin or end.
+    pub(crate) interval_ms: u64,
+}
+
+/// The step times of engines that report their load, in equal parts, relative to a typical engine.
+pub(crate) const REPORTED_FACTORS: [f64; 5] = [0.6, 1.7, 1.0, 0.8, 1.3];
+/// The factor by which a step takes longer during a fluctuation.
+pub(crate) const FLUCTUATION: f64 = 2.5;
+
 impl Scenario {
     fn new(name: &'static str, load: f64, phases: &[Disturbance]) -> Self {
         let phase = |disturbance: &Disturbance| Phase {
@@ -126,6 +146,7 @@
             digest_ms: 100,
             tiers: &[1],
             phases: phases.iter().map(phase).collect(),
+            reports: None,
         }
     }
 }
@@ -211,5 +232,72 @@
             _ => {}
         }
     }
+    scenarios.extend(reporting_scenarios(burst));
     scenarios
 }
+
+/// Returns scenarios with uneven engines that report their load.
+fn reporting_scenarios(burst: impl Fn(f64) -> Disturbance) -> Vec<Scenario> {
+    let reporting = |name, load, phases: &[Disturbance]| Scenario {
+        reports: Some(Reports {
+            age_ms: 20,
+            fluctuating: 0.2,
+            interval_ms: 100,
+        }),
+        ..Scenario::new(name, load, phases)
+    };
+    let slow = Disturbance::Slow {
+        share: 0.2,
+        factor: 4.0,
+    };
+    let few = |scenario: Scenario| Scenario {
+        fronts: 4,
+        engines: 12,
+        load: scenario.load * 12.0 / 50.0,
+        ..scenario
+    };
+    vec![
+        reporting("reported, steady", 0.8, &[]),
+        reporting("reported, burst", 0.8, &[burst(2.0)]),
+        few(reporting("reported, few fronts", 1.0, &[])),
+        few(reporting("reported, few fronts, burst", 0.8, &[burst(2.0)])),
+        Scenario {
+            digest_ms: 1_000,
+            ..reporting("reported, stale counts", 1.0, &[])
+        },
+        Scenario {
+            reports: Some(Reports {
+                age_ms: 200,
+                fluctuating: 0.4,
+                interval_ms: 100,
+            }),
+            ..reporting("reported late", 1.0, &[])
+        },
+        few(Scenario {
+            reports: Some(Reports {
+                age_ms: 20,
+                fluctuating: 0.3,
+                interval_ms: 2_000,
+            }),
+            ..reporting("reported, long fluctuations", 0.8, &[])
+        }),
+        reporting("reported, slow engines", 0.8, &[slow]),
+        few(reporting(
+            "reported, few fronts, slow engines",
+            0.8,
+            &[slow],
+        )),
+        Scenario {
+            fronts: 1,
+            engines: 4,
+            load: 0.9 * 4.0 / 50.0,
+            ..reporting("reported, one front", 0.9, &[])
+        },
+        reporting("reported, fronts apart", 0.9, &[Disturbance::FrontsApart]),
+        few(reporting(
+            "reported, few fronts apart",
+            0.9,
+            &[Disturbance::FrontsApart],
+        )),
+    ]
+}
--- a/crates/sesamehaven/examples/replay/simulation.rs
+++ b/crates/sesamehaven/examples/replay/simulation.rs
@@ -15,7 +15,8 @@
 
 use crate::caller::{Request, work};
 use crate::engine::{Engine, Id, Progress, Prompt};
-use crate::scenario::{CLASSES, Disturbance, Scenario};
+use crate::reporting::Reporting;
+use crate::scenario::{CLASSES, Disturbance, REPORTED_FACTORS, Scenario};
 use crate::tally::Tally;
 
 /// The exponent of the distribution of callers over fronts; 1 is uniform.
@@ -43,6 +44,8 @@
 pub(crate) enum Policy {
     /// The decisions of this library.
     Sesamehaven,
+    /// The same, ignoring what engines report about their load.
+    IgnoringReports,
     /// The engine with the fewest outstanding requests that the front is aware of.
     LeastOutstanding,
     /// One engine after the other.
@@ -83,19 +86,18 @@
     pub(crate) next_id: usize,
     pub(crate) now: u64,
     pub(crate) tally: Tally,
+    pub(crate) reports: Reporting,
 }
 
 impl Simulation {
     pub(crate) fn new(scenario: Scenario, policy: Policy) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(scenario.seed);
+        let factors = match scenario.reports {
+            Some(_) => &REPORTED_FACTORS[..],
+            None => &TIME_FACTORS[..],
+        };
         let engines = (0..scenario.engines)
-            .map(|i| {
-                Engine::new(
-                    scenario.slots,
-                    scenario.memory,
-                    TIME_FACTORS[i % TIME_FACTORS.len()],
-                )
-            })
+            .map(|i| Engine::new(scenario.slots, scenario.memory, factors[i % factors.len()]))
             .collect();
         let names: Vec<SmolStr> = (0..scenario.engines)
             .map(|i| format_smolstr!("e{i}"))
@@ -120,6 +122,7 @@
             next_id: 0,
             now: 0,
             tally: Tally::default(),
+            reports: Reporting::new(scenario.seed),
             scenario,
         };
         simulation.large_threshold =
@@ -133,6 +136,8 @@
         while self.now < self.scenario.duration_ms + drain {
             self.now += 1;
             self.apply_disturbances();
+            self.fluctuate();
+            self.deliver_reports();
             self.arrive();
             self.on_due();
             self.advance_engines();
@@ -230,7 +235,7 @@
             return;
         };
         let front = req.front;
-        if self.policy == Policy::Sesamehaven {
+        if matches!(self.policy, Policy::Sesamehaven | Policy::IgnoringReports) {
             let work = work(req);
             let now = Instant(self.now);
             let steps = self.fronts[front]
@@ -302,6 +307,7 @@
             return;
         }
         let rejections = req.tried.len();
+        self.report(front, engine);
         let dispatcher = &mut self.fronts[front].dispatcher;
         let steps = match is_up {
             true => dispatcher.on_full(ticket, now),
@@ -442,10 +448,24 @@
             Some(_) => req.is_late |= self.now - req.last_event > class.max_gap_ms,
         }
         req.last_event = self.now;
+        let (front, is_first) = (req.front, req.first_event == Some(self.now));
+        if is_first {
+            self.report(front, engine);
+        }
     }
 
     /// Updates each front's counts of the others.
     fn exchange(&mut self) {
+        if self
+            .active_disturbances()
+            .any(|d| matches!(d, Disturbance::FrontsApart))
+        {
+            for front in &mut self.fronts {
+                front.peers.fill(0);
+                front.dispatcher.set_peers(0, 0, Instant(self.now), |_| 0);
+            }
+            return;
+        }
         let count = self.engines.len();
         let all: Vec<u32> = (0..count)
             .map(|e| self.fronts.iter().map(|f| f.outstanding[e]).sum())
--- a/crates/sesamehaven/tests/replay.rs
+++ b/crates/sesamehaven/tests/replay.rs
@@ -11,6 +11,8 @@
 mod disturbance;
 #[path = "../examples/replay/engine.rs"]
 mod engine;
+#[path = "../examples/replay/reporting.rs"]
+mod reporting;
 #[path = "../examples/replay/scenario.rs"]
 mod scenario;
 #[path = "../examples/replay/simulation.rs"]
@@ -31,9 +33,13 @@
 /// The minimum served share of the largest tenth of a class, relative to the class.
 const MIN_LARGE_SHARE: f64 = 0.5;
 
-fn small(name: &str) -> Scenario {
+fn full(name: &str) -> Scenario {
     let scenario = scenarios().into_iter().find(|s| s.name == name);
-    let mut scenario = scenario.unwrap_or_else(|| panic!("unknown scenario: {name}"));
+    scenario.unwrap_or_else(|| panic!("unknown scenario: {name}"))
+}
+
+fn small(name: &str) -> Scenario {
+    let mut scenario = full(name);
     scenario.fronts = (scenario.fronts as f64 * POOL_SHARE) as usize;
     scenario.engines = (scenario.engines as f64 * POOL_SHARE) as usize;
     scenario.load *= POOL_SHARE;
@@ -44,6 +50,40 @@
     Simulation::new(scenario.clone(), policy).run()
 }
 
+/// The seeds over which the gain by reports is summed.
+const REPORT_SEEDS: std::ops::Range<u64> = 1..5;
+/// The minimum gain in credit by reports of engines while other fronts are heard late or not at all.
+const MIN_REPORT_GAIN: f64 = 0.05;
+/// The maximum loss in credit while the counts of other fronts arrive in time and reports add little.
+const MAX_REPORT_LOSS: f64 = 0.02;
+
+/// Returns the mean gain in credit by reports of engines.
+fn report_gain(scenario: &Scenario) -> f64 {
+    let gain = |seed| {
+        let scenario = Scenario {
+            seed,
+            ..scenario.clone()
+        };
+        let credit = |policy| simulate(&scenario, policy).credit_share();
+        credit(Policy::Sesamehaven) - credit(Policy::IgnoringReports)
+    };
+    let seeds = REPORT_SEEDS.count() as f64;
+    REPORT_SEEDS.map(gain).sum::<f64>() / seeds
+}
+
+/// Guards against ignoring reports where they are the only recent figures.
+#[rstest]
+#[case::stale_counts(small("reported, stale counts"), MIN_REPORT_GAIN)]
+#[case::few_fronts_apart(full("reported, few fronts apart"), MIN_REPORT_GAIN)]
+#[case::steady(small("reported, steady"), -MAX_REPORT_LOSS)]
+#[case::burst(small("reported, burst"), -MAX_REPORT_LOSS)]
+#[case::late(small("reported late"), -MAX_REPORT_LOSS)]
+#[case::slow_engines(small("reported, slow engines"), -MAX_REPORT_LOSS)]
+fn reports_of_engines_serve_callers_better(#[case] scenario: Scenario, #[case] min_gain: f64) {
+    let gain = report_gain(&scenario);
+    assert!(gain >= min_gain, "{}: {gain:.3} gained", scenario.name);
+}
+
 #[rstest]
 #[case::quiet("quiet")]
 #[case::burst_of_all("burst of all")]
