--- a/crates/sesamehaven/src/shared_limit.rs
+++ b/crates/sesamehaven/src/shared_limit.rs
@@ -3,107 +3,29 @@
 //!
 //! See [`docs/FRONT.md`](../../../docs/FRONT.md#limits-that-processes-share).
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 
 use serde::{Deserialize, Serialize};
 
+pub use crate::peer_tracker::{PeerId, PeerTracker};
+use crate::sliding_window::SlidingWindow;
 use crate::unit::{Instant, Millis};
 
-/// How long a process that sends no messages still counts as consuming its share.
-const PEER_RETENTION: Millis = Millis(15_000);
-/// The maximum age of the last message of a process that counts as connected.
-const PEER_FRESHNESS: Millis = Millis(500);
 /// The share of a limit from which its usage is persisted as one sum.
 const HIGH_USAGE_SHARE: f64 = 0.5;
 /// The share of a limit from which its usage is persisted with its ages. With nothing saved, this much counts
 /// as used for a whole window, so it is well below what an organisation needs to continue at its rate.
 const SAVED_USAGE_SHARE: f64 = 0.125;
-/// The number of spans of a window whose usage is persisted separately.
-const SPANS: u64 = 8;
 /// How old a persisted usage may be at the loss of all processes.
 const MAX_SAVE_AGE: Millis = Millis(500);
 /// How long after it was first heard a process from before the start reports its usage at the latest.
 /// Reports come each second, so this is two of them. A later one is by a process that did not know the usage itself
 /// until one window after its start.
 const MAX_REPORT_DELAY: Millis = Millis(2_500);
-/// The number of buckets of a sliding window.
-const BUCKETS: u64 = 40;
 /// The share of the retry budget that may be used, since the number of processes is only
 /// as recent as their last messages.
 const USABLE_BUDGET_SHARE: f64 = 0.85;
 
-/// The identifier of an incarnation of another process.
-pub type PeerId = u64;
-
-/// The other processes and when each was last heard from.
-#[derive(Debug, Default)]
-pub struct PeerTracker {
-    peers: HashMap<PeerId, PeerState>,
-    expected_peers: usize,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct PeerState {
-    last_message: Instant,
-    /// The number of processes that the peer reports as live, itself included.
-    live_processes: usize,
-}
-
-impl PeerTracker {
-    /// Sets the minimum number of other processes, including those not yet heard from.
-    ///
-    /// Without it, a process that starts while partitioned would claim the whole limit.
-    pub fn set_expected_peers(&mut self, others: usize) {
-        self.expected_peers = others;
-    }
-
-    /// Records a message from another process with the number of processes that it
-    /// reports as live, itself included.
-    pub fn on_message(&mut self, peer: PeerId, live_processes: usize, now: Instant) {
-        self.peers
-            .retain(|_, p| now.since(p.last_message) <= PEER_RETENTION);
-        self.peers.insert(
-            peer,
-            PeerState {
-                last_message: now,
-                live_processes,
-            },
-        );
-    }
-
-    /// Removes a process that announces its shutdown.
-    pub fn on_leave(&mut self, peer: PeerId) {
-        self.peers.remove(&peer);
-    }
-
-    /// Returns the number of processes heard from recently, this one included.
-    pub fn live_processes(&self, now: Instant) -> usize {
-        1 + self.within(PEER_RETENTION, now).count()
-    }
-
-    /// Returns the estimated total number of processes, including those that only other
-    /// processes hear from.
-    pub fn total_processes(&self, now: Instant) -> usize {
-        let reported = self
-            .within(PEER_RETENTION, now)
-            .map(|p| p.live_processes)
-            .max();
-        let lower_bound = reported.unwrap_or_default().max(self.expected_peers + 1);
-        self.live_processes(now).max(lower_bound)
-    }
-
-    /// Returns the share of a common limit that falls to this process and the peers that
-    /// it is connected to.
-    pub fn limit_share(&self, now: Instant) -> f64 {
-        (1 + self.within(PEER_FRESHNESS, now).count()) as f64 / self.total_processes(now) as f64
-    }
-
-    fn within(&self, span: Millis, now: Instant) -> impl Iterator<Item = &PeerState> {
-        let all = self.peers.values();
-        all.filter(move |p| now.since(p.last_message) <= span)
-    }
-}
-
 /// A limit on the total consumption of all processes within a sliding window.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WindowLimit {
@@ -409,109 +331,6 @@
     }
 }
 
-/// A sum over a sliding window, in buckets.
-#[derive(Debug, Clone)]
-struct SlidingWindow {
-    span: Millis,
-    buckets: VecDeque<(u64, f64)>,
-    sum: f64,
-}
-
-impl SlidingWindow {
-    fn new(span: Millis) -> Self {
-        SlidingWindow {
-            span,
-            buckets: VecDeque::new(),
-            sum: 0.0,
-        }
-    }
-
-    fn bucket_ms(&self) -> u64 {
-        (self.span.0 / BUCKETS).max(1)
-    }
-
-    fn add(&mut self, amount: f64, now: Instant) {
-        let bucket = now.0 / self.bucket_ms();
-        match self.buckets.back_mut() {
-            Some((last, n)) if *last >= bucket => *n += amount,
-            _ => self.buckets.push_back((bucket, amount)),
-        }
-        self.sum += amount;
-    }
-
-    /// Distributes an amount evenly over an empty window.
-    fn spread(&mut self, amount: f64, now: Instant) {
-        let newest = now.0 / self.bucket_ms();
-        let each = amount / BUCKETS as f64;
-        let oldest = (newest + 1).saturating_sub(BUCKETS);
-        self.buckets
-            .extend((oldest..=newest).map(|bucket| (bucket, each)));
-        self.sum = self.buckets.iter().map(|(_, n)| n).sum();
-    }
-
-    /// Returns the amounts by age, rounded up, the latest span first.
-    fn spans(&self, now: Instant) -> Vec<u64> {
-        let newest = now.0 / self.bucket_ms();
-        let mut amounts = vec![0.0; SPANS as usize];
-        for (bucket, n) in &self.buckets {
-            let span = newest.saturating_sub(*bucket) * SPANS / BUCKETS;
-            amounts[span.min(SPANS - 1) as usize] += n;
-        }
-        // A span with more refunds than consumption reduces the next older one.
-        let mut refunds = 0.0;
-        let spans = amounts.into_iter().map(|amount| {
-            let left: f64 = amount + refunds;
-            refunds = left.min(0.0);
-            left.max(0.0).ceil() as u64
-        });
-        spans.collect()
-    }
-
-    /// Fills an empty window with amounts by age, each counted at the lowest age of its span.
-    fn set_spans(&mut self, spans: &[u64], now: Instant) {
-        let newest = now.0 / self.bucket_ms();
-        let ages = (0..).map(|span| span * BUCKETS / SPANS);
-        let dated: Vec<(u64, f64)> = ages
-            .zip(spans)
-            .take(SPANS as usize)
-            .map(|(age, n)| (newest.saturating_sub(age), *n as f64))
-            .collect();
-        self.buckets.extend(dated.into_iter().rev());
-        self.sum = self.buckets.iter().map(|(_, n)| n).sum();
-    }
-
-    fn clear(&mut self) {
-        self.buckets.clear();
-        self.sum = 0.0;
-    }
-
-    fn expire(&mut self, now: Instant) {
-        let oldest = (now.0 / self.bucket_ms()).saturating_sub(BUCKETS);
-        while let Some((bucket, n)) = self.buckets.front().copied()
-            && bucket < oldest
-        {
-            self.buckets.pop_front();
-            self.sum -= n;
-        }
-        if self.buckets.is_empty() {
-            self.sum = 0.0;
-        }
-    }
-
-    /// Returns how long it takes until `excess` has left the window.
-    fn wait_for(&self, excess: f64, now: Instant) -> Millis {
-        let mut left = excess;
-        for (bucket, n) in &self.buckets {
-            left -= n;
-            if left <= 0.0 {
-                let expiry = Instant((bucket + BUCKETS + 1) * self.bucket_ms());
-                return expiry.since(now);
-            }
-        }
-        self.span
-    }
-}
-
 /// The share of one process in a retry budget that all processes have in common.
 ///
 /// The part in proportion to requests needs no coordination; the constant part is
