Save the ages of a limit's usage from half of the limit on

Below half, the half that counts as used after a loss leaves what an organisation needs to continue.

--- a/crates/sesamehaven/src/shared_limit.rs
+++ b/crates/sesamehaven/src/shared_limit.rs
@@ -15,8 +15,9 @@
 /// The share of a limit from which its usage is persisted as one sum.
 const HIGH_USAGE_SHARE: f64 = 0.5;
 /// The share of a limit from which its usage is persisted with its ages. With nothing saved, this much counts
-/// as used for a whole window, so it is well below what an organisation needs to continue at its rate.
-const SAVED_USAGE_SHARE: f64 = 0.125;
+/// as used for a whole window, which leaves as much as an organisation below it needs to continue. Lower
+/// shares cost more calls of the platform's store than they serve.
+const SAVED_USAGE_SHARE: f64 = 0.5;
 /// How old a persisted usage may be at the loss of all processes.
 const MAX_SAVE_AGE: Millis = Millis(500);
 /// How long after it was first heard a process from before the start reports its usage at the latest.
