Disconnect callers that read nothing of a stream for 10 s

A caller that read nothing kept its connection for ever, and up to 16 buffered chunks of up to 1 MiB each. Now the connection fails when nothing of a stream could be written for CALLER_STALL_TIMEOUT, which also ends the request at the endpoint. At most 256 KiB, or one longer event, are queued for a stream. The limit on unsent bytes lets a caller that reads slowly be told from one that reads nothing: with the large buffers of the system, it makes no room for many seconds. Responses that are no streams are not affected.

Empty lines no longer count as events: an endpoint that sent nothing else was never taken for stalled. They reach the caller with the next event or the end of the stream.

The end of an event is searched only in bytes that were not searched before, which was quadratic in the length of large events. What this saves was not measured.

--- a/crates/sesamehaven-front/src/events.rs
+++ b/crates/sesamehaven-front/src/events.rs
@@ -9,8 +9,16 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     buf: BytesMut,
-    /// The events that are complete and not handed out yet.
+    /// The start of the first line in the buffer that is not known to be complete.
+    line_start: usize,
+    /// The number of bytes in the buffer that were searched for the end of that line.
+    ///
+    /// Searching a large event again with each part of it would take time quadratic in its length.
+    searched: usize,
+    /// The events that are complete and not handed out yet, with empty lines between them.
     complete: BytesMut,
+    /// Whether there is an event among them.
+    has_event: bool,
     /// The id of the last event that the caller has; events up to it are dropped.
     last_id: Option<u64>,
 }
@@ -28,9 +36,8 @@
     /// Creates a splitter for a caller that has received the events up to `last_id`.
     pub fn resume_after(last_id: Option<u64>) -> Self {
         Splitter {
-            buf: BytesMut::new(),
-            complete: BytesMut::new(),
             last_id,
+            ..Splitter::default()
         }
     }
 
@@ -46,13 +53,16 @@
 
     /// Adds bytes and returns the events that are now complete.
     ///
+    /// Empty lines complete no event. They are returned with the next one, so that an endpoint that
+    /// sends nothing else counts as stalled.
+    ///
     /// # Errors
     ///
     /// Fails if an event is missing or exceeds the maximum length; the events before it are left to
     /// [`take_complete`](Splitter::take_complete).
     pub fn push(&mut self, chunk: &Bytes) -> Result<Option<Bytes>, EventError> {
         self.buf.extend_from_slice(chunk);
-        while let Some(len) = event_len(&self.buf) {
+        while let Some(len) = self.next_event_len() {
             let event = self.buf.split_to(len);
             match (event_id(&event), self.last_id) {
                 (Some(id), Some(last)) if id <= last => continue,
@@ -60,39 +70,53 @@
                 (Some(id), _) => self.last_id = Some(id),
                 (None, _) => {}
             }
+            self.has_event |= !is_empty_line(&event);
             if self.complete.is_empty() {
                 self.complete = event;
             } else {
                 self.complete.extend_from_slice(&event);
             }
         }
-        if self.buf.len() > EVENT_MAX_BYTES {
+        let empty_lines = if self.has_event {
+            0
+        } else {
+            self.complete.len()
+        };
+        if self.buf.len() + empty_lines > EVENT_MAX_BYTES {
             return Err(EventError::TooLong);
         }
-        Ok(self.take_complete())
+        match self.has_event {
+            true => Ok(self.take_complete()),
+            false => Ok(None),
+        }
     }
 
-    /// Takes the events that are complete and have not been handed out.
+    /// Takes the events that are complete and have not been handed out, or empty lines.
     pub fn take_complete(&mut self) -> Option<Bytes> {
+        self.has_event = false;
         let complete = std::mem::take(&mut self.complete);
         (!complete.is_empty()).then(|| complete.freeze())
     }
-}
 
-/// Returns the length of the first event, including the blank line that ends it.
-fn event_len(buf: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (at, byte) in buf.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &buf[line_start..at];
-        if line.is_empty() || line == b"\r" {
-            return Some(at + 1);
+    /// Returns the length of the first event, including the blank line that ends it.
+    fn next_event_len(&mut self) -> Option<usize> {
+        while let Some(len) = self.buf[self.searched..].iter().position(|b| *b == b'\n') {
+            let end = self.searched + len;
+            let line = &self.buf[self.line_start..end];
+            let ends_event = line.is_empty() || line == b"\r";
+            (self.line_start, self.searched) = (end + 1, end + 1);
+            if ends_event {
+                (self.line_start, self.searched) = (0, 0);
+                return Some(end + 1);
+            }
         }
-        line_start = at + 1;
+        self.searched = self.buf.len();
+        None
     }
-    None
+}
+
+fn is_empty_line(event: &[u8]) -> bool {
+    matches!(event, b"\n" | b"\r\n")
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/crates/sesamehaven-front/src/lib.rs
+++ b/crates/sesamehaven-front/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod attempt;
 pub mod body;
 mod body_memory;
+pub mod caller_stream;
 pub mod clock;
 pub mod connection_pool;
 pub mod crash;
--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -19,6 +19,7 @@
 use sesamehaven::unit::{Instant, Millis};
 
 use crate::body::Body;
+use crate::caller_stream::CallerStream;
 use crate::clock;
 use crate::front::{CounterGuard, Front};
 use crate::gossip;
@@ -284,10 +285,11 @@
         .client_request_timeout(CALLER_IDLE_TIMEOUT)
         .client_disconnect_timeout(DISCONNECT_TIMEOUT)
         .h1_allow_half_closed(false)
-        .tcp_nodelay(true)
         .graceful_shutdown_signal(move || shutdown_requested(signal.clone()))
-        .h1(fn_service(handler))
-        .tcp();
+        .on_connect_ext(|io: &CallerStream, data| {
+            data.insert(io.streaming_flag());
+        })
+        .h1(fn_service(handler));
     let Ok(service) = factory.new_service(()).await else {
         spdlog::error!("failed to create the HTTP service");
         return;
@@ -298,8 +300,11 @@
             () = shutdown_requested(shutdown.clone()) => return,
         };
         match accepted {
-            Ok((io, _)) => {
-                let serving = service.call(io);
+            Ok((io, address)) => {
+                let Ok(io) = CallerStream::new(io) else {
+                    continue;
+                };
+                let serving = service.call((io, Some(address)));
                 let connections = Rc::clone(&connections);
                 actix_rt::spawn(async move {
                     let _open = CounterGuard::new(&connections);
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -17,6 +17,7 @@
 use crate::attempt::{Attempt, EndpointResponse};
 use crate::body::Body;
 use crate::body_memory::{BodyMemoryGuard, read_body};
+use crate::caller_stream::StreamingFlag;
 use crate::clock;
 use crate::failover::{self, StreamAttempt};
 use crate::failure::{self, Failure, ServeResult};
@@ -40,6 +41,7 @@
 pub async fn serve<P: Protocol>(front: Rc<Front<P>>, req: Request) -> Response<Body> {
     let arrived = clock::now();
     let _active = CounterGuard::new(&front.active_requests);
+    let is_streaming = req.conn_data::<StreamingFlag>().cloned();
     let mut res = match admit(&front, req, arrived).await {
         Ok(job) => {
             let unanswered = UnansweredGuard::new(&job);
@@ -52,6 +54,9 @@
     if front.is_draining.get() {
         failure::close_connection(&mut res);
     }
+    if let Some(is_streaming) = is_streaming {
+        is_streaming.set(matches!(res.body(), Body::Stream(_)));
+    }
     let status = res.status().as_u16();
     counter!("front_responses_total", "status" => status.to_string()).increment(1);
     res
--- a/crates/sesamehaven-front/src/source.rs
+++ b/crates/sesamehaven-front/src/source.rs
@@ -65,7 +65,11 @@
                 Ok(None) if self.splitter.has_partial_event() => {
                     return Err("the stream ended inside an event");
                 }
-                Ok(None) => return Ok(StreamRead::Complete),
+                // Empty lines after the last event are handed out before the end.
+                Ok(None) => {
+                    let rest = self.splitter.take_complete();
+                    return Ok(rest.map_or(StreamRead::Complete, StreamRead::Events));
+                }
                 Err(err) => {
                     job.front.probe_for_crash(self.endpoint(), &err);
                     return Err("the endpoint dropped the connection");
--- a/crates/sesamehaven-front/tests/events.rs
+++ b/crates/sesamehaven-front/tests/events.rs
@@ -78,3 +78,29 @@
     let endless = Bytes::from(vec![b'a'; 2 << 20]);
     assert_eq!(splitter.push(&endless), Err(EventError::TooLong));
 }
+
+/// Guards against stalled streams that look alive since they send empty lines, and against the loss of
+/// empty lines that a sound stream sends.
+#[rstest]
+fn empty_lines_complete_no_event_and_are_kept(
+    #[values("\n", "\r\n")] line: &str,
+    #[values(1, 100)] size: usize,
+) {
+    let mut splitter = Splitter::default();
+    let lines = line.repeat(3);
+    assert_eq!(push_all(&mut splitter, &lines, size), Ok(String::new()));
+    let with_event = [lines.clone(), event(1)].concat();
+    assert_eq!(push_all(&mut splitter, &event(1), size), Ok(with_event));
+    assert_eq!(push_all(&mut splitter, &lines, size), Ok(String::new()));
+    assert!(!splitter.has_partial_event());
+    assert_eq!(splitter.take_complete(), Some(Bytes::from(lines)));
+}
+
+/// Guards against memory that grows without bound while nothing but empty lines arrives.
+#[test]
+fn empty_lines_without_end_fail() {
+    let mut splitter = Splitter::default();
+    let lines = Bytes::from("\n".repeat(64 << 10));
+    let failed = (0..32).any(|_| splitter.push(&lines) == Err(EventError::TooLong));
+    assert!(failed);
+}
