--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -366,7 +366,9 @@
     let serve = |io: TcpStream| {
         // The caller may have disconnected already.
         let Ok(address) = io.peer_addr() else { return };
-        let Ok(io) = CallerStream::new(io) else { return };
+        let Ok(io) = CallerStream::new(io) else {
+            return;
+        };
         let serving = service.call((io, Some(address)));
         let connections = Rc::clone(&connections);
         actix_rt::spawn(async move {
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -284,7 +284,11 @@
         let mut best: Option<(f64, &PoolEndpoint)> = None;
         for endpoint in self.open(now) {
             // A stream that goes on has few endpoints to choose from, so it takes any free slot there.
-            let is_open = !is_contended || endpoint.claimable > 0 || demand.version.is_some();
+            // A limit is divided among the processes already.
+            let is_open = !is_contended
+                || endpoint.claimable > 0
+                || endpoint.allowance.is_some()
+                || demand.version.is_some();
             if !is_open || !demand.allows(endpoint) || tried.contains(&endpoint.listed.id) {
                 continue;
             }
@@ -295,6 +299,9 @@
             if !endpoint.is_on_time(demand) && is_slow() {
                 continue;
             }
+            if endpoint.is_probe_due(now) {
+                return Some(endpoint.listed.id.clone());
+            }
             let score = self.score(endpoint, demand, last, now);
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, endpoint));
@@ -336,6 +343,7 @@
         endpoint.own_running += 1;
         if let Some(allowance) = &mut endpoint.allowance {
             allowance.consume(now);
+            endpoint.probed_at = now;
         }
         endpoint.claimable = endpoint.claimable.saturating_sub(1);
         endpoint.reports.on_start(now);
