--- a/crates/sesamehaven/tests/limited_endpoint_use.rs
+++ b/crates/sesamehaven/tests/limited_endpoint_use.rs
@@ -104,7 +104,9 @@
                     p.1 != n && hash_of(&p.2) == hash
                 };
                 let elsewhere = |hash| running.iter().filter(|r| others(r, hash)).count() as u32;
-                process.placement.set_peers(Some(1.0), elsewhere);
+                process
+                    .placement
+                    .set_peers(Some(1.0), Millis(300), now, elsewhere);
             }
         }
         for (n, process) in processes.iter_mut().enumerate() {
