--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -12,6 +12,7 @@
 
 use sesamehaven::backlog::Rank;
 use sesamehaven::dispatcher::Work;
+use sesamehaven::limit_use::LimitUse;
 use sesamehaven::part_quarantine::{PartId, PartIds, PoolId};
 use sesamehaven::placement::DispatchOutcome;
 use sesamehaven::software_version::PoolVersion;
@@ -123,6 +124,17 @@
     /// Returns the reason and a retry delay if the pool is unknown or no slot becomes available in
     /// time.
     pub async fn acquire(&self) -> Result<Slot, Rejection> {
+        loop {
+            self.front.wait_for_list().await;
+            let slot = self.acquire_slot().await;
+            // An endpoint that was chosen before a stall may have left during it.
+            if slot.is_err() || !self.front.is_list_outdated(clock::now()) {
+                return slot;
+            }
+        }
+    }
+
+    async fn acquire_slot(&self) -> Result<Slot, Rejection> {
         let waiting_since = match self.runs.get() {
             0 => self.arrived,
             _ => clock::now(),
@@ -139,6 +151,7 @@
             session: self.meta.session,
             tried: self.tried.borrow().clone(),
             version: self.version.get(),
+            limit_use: self.limit_use(),
         };
         let started = clock::now();
         let slot = self.front.pools.acquire(&self.pool, work).await;
@@ -148,6 +161,13 @@
         slot
     }
 
+    /// Returns how much of its limit the caller's organisation has used, at all fronts.
+    fn limit_use(&self) -> LimitUse {
+        let organisation = self.organisation.as_ref().map(|o| o.name.as_str());
+        let shared_limits = self.front.shared_limits.borrow();
+        shared_limits.limit_use(organisation, clock::now())
+    }
+
     /// Records the time to the response, or to the first event of a stream.
     pub fn record_response_latency(&self) {
         let tier = self.rank.tier.to_string();
--- a/crates/sesamehaven-front/src/peers.rs
+++ b/crates/sesamehaven-front/src/peers.rs
@@ -60,7 +60,7 @@
 pub struct Load {
     /// The requests in flight, by the hash of the endpoint.
     pub running: Vec<(u32, u32)>,
-    /// The requests that wait for a slot, by the hash of the pool.
+    /// The weight of the requests that wait for a slot, by the hash of the pool.
     pub waiting: Vec<(u32, u32)>,
 }
 
@@ -73,7 +73,7 @@
     pub ids: Vec<u64>,
     /// The requests in flight, by the hash of the endpoint.
     pub running: HashMap<u32, u32>,
-    /// The requests that wait for a slot, by the hash of the pool.
+    /// The weight of the requests that wait for a slot, by the hash of the pool.
     pub waiting: HashMap<u32, u32>,
 }
 
--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -14,6 +14,7 @@
 use sesamehaven::digest::hash_of;
 use sesamehaven::dispatcher::{Dispatcher, Refusal, Step, Work};
 use sesamehaven::endpoint_limits::{EndpointLimits, LimitNotice, own_share};
+use sesamehaven::endpoint_load::EndpointLoad;
 use sesamehaven::exposure::VersionRules;
 use sesamehaven::placement::{DispatchOutcome, ListedEndpoint};
 use sesamehaven::request_rate::RequestRate;
@@ -206,7 +207,10 @@
     /// this front knows.
     pub fn running_elsewhere(&self, pool: &str, version: PoolVersion) -> u32 {
         let pools = self.pools.borrow();
-        pools.get(pool).map_or(0, |d| d.running_elsewhere(version))
+        let now = clock::now();
+        pools
+            .get(pool)
+            .map_or(0, |d| d.running_elsewhere(version, now))
     }
 
     /// Applies what an endpoint said about itself, and returns the part that begins with it.
@@ -223,6 +227,13 @@
         news
     }
 
+    /// Records the load that an endpoint of a pool reported in a response.
+    pub fn on_load(&self, pool: &str, endpoint: &str, load: EndpointLoad) {
+        if let Some(dispatcher) = self.pools.borrow_mut().get_mut(pool) {
+            dispatcher.on_load(endpoint, load, clock::now());
+        }
+    }
+
     /// Records the limit that an endpoint named in a response, or that it named none; returns whether
     /// it has changed.
     pub fn on_limit(&self, endpoint: &str, limit: Option<RequestRate>) -> bool {
@@ -309,7 +320,7 @@
         self.tick();
     }
 
-    /// Returns the requests of this front running at each endpoint and waiting for each pool.
+    /// Returns the requests of this front running at each endpoint and, weighted, waiting for each pool.
     pub fn local_load(&self) -> Load {
         let pools = self.pools.borrow();
         let running = pools.values().flat_map(Dispatcher::running);
@@ -317,7 +328,7 @@
         Load {
             running: running.map(|(hash, n)| (short_hash(hash), n)).collect(),
             waiting: waiting
-                .map(|(name, pool)| (short_hash(hash_of(name)), pool.waiting() as u32))
+                .map(|(name, pool)| (short_hash(hash_of(name)), pool.weighted_waiting()))
                 .collect(),
         }
     }
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -32,6 +32,7 @@
 use crate::announcement::Standing;
 use crate::backlog::{Backlog, Length, Rank, Ticket, WaitingRequest, drain_time};
 use crate::digest::hash_of;
+use crate::endpoint_load::{EndpointLoad, freshness};
 use crate::exposure::VersionRules;
 use crate::placement::{Demand, DispatchOutcome, ListedEndpoint, Placement};
 use crate::refusal::{self, RETRY_AFTER_MAX};
@@ -178,8 +179,8 @@
     }
 
     /// Returns the number of requests that run at endpoints other than those of a version.
-    pub fn running_elsewhere(&self, version: PoolVersion) -> u32 {
-        self.placement.running_elsewhere(version)
+    pub fn running_elsewhere(&self, version: PoolVersion, now: Instant) -> u32 {
+        self.placement.running_elsewhere(version, now)
     }
 
     /// Updates whether each endpoint takes requests, by its own account.
@@ -193,7 +194,12 @@
         self.placement.set_limits(share, now);
     }
 
-    /// Updates the number of other processes, the requests that wait there, and the
+    /// Records the load that an endpoint reported in a response that has just arrived.
+    pub fn on_load(&mut self, endpoint: &str, load: EndpointLoad, now: Instant) {
+        self.placement.on_load(endpoint, load, now);
+    }
+
+    /// Updates the number of other processes, their [`weighted_waiting`](Self::weighted_waiting), and the
     /// requests that they run at each endpoint.
     pub fn set_peers(
         &mut self,
@@ -202,13 +208,14 @@
         now: Instant,
         running: impl Fn(u64) -> u32,
     ) {
-        let own = self.backlog.len() as f64 + 1.0;
+        let own = self.backlog.weight() + 1.0;
         self.waiting_share = own / (own + f64::from(waiting) + others as f64);
-        let age = now.since(self.peers_updated_at).0 as f64;
+        let age = now.since(self.peers_updated_at);
         self.peers_updated_at = now;
-        let is_informative = others > 0 && self.mean_hold_ms > age * MIN_HOLD_INTERVALS;
+        let is_informative = others > 0 && self.mean_hold_ms > age.0 as f64 * MIN_HOLD_INTERVALS;
         let share = is_informative.then_some(self.waiting_share);
-        self.placement.set_peers(share, running);
+        self.placement
+            .set_peers(share, freshness(others, age), now, running);
     }
 
     /// Returns the hash of each endpoint with the number of requests that this process
@@ -232,6 +239,12 @@
         self.backlog.len()
     }
 
+    /// Returns the number of waiting requests as other processes weigh it against their own, lower for
+    /// requests of organisations that have used much of their limits.
+    pub fn weighted_waiting(&self) -> u32 {
+        self.backlog.weight().ceil() as u32
+    }
+
     /// Returns how many more requests the ready endpoints accept, and how many they accept
     /// in total. Both include one queued request for each endpoint.
     ///
@@ -299,6 +312,7 @@
             latest_on_time_start: work.latest_on_time_start(),
             give_up_at,
             slot_ms: work.slot_ms * self.time_factor,
+            limit_use: work.limit_use,
         };
         self.backlog.push(waiting, now);
         self.pending.insert(ticket, work);
@@ -472,8 +486,10 @@
         let above = self.running.values().filter(|r| r.rank < work.rank);
         let capacity_share = 1.0 - above.count() as f64 / self.running.len().max(1) as f64;
         let is_late = work.latest_on_time_start() < now;
-        let ahead =
-            self.backlog.slot_ms_ahead(work.rank, is_late, now) + work.slot_ms * self.time_factor;
+        let ahead = self
+            .backlog
+            .slot_ms_ahead(work.rank, work.limit_use, is_late, now)
+            + work.slot_ms * self.time_factor;
         let own_slots = f64::from(slots.max(1)) * self.waiting_share;
         // A rank is assumed to get at least a quarter of the slots, however many of the running
         // requests have a higher rank.
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -13,6 +13,7 @@
 
 use crate::announcement::Standing;
 use crate::digest::{mix_bits, to_unit_interval};
+use crate::endpoint_load::EndpointLoad;
 use crate::exposure::{Access, VersionRules};
 use crate::pool_endpoint::{PoolEndpoint, QUEUED_AHEAD};
 use crate::request_rate::{Allowance, RequestRate};
@@ -141,10 +142,10 @@
 
     /// Returns the number of requests that run at endpoints other than those of a version, as far as
     /// this process knows.
-    pub fn running_elsewhere(&self, version: PoolVersion) -> u32 {
+    pub fn running_elsewhere(&self, version: PoolVersion, now: Instant) -> u32 {
         let others = self.endpoints.iter();
         let others = others.filter(|e| e.listed.version != version);
-        others.map(PoolEndpoint::load).sum()
+        others.map(|e| e.load(now)).sum()
     }
 
     /// Updates whether each endpoint takes requests, by its own account.
@@ -182,13 +183,21 @@
     ///
     /// All processes see the same few free slots. Each therefore draws at random which of
     /// them it may claim until the next update, in proportion to `waiting_share`, its share of
-    /// all waiting requests; without one it may claim any of them.
-    pub fn set_peers(&mut self, waiting_share: Option<f64>, running: impl Fn(u64) -> u32) {
+    /// all waiting requests; without one it may claim any of them. Reports of endpoints about all
+    /// requests count for `freshness`.
+    pub fn set_peers(
+        &mut self,
+        waiting_share: Option<f64>,
+        freshness: Millis,
+        now: Instant,
+        running: impl Fn(u64) -> u32,
+    ) {
         self.is_shared = waiting_share.is_some();
         let waiting_share = waiting_share.unwrap_or(1.0);
         self.peer_updates += 1;
         for endpoint in &mut self.endpoints {
             endpoint.peer_running = running(endpoint.hash);
+            endpoint.freshness = freshness;
         }
         let draw = mix_bits(self.seed ^ self.peer_updates);
         for endpoint in &mut self.endpoints {
@@ -196,7 +205,7 @@
                 to_unit_interval(mix_bits(endpoint.hash ^ draw ^ u64::from(*slot)))
                     < waiting_share * CLAIMS_PER_SLOT
             };
-            endpoint.claimable = (0..endpoint.free()).filter(is_claimed).count() as u32;
+            endpoint.claimable = (0..endpoint.free(now)).filter(is_claimed).count() as u32;
         }
     }
 
@@ -218,7 +227,7 @@
     /// `QUEUED_AHEAD` for each.
     pub fn free(&self, now: Instant) -> u32 {
         let endpoints = self.open(now).filter(|e| e.takes(None));
-        endpoints.map(PoolEndpoint::free).sum()
+        endpoints.map(|e| e.free(now)).sum()
     }
 
     /// Returns whether any endpoint that a request may go to, of its version if it has one, accepts
@@ -275,7 +284,11 @@
         let mut best: Option<(f64, &PoolEndpoint)> = None;
         for endpoint in self.open(now) {
             // A stream that goes on has few endpoints to choose from, so it takes any free slot there.
-            let is_open = !is_contended || endpoint.claimable > 0 || demand.version.is_some();
+            // A limit is divided among the processes already.
+            let is_open = !is_contended
+                || endpoint.claimable > 0
+                || endpoint.allowance.is_some()
+                || demand.version.is_some();
             if !is_open || !demand.allows(endpoint) || tried.contains(&endpoint.listed.id) {
                 continue;
             }
@@ -286,7 +299,10 @@
             if !endpoint.is_on_time(demand) && is_slow() {
                 continue;
             }
-            let score = self.score(endpoint, demand, last);
+            if endpoint.is_probe_due(now) {
+                return Some(endpoint.listed.id.clone());
+            }
+            let score = self.score(endpoint, demand, last, now);
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, endpoint));
             }
@@ -303,7 +319,7 @@
         let takes = |e: &&PoolEndpoint| e.access == Access::Candidate;
         let mut candidates: SmallVec<[&PoolEndpoint; 64]> = self.open(now).filter(takes).collect();
         candidates.sort_by_key(|e| mix_bits(e.hash));
-        let running: u32 = candidates.iter().map(|e| e.load()).sum();
+        let running: u32 = candidates.iter().map(|e| e.load(now)).sum();
         let slots = candidates.first()?.listed.slots.max(1);
         let needed = f64::from(running) / (f64::from(slots) * CANDIDATE_LOAD);
         let used = (needed.ceil() as usize + 1).max(MIN_CANDIDATES);
@@ -312,9 +328,10 @@
         let count = candidates.len() as u64;
         let picks = [draw % count, (draw >> 32) % count];
         let picked = picks.iter().filter_map(|at| candidates.get(*at as usize));
-        let has_slot =
-            |e: &&&PoolEndpoint| e.load() < e.listed.slots && self.has_room(e, demand, median, now);
-        let chosen = picked.filter(has_slot).min_by_key(|e| e.load());
+        let has_slot = |e: &&&PoolEndpoint| {
+            e.load(now) < e.listed.slots && self.has_room(e, demand, median, now)
+        };
+        let chosen = picked.filter(has_slot).min_by_key(|e| e.load(now));
         chosen.map(|e| e.listed.id.clone())
     }
 
@@ -326,8 +343,10 @@
         endpoint.own_running += 1;
         if let Some(allowance) = &mut endpoint.allowance {
             allowance.consume(now);
+            endpoint.probed_at = now;
         }
         endpoint.claimable = endpoint.claimable.saturating_sub(1);
+        endpoint.reports.on_start(now);
         endpoint.own_long_running += u32::from(demand.is_long);
         let hash = endpoint.hash;
         if let Some(session) = demand.session {
@@ -335,6 +354,13 @@
         }
     }
 
+    /// Records the load that an endpoint reported in a response that has just arrived.
+    pub fn on_load(&mut self, id: &str, load: EndpointLoad, now: Instant) {
+        if let Some(endpoint) = self.endpoint(id) {
+            endpoint.reports.on_report(load, endpoint.own_running, now);
+        }
+    }
+
     /// Records the first event of a response; `factor` is the ratio of the actual to the expected
     /// time to it.
     pub fn on_first_event(&mut self, id: &str, factor: f64) {
@@ -460,7 +486,7 @@
         median: f64,
         now: Instant,
     ) -> bool {
-        if endpoint.free() == 0 {
+        if endpoint.free(now) == 0 {
             return false;
         }
         if endpoint.ejected_until > now || endpoint.full_until > now {
@@ -477,8 +503,14 @@
     }
 
     /// Returns the score of an endpoint for a request; lower is better.
-    fn score(&self, endpoint: &PoolEndpoint, demand: &Demand, last: Option<u64>) -> f64 {
-        let load = f64::from(endpoint.load() + 1) / f64::from(endpoint.listed.slots.max(1));
+    fn score(
+        &self,
+        endpoint: &PoolEndpoint,
+        demand: &Demand,
+        last: Option<u64>,
+        now: Instant,
+    ) -> f64 {
+        let load = f64::from(endpoint.load(now) + 1) / f64::from(endpoint.listed.slots.max(1));
         let ran_session = last == Some(endpoint.hash);
         let session_bonus = if ran_session { SESSION_BONUS } else { 0.0 };
         let near_bonus = if endpoint.listed.is_near {
--- a/crates/sesamehaven/src/pool_endpoint.rs
+++ b/crates/sesamehaven/src/pool_endpoint.rs
@@ -4,6 +4,7 @@
 
 use crate::announcement::Standing;
 use crate::digest::hash_of;
+use crate::endpoint_load::{LoadReports, freshness};
 use crate::exposure::Access;
 use crate::request_rate::Allowance;
 use crate::software_version::PoolVersion;
@@ -58,6 +59,10 @@
     }
 }
 
+/// How long a process that holds part of an endpoint's limit may leave it without a request. A process gets about
+/// one request per second of a limit, which is the longest interval at which the end of a limit is noticed within two seconds.
+const LIMIT_PROBE_INTERVAL: Millis = Millis(1_000);
+
 /// An endpoint with the load and health that this process observes.
 #[derive(Debug, Clone)]
 pub(crate) struct PoolEndpoint {
@@ -67,10 +72,15 @@
     pub(crate) standing: Standing,
     /// What this process may send of the limit that the endpoint named.
     pub(crate) allowance: Option<Allowance>,
+    /// When this process last sent it a request, or learned of its limit.
+    pub(crate) probed_at: Instant,
     pub(crate) hash: u64,
     pub(crate) own_running: u32,
     pub(crate) own_long_running: u32,
     pub(crate) peer_running: u32,
+    pub(crate) reports: LoadReports,
+    /// How long the number of requests in a report counts.
+    pub(crate) freshness: Millis,
     /// The free slots that this process may claim until the next peer update.
     pub(crate) claimable: u32,
     pub(crate) time_factor: f64,
@@ -91,9 +101,12 @@
             access: Access::Open,
             standing: Standing::default(),
             allowance: None,
+            probed_at: Instant(0),
             own_running: 0,
             own_long_running: 0,
             peer_running: 0,
+            reports: LoadReports::default(),
+            freshness: freshness(0, Millis(0)),
             claimable: 0,
             time_factor: 1.0,
             first_event_factor: 1.0,
@@ -115,6 +128,11 @@
         allowed_at.max(self.standing.paused_until)
     }
 
+    /// Returns whether it is to get the next request, so that it uses its limit and the end of the limit is noticed.
+    pub(crate) fn is_probe_due(&self, now: Instant) -> bool {
+        self.allowance.is_some() && now.since(self.probed_at) >= LIMIT_PROBE_INTERVAL
+    }
+
     /// Returns whether its version takes requests that begin anywhere, or those of a stream that a
     /// version has begun.
     pub(crate) fn takes(&self, begun_by: Option<PoolVersion>) -> bool {
@@ -124,8 +142,11 @@
         }
     }
 
-    pub(crate) fn load(&self) -> u32 {
-        self.own_running + self.peer_running
+    /// Returns the number of requests of all processes, by their own counts and by the endpoint's
+    /// latest report.
+    pub(crate) fn load(&self, now: Instant) -> u32 {
+        let others = self.reports.others(self.peer_running, self.freshness, now);
+        self.own_running.saturating_add(others)
     }
 
     /// Ejects the endpoint; the duration doubles with each consecutive ejection up to
@@ -144,7 +165,7 @@
             .is_none_or(|left| expected_ms <= left.0 as f64)
     }
 
-    pub(crate) fn free(&self) -> u32 {
-        (self.listed.slots + QUEUED_AHEAD).saturating_sub(self.load())
+    pub(crate) fn free(&self, now: Instant) -> u32 {
+        (self.listed.slots + QUEUED_AHEAD).saturating_sub(self.load(now))
     }
 }
