--- a/crates/sesamehaven/src/shared_limit.rs
+++ b/crates/sesamehaven/src/shared_limit.rs
@@ -86,6 +86,9 @@
 /// below its share. The usage that a peer from before the start reports includes that of
 /// its own group and counts against the share in full.
 ///
+/// The usage is compared with the limit as it is after the start, so that a limit which was lowered in the meantime holds
+/// with the lower amount.
+///
 /// The amount of the limit may include a part of a tolerance; the rest of the tolerance covers totals that are
 /// on their way, before and after a start.
 #[derive(Debug)]
