--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -30,19 +30,21 @@
 use smol_str::SmolStr;
 
 use crate::announcement::Standing;
-use crate::backlog::{Backlog, Length, Rank, Ticket, WaitingRequest, drain_time};
+use crate::backlog::{Backlog, Length, Ticket, WaitingRequest, drain_time};
 use crate::digest::hash_of;
+use crate::dispatched_run::Run;
 use crate::endpoint_load::{EndpointLoad, freshness};
 use crate::exposure::VersionRules;
 use crate::placement::{Demand, DispatchOutcome, ListedEndpoint, Placement};
 use crate::refusal::{self, RETRY_AFTER_MAX};
 use crate::request_rate::RequestRate;
 use crate::rollout_evidence::Evidence;
-use crate::rollout_traffic::{RolloutTraffic, Sample};
+use crate::rollout_traffic::RolloutTraffic;
 use crate::software_version::PoolVersion;
 use crate::unit::{Instant, Millis};
 
 pub use crate::refusal::Refusal;
+pub use crate::step::{Step, Steps};
 pub use crate::work::Work;
 
 /// The share of the slots that the lowest rank leaves free for higher ranks.
@@ -65,48 +67,6 @@
 /// The lower and upper bound of the pool's time factor.
 const TIME_FACTOR_RANGE: (f64, f64) = (0.2, 10.0);
 
-/// An action for the caller of the dispatcher to execute.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Step {
-    /// Dispatch the request to the endpoint.
-    Start {
-        /// The request.
-        ticket: Ticket,
-        /// The incarnation of the endpoint.
-        endpoint: SmolStr,
-    },
-    /// Refuse the request, which has not run.
-    Refuse {
-        /// The request.
-        ticket: Ticket,
-        /// The reason.
-        reason: Refusal,
-        /// The delay after which the caller should retry, when a slot is likely to be free.
-        retry_after: Millis,
-    },
-}
-
-/// The steps that follow from one event.
-pub type Steps = SmallVec<[Step; 2]>;
-
-#[derive(Debug, Clone)]
-struct Run {
-    endpoint: SmolStr,
-    rank: Rank,
-    slot_ms: f64,
-    first_event_ms: f64,
-    started: Instant,
-    /// How the response counts while a version is rolled out.
-    sample: Option<Sample>,
-}
-
-impl Run {
-    /// Returns the time since the start, as a multiple of the expected time to the first event.
-    fn first_event_factor(&self, now: Instant) -> f64 {
-        now.since(self.started).0 as f64 / self.first_event_ms.max(1.0)
-    }
-}
-
 /// The queue and the endpoints of one pool.
 #[derive(Debug)]
 pub struct Dispatcher {
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -12,35 +12,24 @@
 use smol_str::SmolStr;
 
 use crate::announcement::Standing;
+use crate::candidate_choice;
 use crate::digest::{mix_bits, to_unit_interval};
 use crate::endpoint_load::EndpointLoad;
 use crate::exposure::{Access, VersionRules};
-use crate::pool_endpoint::{PoolEndpoint, QUEUED_AHEAD};
+use crate::pool_endpoint::{FAILURE_EXCESS, PoolEndpoint, QUEUED_AHEAD};
 use crate::request_rate::{Allowance, RequestRate};
 use crate::session_table::SessionTable;
 use crate::software_version::PoolVersion;
 use crate::unit::{Instant, Millis};
 
-pub use crate::pool_endpoint::{Demand, ListedEndpoint};
+pub use crate::pool_endpoint::{Demand, DispatchOutcome, ListedEndpoint};
 
-/// The weight of a new sample in the moving averages of an endpoint.
-const SAMPLE_WEIGHT: f64 = 0.2;
-/// The weight of a new sample in the average time to the first event of an endpoint.
-///
-/// It varies more than the time in a slot, as it includes the wait behind other prompts.
-const FIRST_EVENT_WEIGHT: f64 = 0.1;
 /// The time to the first event, relative to the pool median, above which an endpoint gets only
 /// requests that are on time there.
 const SLOW_FIRST_EVENT: f64 = 2.0;
-/// The number of samples before the failure rate of an endpoint is evaluated.
-const MIN_SAMPLES: u32 = 4;
-/// The failure rate, in excess of the pool average, above which an endpoint is ejected.
-const FAILURE_EXCESS: f64 = 0.25;
 /// The time factor, relative to the pool median, above which an endpoint runs one
 /// probe request at a time.
 const SLOW_TIME_FACTOR: f64 = 3.0;
-/// The lower and upper bound of the time factor of an endpoint.
-const TIME_FACTOR_RANGE: (f64, f64) = (0.1, 20.0);
 /// The score bonus of the endpoint that recently ran the session, in units of a full
 /// endpoint's load.
 const SESSION_BONUS: f64 = 1.2;
@@ -62,24 +51,9 @@
 const CONTENTION_SHARE: f64 = 0.5;
 /// The average number of processes that may claim one free slot.
 const CLAIMS_PER_SLOT: f64 = 2.0;
-/// The mean load of the endpoints that are used of a version that is tried, as a share of their slots.
-const CANDIDATE_LOAD: f64 = 0.7;
-/// The number of endpoints that are used of it at least.
-const MIN_CANDIDATES: usize = 3;
 /// The share of an endpoint's slots that long requests may hold.
 const LONG_SLOT_SHARE: f64 = 0.67;
 
-/// The outcome of a dispatched request, as it counts for its endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum DispatchOutcome {
-    /// The endpoint returned a complete response.
-    Success,
-    /// The request failed or its response was invalid.
-    Failure,
-    /// The outcome does not reflect on the endpoint, for example when the caller disconnected.
-    Neutral,
-}
-
 /// The endpoints of one pool, with the load and health that this process observes.
 #[derive(Debug, Default)]
 pub struct Placement {
@@ -311,27 +285,11 @@
     }
 
     /// Chooses an endpoint of the version that is tried, which has a slot free at once.
-    ///
-    /// All processes fill the same few endpoints, so that these run at full load, and choose the less
-    /// loaded of two of them, so that counts that are out of date do not lead all to the same one.
     pub fn choose_candidate(&self, demand: &Demand, now: Instant) -> Option<SmolStr> {
         let median = self.median_time_factor();
-        let takes = |e: &&PoolEndpoint| e.access == Access::Candidate;
-        let mut candidates: SmallVec<[&PoolEndpoint; 64]> = self.open(now).filter(takes).collect();
-        candidates.sort_by_key(|e| mix_bits(e.hash));
-        let running: u32 = candidates.iter().map(|e| e.load(now)).sum();
-        let slots = candidates.first()?.listed.slots.max(1);
-        let needed = f64::from(running) / (f64::from(slots) * CANDIDATE_LOAD);
-        let used = (needed.ceil() as usize + 1).max(MIN_CANDIDATES);
-        candidates.truncate(used);
         let draw = mix_bits(demand.tie_breaker ^ self.seed);
-        let count = candidates.len() as u64;
-        let picks = [draw % count, (draw >> 32) % count];
-        let picked = picks.iter().filter_map(|at| candidates.get(*at as usize));
-        let has_slot = |e: &&&PoolEndpoint| {
-            e.load(now) < e.listed.slots && self.has_room(e, demand, median, now)
-        };
-        let chosen = picked.filter(has_slot).min_by_key(|e| e.load(now));
+        let has_room = |e: &PoolEndpoint| self.has_room(e, demand, median, now);
+        let chosen = candidate_choice::choose(self.open(now), draw, now, has_room);
         chosen.map(|e| e.listed.id.clone())
     }
 
@@ -365,9 +323,7 @@
     /// time to it.
     pub fn on_first_event(&mut self, id: &str, factor: f64) {
         if let Some(endpoint) = self.endpoint(id) {
-            let factor = factor.clamp(TIME_FACTOR_RANGE.0, TIME_FACTOR_RANGE.1);
-            endpoint.first_event_factor +=
-                FIRST_EVENT_WEIGHT * (factor - endpoint.first_event_factor);
+            endpoint.on_first_event(factor);
         }
     }
 
@@ -394,27 +350,9 @@
         endpoint.own_running = endpoint.own_running.saturating_sub(1);
         endpoint.claimable += 1;
         endpoint.own_long_running = endpoint.own_long_running.saturating_sub(u32::from(is_long));
-        if let Some(factor) = factor {
-            let factor = factor.clamp(TIME_FACTOR_RANGE.0, TIME_FACTOR_RANGE.1);
-            endpoint.time_factor += SAMPLE_WEIGHT * (factor - endpoint.time_factor);
-        }
-        let failed = match outcome {
-            DispatchOutcome::Success => 0.0,
-            DispatchOutcome::Failure => 1.0,
-            DispatchOutcome::Neutral => return,
-        };
-        endpoint.samples = endpoint.samples.saturating_add(1);
-        endpoint.failure_rate += SAMPLE_WEIGHT * (failed - endpoint.failure_rate);
-        if failed == 0.0 {
-            if endpoint.failure_rate < FAILURE_EXCESS / 2.0 {
-                endpoint.ejections = 0;
-            }
-            return;
-        }
-        // At most half of its own rate counts as average, so that an endpoint with a high
-        // failure rate is ejected even if the whole pool fails.
-        let excess = endpoint.failure_rate - mean.min(endpoint.failure_rate / 2.0);
-        if endpoint.samples >= MIN_SAMPLES && excess > FAILURE_EXCESS && ejected < max_ejected {
+        endpoint.on_outcome(outcome, factor);
+        let excess = endpoint.failure_excess(mean);
+        if outcome == DispatchOutcome::Failure && excess > FAILURE_EXCESS && ejected < max_ejected {
             endpoint.eject(now);
         }
     }
--- a/crates/sesamehaven/src/pool_endpoint.rs
+++ b/crates/sesamehaven/src/pool_endpoint.rs
@@ -21,6 +21,30 @@
 /// stays full.
 pub(crate) const QUEUED_AHEAD: u32 = 1;
 
+/// The weight of a new sample in the moving averages of an endpoint.
+const SAMPLE_WEIGHT: f64 = 0.2;
+/// The weight of a new sample in the average time to the first event of an endpoint.
+///
+/// It varies more than the time in a slot, as it includes the wait behind other prompts.
+const FIRST_EVENT_WEIGHT: f64 = 0.1;
+/// The lower and upper bound of the time factor of an endpoint.
+const TIME_FACTOR_RANGE: (f64, f64) = (0.1, 20.0);
+/// The number of samples before the failure rate of an endpoint is evaluated.
+const MIN_SAMPLES: u32 = 4;
+/// The failure rate, in excess of the pool average, above which an endpoint is ejected.
+pub(crate) const FAILURE_EXCESS: f64 = 0.25;
+
+/// The outcome of a dispatched request, as it counts for its endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DispatchOutcome {
+    /// The endpoint returned a complete response.
+    Success,
+    /// The request failed or its response was invalid.
+    Failure,
+    /// The outcome does not reflect on the endpoint, for example when the caller disconnected.
+    Neutral,
+}
+
 /// An endpoint as listed in the directory.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ListedEndpoint {
@@ -149,6 +173,41 @@
         self.own_running.saturating_add(others)
     }
 
+    /// Records the time to the first event of a response, as a ratio of the expected time.
+    pub(crate) fn on_first_event(&mut self, factor: f64) {
+        let factor = factor.clamp(TIME_FACTOR_RANGE.0, TIME_FACTOR_RANGE.1);
+        self.first_event_factor += FIRST_EVENT_WEIGHT * (factor - self.first_event_factor);
+    }
+
+    /// Records what came of a request; `factor` is the ratio of its actual to its expected duration.
+    pub(crate) fn on_outcome(&mut self, outcome: DispatchOutcome, factor: Option<f64>) {
+        if let Some(factor) = factor {
+            let factor = factor.clamp(TIME_FACTOR_RANGE.0, TIME_FACTOR_RANGE.1);
+            self.time_factor += SAMPLE_WEIGHT * (factor - self.time_factor);
+        }
+        let failed = match outcome {
+            DispatchOutcome::Success => 0.0,
+            DispatchOutcome::Failure => 1.0,
+            DispatchOutcome::Neutral => return,
+        };
+        self.samples = self.samples.saturating_add(1);
+        self.failure_rate += SAMPLE_WEIGHT * (failed - self.failure_rate);
+        if failed == 0.0 && self.failure_rate < FAILURE_EXCESS / 2.0 {
+            self.ejections = 0;
+        }
+    }
+
+    /// Returns by how much its failure rate exceeds the mean of the pool, zero with too few samples.
+    ///
+    /// At most half of its own rate counts as average, so that an endpoint with a high failure rate is
+    /// ejected even if the whole pool fails.
+    pub(crate) fn failure_excess(&self, mean: f64) -> f64 {
+        match self.samples >= MIN_SAMPLES {
+            true => self.failure_rate - mean.min(self.failure_rate / 2.0),
+            false => 0.0,
+        }
+    }
+
     /// Ejects the endpoint; the duration doubles with each consecutive ejection up to
     /// [`MAX_EJECTION`].
     pub(crate) fn eject(&mut self, now: Instant) {
