Keep serving by the only version when an order names it

An order to move a pool to the version that it already runs made all of its endpoints candidates, so that nothing else took requests, and at the time limit it was rolled back, which closed them; found by reading. Such a candidate takes all requests, and the order succeeds.

--- a/crates/sesamehaven-front/src/rollouts.rs
+++ b/crates/sesamehaven-front/src/rollouts.rs
@@ -22,7 +22,7 @@
 
 use crate::clock;
 use crate::front::Front;
-use crate::protocol::{Directory, Listing, Protocol, Reading};
+use crate::protocol::{Directory, EndpointEntry, Listing, Protocol, Reading};
 use crate::refresh::observe_era;
 
 /// How often rollouts are assessed.
@@ -130,8 +130,14 @@
                 .entries
                 .iter()
                 .any(|e| e.pool == pool && e.version == order.candidate);
-            // Without the candidate there is nothing to replace the other versions by.
-            if t.rollout.phase() == Phase::Succeeded && !is_listed {
+            let is_alone = match t.rollout.phase() {
+                // Without another version, the candidate is all there is.
+                Phase::Canary => others(listing, order).next().is_none(),
+                // Without the candidate, there is nothing to replace the other versions by.
+                Phase::Succeeded => !is_listed,
+                Phase::Promoting | Phase::RolledBack => false,
+            };
+            if is_alone {
                 continue;
             }
             let more = t.rollout.rules(max_share);
@@ -196,6 +202,15 @@
     rollout
 }
 
+/// Returns the ready endpoints of the order's pool whose version is not the candidate.
+fn others<'a>(
+    listing: &'a Listing,
+    order: &'a RolloutOrder,
+) -> impl Iterator<Item = &'a EndpointEntry> {
+    let of_pool = listing.entries.iter().filter(|e| e.pool == order.pool);
+    of_pool.filter(|e| e.is_ready && e.version != order.candidate)
+}
+
 /// Returns the versions of all pools that are listed.
 fn versions(listing: &Listing) -> SmallVec<[(SmolStr, PoolVersion); 4]> {
     let mut versions = SmallVec::new();
@@ -323,6 +338,7 @@
         let seen = Surroundings {
             endpoints: of_pool.count(),
             candidates: of_candidate.filter(|e| e.is_ready).count(),
+            others: others(&listing, &order).count(),
             running_elsewhere: front
                 .pools
                 .running_elsewhere(&order.pool, order.candidate()),
--- a/crates/sesamehaven/src/rollout.rs
+++ b/crates/sesamehaven/src/rollout.rs
@@ -175,8 +175,10 @@
 pub struct Surroundings {
     /// The number of listed endpoints of the pool.
     pub endpoints: usize,
-    /// The number of listed endpoints of the candidate.
+    /// The number of ready endpoints of the candidate.
     pub candidates: usize,
+    /// The number of ready endpoints of other versions.
+    pub others: usize,
     /// The number of requests that run at the other versions.
     pub running_elsewhere: u32,
     /// Whether the process hears most of the others, and has not been paused a moment ago.
@@ -368,6 +370,10 @@
             return self.enter(Phase::Promoting, "", now);
         }
         if age >= finish_at && !is_sound {
+            // Without another version there is nothing to go back to, and nothing to compare with.
+            if seen.others == 0 && seen.candidates > 0 {
+                return self.enter(Phase::Succeeded, "", now);
+            }
             let candidate = totals.candidate();
             let reason = match seen.candidates {
                 0 => SmolStr::new_static("no endpoint of the version was listed"),
--- a/crates/sesamehaven/tests/rollout.rs
+++ b/crates/sesamehaven/tests/rollout.rs
@@ -41,6 +41,7 @@
     Surroundings {
         endpoints: 8,
         candidates: 4,
+        others: 4,
         running_elsewhere: 3,
         is_connected: true,
     }
@@ -100,6 +101,18 @@
     assert_eq!(rollout.on_tick(&idle, now), Some(Phase::Succeeded));
 }
 
+/// An order to move a pool to the version that it runs would otherwise close its only endpoints.
+#[test]
+fn a_candidate_without_any_other_version_is_not_rolled_back() {
+    let mut rollout = rollout();
+    let alone = Surroundings {
+        others: 0,
+        ..seen()
+    };
+    let phase = next_phase(&mut rollout, &alone, 10_000, 60_000);
+    assert_eq!(phase.map(|(phase, _)| phase), Some(Phase::Succeeded));
+}
+
 #[rstest]
 #[case::partitioned(Surroundings { is_connected: false, ..seen() })]
 #[case::without_candidates(Surroundings { candidates: 0, ..seen() })]
