Retry voids while the write of their claim may take effect

A claim is refused after 2 s, and voided if a write of it was sent. If the write of the void was lost too, the read that followed showed no claim, so the void counted as done. But the version was unchanged, so the delayed write of the claim could still take effect. The claim then stayed open for 7 days although its caller had received "not run", and the key was answered `unknown` in that time.

Changes are now compared with the object only if its version differs from the one that the unconfirmed write replaces. Otherwise they all go into the next write.

--- a/crates/sesamehaven/src/claim.rs
+++ b/crates/sesamehaven/src/claim.rs
@@ -114,6 +114,15 @@
     sent: bool,
 }
 
+/// A write that is not confirmed yet.
+#[derive(Debug)]
+struct UnconfirmedWrite {
+    /// The version that the write replaces.
+    base: u64,
+    changes: Vec<PendingChange>,
+    table: Table,
+}
+
 /// One writer's view of the claims of a shard.
 ///
 /// # Example
@@ -139,8 +148,7 @@
     /// read before the next write.
     known: Option<(u64, Table)>,
     waiting: Vec<PendingChange>,
-    /// The changes of a write that is not confirmed yet, and the table that it writes.
-    unconfirmed_write: Option<(Vec<PendingChange>, Table)>,
+    unconfirmed_write: Option<UnconfirmedWrite>,
     in_flight: bool,
     is_failing: bool,
     retry_at: Instant,
@@ -201,14 +209,16 @@
         let mut progress = Progress::default();
         match reply {
             Reply::Value(version, table) => {
-                self.resolve_unconfirmed(&table, &mut progress);
+                self.resolve_unconfirmed(version, &table, &mut progress);
                 self.known = Some((version, table));
             }
             Reply::Written(version) => {
-                if let Some((ops, table)) = self.unconfirmed_write.take() {
-                    ops.iter()
+                if let Some(write) = self.unconfirmed_write.take() {
+                    write
+                        .changes
+                        .iter()
                         .for_each(|change| self.push_claimed(change, &mut progress));
-                    self.known = Some((version, table));
+                    self.known = Some((version, write.table));
                 }
             }
             Reply::Conflict => {}
@@ -259,13 +269,18 @@
     /// Changes that the object lacks go into the next write. Either that write
     /// takes effect or the unconfirmed one does, which changes the version and
     /// makes the next write conflict; never both.
-    fn resolve_unconfirmed(&mut self, table: &Table, progress: &mut Progress) {
-        let Some((ops, _)) = self.unconfirmed_write.take() else {
+    ///
+    /// While the version is unchanged, all changes go into the next write: the object
+    /// may lack a voided claim only because the write of the claim is delayed.
+    fn resolve_unconfirmed(&mut self, version: u64, table: &Table, progress: &mut Progress) {
+        let Some(write) = self.unconfirmed_write.take() else {
             return;
         };
-        let (held, rest): (Vec<_>, Vec<_>) = ops
+        let is_replaced = version != write.base;
+        let (held, rest): (Vec<_>, Vec<_>) = write
+            .changes
             .into_iter()
-            .partition(|change| change.is_reflected_in(table));
+            .partition(|change| is_replaced && change.is_reflected_in(table));
         held.iter()
             .for_each(|change| self.push_claimed(change, progress));
         let timed_out = &self.timed_out;
@@ -299,7 +314,7 @@
             .partition(|change| is_expired(change));
         self.waiting = waiting;
         let late: Vec<PendingChange> = late;
-        let in_write = self.unconfirmed_write.iter().flat_map(|(ops, _)| ops);
+        let in_write = self.unconfirmed_write.iter().flat_map(|w| &w.changes);
         let in_write = in_write.filter(|change| is_expired(change)).cloned();
         for change in late.into_iter().chain(in_write) {
             let is_new = !change.sent || self.timed_out.insert((change.key, change.nonce));
@@ -335,21 +350,25 @@
     ) -> Option<Call> {
         let mut table = before.clone();
         table.drop_expired(wall);
-        let mut ops = Vec::new();
+        let mut changes = Vec::new();
         for mut change in std::mem::take(&mut self.waiting) {
             change.sent = true;
             match table.apply(&change, wall) {
-                Ok(()) => ops.push(change),
+                Ok(()) => changes.push(change),
                 Err(taken) => progress
                     .verdicts
                     .push((change.nonce, Verdict::Taken(taken))),
             }
         }
-        if ops.is_empty() {
+        if changes.is_empty() {
             self.known = Some((version, before));
             return None;
         }
-        self.unconfirmed_write = Some((ops, table.clone()));
+        self.unconfirmed_write = Some(UnconfirmedWrite {
+            base: version,
+            changes,
+            table: table.clone(),
+        });
         Some(Call::Write(version, table))
     }
 
--- a/crates/sesamehaven/tests/claim.rs
+++ b/crates/sesamehaven/tests/claim.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use proptest::prelude::*;
+use rstest::rstest;
 
 use sesamehaven::claim::{CLAIM_TIMEOUT, Call, Outcome, Progress, Reply, Shard, Table, Verdict};
 use sesamehaven::id::{KeyDigest, RequestId};
@@ -162,6 +163,49 @@
     }
 }
 
+/// Guards against a void that is dropped when its write is lost and the delayed write
+/// of the claim has not taken effect yet: the claim would then stay open although its
+/// caller received "not run".
+#[rstest]
+fn a_void_is_retried_while_the_write_of_its_claim_may_take_effect(
+    #[values(true, false)] is_claim_first: bool,
+) {
+    let (id, wall) = (RequestId(1), WallTime(0));
+    let mut object = Object::default();
+    let mut shard = Shard::default();
+    let read = shard.claim(KeyDigest(1), id, None, Instant(0), wall);
+    let write = shard.on_reply(object.call(read.call.unwrap()), Instant(0), wall);
+    let delayed_claim = write.call.unwrap();
+    assert!(matches!(delayed_claim, Call::Write(0, _)));
+    shard.on_reply(Reply::Failed, Instant(0), wall);
+    let mut now = CLAIM_TIMEOUT.0;
+    let refused = shard.tick(Instant(now), wall);
+    assert_eq!(refused.verdicts, [(id, Verdict::PlatformDown)]);
+    // The write of the void is lost repeatedly, and never takes effect.
+    let mut call = refused.call;
+    for _ in 0..3 {
+        assert_eq!(call, Some(Call::Read));
+        let void = shard.on_reply(object.call(Call::Read), Instant(now), wall);
+        assert_eq!(void.call, Some(Call::Write(0, Table::default())));
+        shard.on_reply(Reply::Failed, Instant(now), wall);
+        now += CLAIM_TIMEOUT.0;
+        call = shard.tick(Instant(now), wall).call;
+    }
+    let mut void = shard.on_reply(object.call(call.unwrap()), Instant(now), wall);
+    if is_claim_first {
+        assert_eq!(object.call(delayed_claim), Reply::Written(1));
+    } else {
+        void = shard.on_reply(object.call(void.call.unwrap()), Instant(now), wall);
+        assert_eq!(object.call(delayed_claim), Reply::Conflict);
+    }
+    while let Some(call) = void.call {
+        void = shard.on_reply(object.call(call), Instant(now), wall);
+        assert_eq!(void.verdicts, []);
+    }
+    assert!(shard.is_idle());
+    assert_eq!(object.table, Table::default());
+}
+
 #[test]
 fn claims_are_refused_immediately_while_the_platform_is_down() {
     let wall = WallTime(0);
