Never eject all endpoints of the baseline while a version is tried

At most half of a pool's endpoints are ejected for failures. A candidate doubled the pool, so that half of it could be the whole baseline: with 0.3 of all responses failing at both versions, requests waited 6 s and were refused as overdue with 20 of 28 places free. Half now counts among endpoints that take the same requests.

Seen once in a_good_candidate_succeeds_and_nothing_is_lost (as bad as the baseline), beside other work; the new test fails without the change.

Reports of rollouts no longer copy the list of endpoints with each digest, and settled rollouts are not assessed.

--- a/crates/sesamehaven-front/src/rollouts.rs
+++ b/crates/sesamehaven-front/src/rollouts.rs
@@ -2,7 +2,7 @@
 //!
 //! The decisions are those of [`sesamehaven::rollout`]; this module feeds them and carries them out.
 
-use std::cell::RefCell;
+use std::cell::{LazyCell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,7 +15,6 @@
 use sesamehaven::rollout::{
     Phase, Rollout, RolloutOrder, RolloutReport, SavedRollout, StatusWrite, Surroundings,
 };
-use sesamehaven::rollout_evidence::Outcomes;
 use sesamehaven::shared_limit::PeerId;
 use sesamehaven::software_version::PoolVersion;
 use sesamehaven::unit::{Instant, Millis};
@@ -35,6 +34,8 @@
 const CLOSED_RETENTION: Millis = Millis(60_000);
 /// Why an order that was changed while it was carried out is rolled back.
 const CHANGED: &str = "the order was changed while it was carried out: delete it, and order anew";
+/// The event of an order that was withdrawn or changed.
+const WITHDRAWN: &str = "withdrawn";
 /// The maximum number of rollouts that are reported to other fronts.
 const MAX_REPORTS: usize = 4;
 
@@ -106,7 +107,7 @@
             if listed.is_some_and(|o| o.id() == order.id()) {
                 return true;
             }
-            log_event(&t.rollout, "withdrawn", "");
+            log_event(&t.rollout, WITHDRAWN, "");
             if t.rollout.is_open() && listed.is_some_and(|o| o.is_changed(order)) {
                 changed.push(name.clone());
             }
@@ -168,6 +169,12 @@
         *self.restored.borrow_mut() = saved;
     }
 
+    /// Returns whether the directory lacks the verdict on any order.
+    fn has_open(&self) -> bool {
+        let tracked = self.tracked.borrow();
+        tracked.values().any(|t| t.rollout.is_open())
+    }
+
     /// Returns what the other fronts have to know.
     pub(crate) fn reports(&self, now: Instant) -> Vec<RolloutReport> {
         let tracked = self.tracked.borrow();
@@ -240,9 +247,13 @@
 fn log_event(rollout: &Rollout, event: &'static str, detail: &str) {
     counter!("front_rollout_events_total", "event" => event).increment(1);
     let order = rollout.order();
+    let phase = match event {
+        WITHDRAWN => 0.0,
+        _ => f64::from(rollout.phase() as u8 + 1),
+    };
+    gauge!("front_rollout_phase", "pool" => order.pool.to_string()).set(phase);
     let totals = rollout.totals();
-    let baseline = totals.classes.iter().map(|c| c.baseline);
-    let (candidate, baseline) = (totals.candidate(), sum(baseline));
+    let (candidate, baseline) = (totals.candidate(), totals.baseline());
     spdlog::info!("rollout", kv: {
         event,
         name = order.name.as_str(),
@@ -259,14 +270,6 @@
     });
 }
 
-fn sum(outcomes: impl Iterator<Item = Outcomes>) -> Outcomes {
-    outcomes.fold(Outcomes::default(), |a, b| Outcomes {
-        requests: a.requests + b.requests,
-        failed: a.failed + b.failed,
-        slow: a.slow + b.slow,
-    })
-}
-
 /// Applies what another front reports of rollouts.
 pub(crate) fn merge_reports<P: Protocol>(
     front: &Front<P>,
@@ -277,7 +280,8 @@
     if reports.is_empty() {
         return;
     }
-    let listing = front.endpoints.listing();
+    // A new phase is rare, and the list is long.
+    let listing = LazyCell::new(|| front.endpoints.listing());
     let mut has_changed = false;
     for t in front.rollouts.tracked.borrow_mut().values_mut() {
         for report in reports {
@@ -306,7 +310,7 @@
 pub async fn run<P: Protocol>(front: Rc<Front<P>>, directory: Rc<impl Directory>) {
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
-        if front.rollouts.tracked.borrow().is_empty() {
+        if !front.rollouts.has_open() {
             continue;
         }
         for write in tick(&front) {
@@ -356,8 +360,6 @@
             t.logged_at = now;
             log_event(&t.rollout, "assessed", "");
         }
-        gauge!("front_rollout_phase", "pool" => order.pool.to_string())
-            .set(f64::from(t.rollout.phase() as u8 + 1));
         writes.extend(t.rollout.pending_write(rank, now));
     }
     if has_changed {
@@ -369,8 +371,7 @@
 /// Counts the responses of both sides since the last tick.
 fn count_requests(t: &mut Tracked) {
     let own = t.rollout.own_evidence();
-    let baseline = sum(own.classes.iter().map(|c| c.baseline));
-    let now = [own.candidate().requests, baseline.requests];
+    let now = [own.candidate().requests, own.baseline().requests];
     for (side, (now, before)) in ["candidate", "baseline"]
         .into_iter()
         .zip(now.into_iter().zip(t.counted))
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -338,12 +338,12 @@
         now: Instant,
     ) {
         let mean = self.mean_failure_rate();
-        let max_ejected = self.endpoints.len() / 2;
-        let ejected = self
-            .endpoints
-            .iter()
-            .filter(|e| e.ejected_until > now)
-            .count();
+        let access = self.endpoints.iter().find(|e| e.listed.id == id);
+        let access = access.map_or(Access::Open, |e| e.access);
+        // Half of those that take the same requests, since the others cannot stand in for them.
+        let alike = self.endpoints.iter().filter(|e| e.access == access);
+        let max_ejected = alike.clone().count() / 2;
+        let ejected = alike.filter(|e| e.ejected_until > now).count();
         let Some(endpoint) = self.endpoint(id) else {
             return;
         };
--- a/crates/sesamehaven/src/rollout_evidence.rs
+++ b/crates/sesamehaven/src/rollout_evidence.rs
@@ -177,6 +177,12 @@
         sides.fold(Outcomes::default(), Outcomes::plus)
     }
 
+    /// Returns the baseline's outcomes over all classes.
+    pub fn baseline(&self) -> Outcomes {
+        let sides = self.classes.iter().map(|c| c.baseline);
+        sides.fold(Outcomes::default(), Outcomes::plus)
+    }
+
     /// Returns the outcomes of a class, zero if there are none.
     pub(crate) fn class(&self, class: u32) -> ClassOutcomes {
         let at = self.classes.binary_search_by_key(&class, |c| c.class);
--- a/crates/sesamehaven/tests/rollout.rs
+++ b/crates/sesamehaven/tests/rollout.rs
@@ -286,3 +286,20 @@
     });
     assert_eq!(send(&mut pool, 3_000..3_100, DispatchOutcome::Success), 100);
 }
+
+/// Half of all endpoints may be all those that take requests which begin anywhere, while a version is
+/// tried beside as many of another one.
+#[test]
+fn failures_do_not_eject_all_endpoints_beside_a_candidate() {
+    let (old, new) = (PoolVersion(1), PoolVersion(2));
+    let mut pool = Dispatcher::new(3);
+    pool.set_version_rules(VersionRules {
+        candidate: Some(new),
+        share: 0.08,
+        ..VersionRules::default()
+    });
+    let ids = ["old-1", "old-2", "new-1", "new-2"];
+    let endpoints = ids.map(|id| listed(id, if id.starts_with("old") { old } else { new }));
+    pool.set_endpoints(endpoints);
+    send(&mut pool, 1..400, DispatchOutcome::Failure);
+}
