--- a/crates/sesamehaven/tests/rollout.rs
+++ b/crates/sesamehaven/tests/rollout.rs
@@ -260,9 +260,8 @@
     to_candidate
 }
 
-#[test]
-fn a_dispatcher_exposes_a_share_and_counts_what_came_of_it() {
-    let (old, new) = (PoolVersion(1), PoolVersion(2));
+/// A pool with two endpoints of each version, the second of which is tried.
+fn pool_with_candidate(old: PoolVersion, new: PoolVersion) -> Dispatcher {
     let mut pool = Dispatcher::new(3);
     pool.set_version_rules(VersionRules {
         candidate: Some(new),
@@ -272,6 +271,13 @@
     let ids = ["old-1", "old-2", "new-1", "new-2"];
     let endpoints = ids.map(|id| listed(id, if id.starts_with("old") { old } else { new }));
     pool.set_endpoints(endpoints);
+    pool
+}
+
+#[test]
+fn a_dispatcher_exposes_a_share_and_counts_what_came_of_it() {
+    let (old, new) = (PoolVersion(1), PoolVersion(2));
+    let mut pool = pool_with_candidate(old, new);
     assert_eq!(send(&mut pool, 1..1_001, DispatchOutcome::Success), 80);
     let candidate = pool.rollout_evidence().unwrap().candidate();
     assert_eq!((candidate.requests, candidate.bad()), (80, 0));
@@ -292,14 +298,6 @@
 #[test]
 fn failures_do_not_eject_all_endpoints_beside_a_candidate() {
     let (old, new) = (PoolVersion(1), PoolVersion(2));
-    let mut pool = Dispatcher::new(3);
-    pool.set_version_rules(VersionRules {
-        candidate: Some(new),
-        share: 0.08,
-        ..VersionRules::default()
-    });
-    let ids = ["old-1", "old-2", "new-1", "new-2"];
-    let endpoints = ids.map(|id| listed(id, if id.starts_with("old") { old } else { new }));
-    pool.set_endpoints(endpoints);
+    let mut pool = pool_with_candidate(old, new);
     send(&mut pool, 1..400, DispatchOutcome::Failure);
 }
