Use load reports and the order of organisations only where a deployment asks for them

Both acted on all deployments, while the earlier ones are to be served as before. Reports count where they say how long work takes, which only endpoints that share their machines do; organisations are ordered where the settings say that they compete for capacity.

--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -161,8 +161,12 @@
         slot
     }
 
-    /// Returns how much of its limit the caller's organisation has used, at all fronts.
+    /// Returns how much of its limit the caller's organisation has used, at all fronts; all are alike in
+    /// deployments that do not order them.
     fn limit_use(&self) -> LimitUse {
+        if !self.front.settings.borrow().has_organisation_order {
+            return LimitUse::default();
+        }
         let organisation = self.organisation.as_ref().map(|o| o.name.as_str());
         let shared_limits = self.front.shared_limits.borrow();
         shared_limits.limit_use(organisation, clock::now())
--- a/crates/sesamehaven-front/src/settings.rs
+++ b/crates/sesamehaven-front/src/settings.rs
@@ -76,6 +76,8 @@
     pub max_body_memory: Bytes,
     /// The bounds and parameters shared by all fronts.
     pub bounds: Bounds,
+    /// Whether organisations that have used less of their limits go first while capacity is short.
+    pub has_organisation_order: bool,
     /// The bounds of rollouts, or [`None`] if the deployment has none.
     pub rollouts: Option<RolloutBounds>,
 }
--- a/crates/sesamehaven/src/endpoint_load.rs
+++ b/crates/sesamehaven/src/endpoint_load.rs
@@ -30,7 +30,7 @@
     pub slots: u32,
     /// How long work takes there at the time, in percent of the usual time.
     ///
-    /// Placement does not use it: in the replay, its mean added nothing to the time factor that each
+    /// Placement does not use the figure: in the replay, its mean added nothing to the time factor that each
     /// process learns from its own responses.
     pub work_percent: Option<u32>,
 }
@@ -70,7 +70,13 @@
 
     /// Records a report that has just arrived; `own` is the number of requests that this process has
     /// at the endpoint.
+    ///
+    /// It counts only if it says how long work takes: other endpoints have their machines to themselves,
+    /// and are served as well by the counts of processes alone.
     pub(crate) fn on_report(&mut self, load: EndpointLoad, own: u32, now: Instant) {
+        if load.work_percent.is_none() {
+            return;
+        }
         self.recent_starts.retain(|at| now.since(*at) < ROUND_TRIP);
         let unreported = self.recent_starts.len() as u32;
         let own_reported = own.saturating_sub(unreported);
--- a/crates/sesamehaven/tests/endpoint_load.rs
+++ b/crates/sesamehaven/tests/endpoint_load.rs
@@ -128,6 +128,19 @@
     counts
 }
 
+/// Endpoints that do not say how long work takes were served by counts alone before, and still are.
+#[test]
+fn a_report_without_the_time_of_work_changes_nothing() {
+    let ids = ["a", "b"];
+    let mut p = placement(1, &ids);
+    let without = EndpointLoad {
+        work_percent: None,
+        ..report(SLOTS, 0)
+    };
+    p.on_load("a", without, Instant(0));
+    assert_eq!(p.free(Instant(0)), 2 * CAPACITY);
+}
+
 /// Guards against ignoring the requests of processes that are not heard.
 #[test]
 fn an_endpoint_that_reports_requests_of_others_gets_fewer() {
