--- a/crates/sesamehaven-front/src/peers.rs
+++ b/crates/sesamehaven-front/src/peers.rs
@@ -17,7 +17,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use sesamehaven::digest::hash_of;
+use sesamehaven::digest::{hash_of, short_hash};
 use sesamehaven::endpoint_limits::LimitNotice;
 use sesamehaven::part_quarantine::PartNotice;
 use sesamehaven::quarantine::Notice;
@@ -27,7 +27,6 @@
 use sesamehaven::shared_limit::{PeerId, PeerTracker};
 use sesamehaven::unit::{Instant, Millis};
 
-use crate::pools;
 use crate::protocol::Listing;
 use crate::shared_limits::Usage;
 
@@ -193,7 +192,7 @@
         let mut peers = Peers {
             own,
             id: hash_of(format!("{own}/{incarnation}")),
-            data_centre: pools::short_hash(hash_of(data_centre)),
+            data_centre: short_hash(hash_of(data_centre)),
             seq: 0,
             seeds: Vec::new(),
             peers: HashMap::new(),
--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -11,7 +11,7 @@
 
 use sesamehaven::announcement::{Announcement, Announcements, Standing};
 use sesamehaven::backlog::Ticket;
-use sesamehaven::digest::hash_of;
+use sesamehaven::digest::{hash_of, short_hash};
 use sesamehaven::dispatcher::{Dispatcher, Refusal, Step, Work};
 use sesamehaven::endpoint_limits::{EndpointLimits, LimitNotice, own_share};
 use sesamehaven::endpoint_load::EndpointLoad;
@@ -455,8 +455,3 @@
 
 /// Retry-After for a pool without any listed endpoint.
 const NO_POOL_RETRY_AFTER: Millis = Millis(500);
-
-/// Truncates a hash to the 32 bits used in digests.
-pub(crate) fn short_hash(hash: u64) -> u32 {
-    (hash >> 32) as u32
-}
--- a/crates/sesamehaven-front/src/shared_limits.rs
+++ b/crates/sesamehaven-front/src/shared_limits.rs
@@ -5,14 +5,13 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use sesamehaven::digest::hash_of;
+use sesamehaven::digest::{hash_of, short_hash};
 use sesamehaven::limit_use::LimitUse;
 use sesamehaven::shared_limit::{
     PeerId, PeerTracker, SavedUsage, SharedRetryBudget, SharedWindow, WindowLimit,
 };
 use sesamehaven::unit::{Instant, Millis};
 
-use crate::pools;
 use crate::routing_table::{RateLimit, RoutingTable};
 use crate::settings::Bounds;
 
@@ -236,7 +235,7 @@
 }
 
 fn name_hash(name: &str) -> u32 {
-    pools::short_hash(hash_of(name))
+    short_hash(hash_of(name))
 }
 
 /// The used share of a limit's tolerance; the rest covers the totals of other fronts, which
--- a/crates/sesamehaven/src/digest.rs
+++ b/crates/sesamehaven/src/digest.rs
@@ -17,6 +17,11 @@
     (n >> 40) as f64 / (1u64 << 24) as f64
 }
 
+/// Truncates a hash to the 32 bits that messages between processes carry.
+pub fn short_hash(hash: u64) -> u32 {
+    (hash >> 32) as u32
+}
+
 /// Truncates a digest to its first eight bytes.
 pub fn truncate(hash: &blake3::Hash) -> u64 {
     let head = hash.as_bytes().first_chunk().copied();
--- a/crates/sesamehaven/src/rollout_traffic.rs
+++ b/crates/sesamehaven/src/rollout_traffic.rs
@@ -3,7 +3,7 @@
 
 use smol_str::SmolStr;
 
-use crate::digest::hash_of;
+use crate::digest::{hash_of, short_hash};
 use crate::exposure::Exposure;
 use crate::placement::DispatchOutcome;
 use crate::rollout_evidence::{Evidence, Outcome, Side, SpeedReference};
@@ -69,8 +69,8 @@
         self.exposure.on_start(class, side == Side::Candidate);
         Sample {
             side,
-            class: short(hash_of(class)),
-            endpoint: short(endpoint),
+            class: short_hash(hash_of(class)),
+            endpoint: short_hash(endpoint),
             has_first_event: false,
             is_recorded: false,
         }
@@ -113,8 +113,3 @@
             .record(sample.side, sample.class, sample.endpoint, outcome);
     }
 }
-
-/// Truncates a hash to the 32 bits used in messages.
-fn short(hash: u64) -> u32 {
-    (hash >> 32) as u32
-}
