Return the failure that a retried call had if no retry does better

Cause: an idempotent call that an endpoint answered with 500 is sent to another endpoint, and the 500 was dropped at once. If no other endpoint took the call before it gave up, lost it, or was silent until the deadline, the caller got 502 or 504 of the front instead of the endpoint's own response.

Change: the response is kept with the request until a retry has a better one.

Before: a_call_that_is_retried_in_vain_gets_the_failure_that_it_had fails in all three cases (refused, lost, timed out).

--- a/crates/sesamehaven-front/src/admission.rs
+++ b/crates/sesamehaven-front/src/admission.rs
@@ -107,6 +107,7 @@
         version: Cell::new(None),
         tried: RefCell::default(),
         runs: Cell::new(0),
+        failed_response: RefCell::default(),
         meta,
     };
     Ok(job)
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -4,7 +4,7 @@
 use std::fmt::Display;
 use std::rc::Rc;
 
-use actix_http::Method;
+use actix_http::{Method, Response};
 use bytes::{BufMut, Bytes, BytesMut};
 use metrics::histogram;
 use smallvec::SmallVec;
@@ -19,6 +19,7 @@
 use sesamehaven::unit::{Instant, Millis};
 
 use crate::attempt::EndpointResponse;
+use crate::body::Body;
 use crate::clock;
 use crate::front::Front;
 use crate::in_flight::SentRequest;
@@ -107,6 +108,8 @@
     pub tried: RefCell<SmallVec<[SmolStr; 2]>>,
     /// The number of attempts in which it may have run or may still run.
     pub runs: Cell<u32>,
+    /// The latest failure that an endpoint reported, which the caller gets if no other endpoint does better.
+    pub failed_response: RefCell<Option<Response<Body>>>,
 }
 
 impl<P: Protocol> Job<P> {
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -117,6 +117,10 @@
         Ok(Err(failure)) => failure,
         Err(_) => timed_out(&job),
     };
+    if let Some(res) = job.failed_response.take() {
+        job.log("retry_in_vain", "", failure.code);
+        return res;
+    }
     if let Some(organisation) = organisation.filter(|_| !failure.may_have_run) {
         let mut shared_limits = front.shared_limits.borrow_mut();
         shared_limits.refund(&organisation.name, charged, clock::now());
@@ -256,7 +260,8 @@
 /// How an endpoint's response is handled.
 enum ResponseAction {
     Serve(Served),
-    /// The request failed and is sent again; the retry budget is already charged.
+    /// The endpoint reported a failure, which is kept, and the request is sent again; the retry budget is
+    /// already charged.
     Retry,
     /// The response cannot be used.
     Unusable,
@@ -325,6 +330,7 @@
         && job.has_time_for_retry()
         && job.try_acquire_retry()
     {
+        job.failed_response.replace(Some(res));
         return ResponseAction::Retry;
     }
     ResponseAction::Serve(Served::Full(res))
