Take up streams of unknown origin only where one version is certain

Cause: versions of a pool were saved in the directory only once it had two of them, up to 500 ms after the change, by two fronts. If all fronts were lost within that time, or the directory was away, and the new version alone was listed when they came back, nothing told that a stream was of another version, and it went on at the new one: 200, whole, joined from two versions. A front that could not read what was saved within 2.4 s behaved as if nothing had been saved.

Ruled out: callers' take-ups while some fronts live (they are asked), and restarts with both versions listed.

Change: each front saves all versions of its pools, and uses a new one only once it is saved (for one second at most, while the pool has others). After a start an unknown origin is refused unless what was saved has been read and names the same single version as the list.

--- a/crates/sesamehaven-front/src/front.rs
+++ b/crates/sesamehaven-front/src/front.rs
@@ -102,7 +102,7 @@
             pools: Rc::new(Pools::new(hash_of(settings.peers.to_string()))),
             connections: ConnectionPool::default(),
             shared_limits: RefCell::new(SharedLimits::default()),
-            origins: Origins::default(),
+            origins: Origins::new(settings.is_first_start),
             rollouts: Rollouts::default(),
             settings: RefCell::new(settings),
             peers: RefCell::new(peers),
--- a/crates/sesamehaven-front/src/origins.rs
+++ b/crates/sesamehaven-front/src/origins.rs
@@ -23,20 +23,22 @@
 use sesamehaven::stream_origin::{
     Continuation, StreamId, StreamOrigin, StreamOrigins, VersionHistory,
 };
-use sesamehaven::unit::Instant;
+use sesamehaven::unit::{Instant, Millis};
 
 use crate::clock;
 use crate::failure::{Failure, ServeResult};
 use crate::front::Front;
 use crate::job::Job;
 use crate::peers::Proximity;
-use crate::protocol::{Listing, Protocol};
+use crate::protocol::{EndpointEntry, Listing, Protocol};
 use crate::routing_table::{RetryPolicy, Route};
 
 /// The error code of a stream whose software version serves no more.
 const VERSION_GONE: &str = "version_gone";
 /// The error code of a stream that no front remembers and that could be of several versions.
 const ORIGIN_UNKNOWN: &str = "origin_unknown";
+/// Retry-After of a stream of unknown origin while the versions from before the start are not read yet.
+const NOT_RESTORED_RETRY_AFTER: Millis = Millis(400);
 /// The first byte of messages about origins, which digests never have.
 pub(crate) const MESSAGE_TAG: u8 = 0xa1;
 /// The maximum number of streams in a message, so that it fits into one datagram.
@@ -61,8 +63,6 @@
 }
 
 /// The versions that have served lately, by pool, as they are saved in the directory.
-///
-/// Only pools of several versions are saved: one that has had a single version needs no memory of it.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionSnapshot {
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
@@ -76,13 +76,24 @@
     history: RefCell<HashMap<SmolStr, VersionHistory>>,
     new: RefCell<Vec<StreamOrigin>>,
     asked: RefCell<Vec<StreamId>>,
-    /// Whether the versions from before the start are known, as far as they can be.
+    /// Whether this is the first start of the whole deployment, so that no version served before.
+    is_first_start: bool,
+    /// Whether the record of the versions from before the start was read.
     is_restored: Cell<bool>,
+    has_new_version: Notify,
     has_outgoing: Notify,
     has_learned: Notify,
 }
 
 impl Origins {
+    /// Creates an empty memory; on the first start of a deployment there is nothing to remember.
+    pub fn new(is_first_start: bool) -> Self {
+        Origins {
+            is_first_start,
+            ..Origins::default()
+        }
+    }
+
     /// Records the versions that are listed now.
     pub fn on_listing(&self, listing: &Listing, now: Instant) {
         let mut listed: HashMap<&SmolStr, Vec<PoolVersion>> = HashMap::new();
@@ -91,13 +102,46 @@
             listed.entry(&entry.pool).or_default().push(version);
         }
         let mut history = self.history.borrow_mut();
+        let mut has_new = false;
         for (pool, known) in history.iter_mut() {
-            known.on_listing(listed.remove(pool).unwrap_or_default(), now);
+            has_new |= known.on_listing(listed.remove(pool).unwrap_or_default(), now);
         }
         for (pool, versions) in listed {
             let known = history.entry(pool.clone()).or_default();
-            known.on_listing(versions, now);
+            has_new |= known.on_listing(versions, now);
+        }
+        if has_new {
+            self.has_new_version.notify_one();
+        }
+    }
+
+    /// Waits until a version is listed that was not before.
+    pub(crate) async fn new_version(&self) {
+        self.has_new_version.notified().await;
+    }
+
+    /// Marks the endpoints of a version that is not saved yet as not ready, unless its pool has no others.
+    ///
+    /// Returns whether there are any.
+    pub(crate) fn withhold_unsaved(&self, entries: &mut [EndpointEntry], now: Instant) -> bool {
+        let history = self.history.borrow();
+        let is_withheld = |entry: &EndpointEntry| {
+            let version = PoolVersion::new(&entry.pool, &entry.version);
+            let known = history.get(&entry.pool);
+            known.is_some_and(|h| h.is_withheld(version, now))
+        };
+        let (withheld, others): (Vec<_>, Vec<_>) = entries
+            .iter_mut()
+            .filter(|e| e.is_ready)
+            .partition(|e| is_withheld(e));
+        let mut has_withheld = false;
+        for entry in withheld {
+            if others.iter().any(|o| o.pool == entry.pool) {
+                entry.is_ready = false;
+                has_withheld = true;
+            }
         }
+        has_withheld
     }
 
     /// Returns the versions that must survive a restart of all fronts.
@@ -107,7 +151,7 @@
         for (pool, known) in history.iter() {
             let mut recent: Vec<PoolVersion> = known.recent(now).collect();
             recent.sort_unstable();
-            if recent.len() > 1 {
+            if !recent.is_empty() {
                 let names = recent.iter().map(|v| v.to_string().into());
                 versions.insert(pool.clone(), names.collect());
             }
@@ -115,7 +159,18 @@
         VersionSnapshot { versions }
     }
 
-    /// Restores the versions from before the start; without any, only those that are listed count.
+    /// Records that the directory has saved a snapshot.
+    pub(crate) fn on_saved(&self, snapshot: &VersionSnapshot) {
+        let mut history = self.history.borrow_mut();
+        for (pool, names) in &snapshot.versions {
+            if let Some(known) = history.get_mut(pool) {
+                let saved: Vec<PoolVersion> = names.iter().filter_map(|n| n.parse().ok()).collect();
+                known.on_recorded(&saved);
+            }
+        }
+    }
+
+    /// Restores the versions from before the start.
     pub fn restore<'a>(
         &self,
         snapshots: impl IntoIterator<Item = &'a VersionSnapshot>,
@@ -127,11 +182,23 @@
             history
                 .entry(pool.clone())
                 .or_default()
-                .merge(versions, now);
+                .restore(versions, now);
         }
         self.is_restored.set(true);
     }
 
+    /// Returns whether the record from before the start was read.
+    pub(crate) fn is_restored(&self) -> bool {
+        self.is_restored.get()
+    }
+
+    /// Returns whether all versions of a route's pools are known that streams may be of.
+    fn is_complete(&self, route: &Route, now: Instant) -> bool {
+        let history = self.history.borrow();
+        let known = |pool| history.get(pool).is_some_and(|h| h.is_complete(now));
+        self.is_first_start || route.pools.iter().all(|(pool, _)| known(pool))
+    }
+
     /// Records a stream that this front has begun, and tells others of it.
     pub fn record(&self, origin: StreamOrigin) {
         self.learn(&[origin]);
@@ -215,10 +282,8 @@
     let all: SmallVec<[PoolVersion; 4]> = recent.iter().map(|(_, v)| *v).collect();
     let serving: SmallVec<[PoolVersion; 4]> =
         recent.iter().filter(serves).map(|(_, v)| *v).collect();
-    let decision = match origin.is_none() && !origins.is_restored.get() {
-        true => Continuation::Unknown,
-        false => Continuation::decide(origin, &all, &serving),
-    };
+    let is_complete = origins.is_complete(&job.route, clock::now());
+    let decision = Continuation::decide(origin, &all, is_complete, &serving);
     log_take_up(job, origin, decision, serving.len(), all.len());
     match decision {
         Continuation::At(version) => Ok(recent.into_iter().find(|(_, v)| *v == version)),
@@ -226,6 +291,11 @@
             VERSION_GONE,
             "the software version that began the stream serves no more; begin it anew",
         )),
+        Continuation::Unknown if !origins.is_restored() => Err(Failure::unavailable(
+            ORIGIN_UNKNOWN,
+            "this front has not read yet which software versions served before it started",
+            NOT_RESTORED_RETRY_AFTER,
+        )),
         Continuation::Unknown => Err(Failure::not_resumable(
             ORIGIN_UNKNOWN,
             "no front remembers which software version began the stream; begin it anew",
--- a/crates/sesamehaven-front/src/refresh.rs
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -226,6 +226,31 @@
         let rollouts = &front.rollouts;
         rollouts.on_listing(&listing, refresh_interval, clock::now());
     }
+    log_changes(&previous, &listing);
+    front.connections.set_endpoints(&listing.entries);
+    apply_endpoints(front);
+    gauge!("front_listed_endpoints").set(listing.entries.len() as f64);
+}
+
+/// Makes the pools use the listed endpoints, but for those of a version that is not saved yet.
+///
+/// Returns whether there are any.
+pub(crate) fn apply_endpoints<P: Protocol>(front: &Front<P>) -> bool {
+    let listing = front.endpoints.listing();
+    let mut entries = listing.entries.clone();
+    let has_withheld = front.origins.withhold_unsaved(&mut entries, clock::now());
+    let (data_centre, rollout_bounds) = {
+        let settings = front.settings.borrow();
+        (settings.data_centre.clone(), settings.rollouts)
+    };
+    let share = rollout_bounds.map_or(0.0, |b| b.max_share);
+    front.pools.set_endpoints(&entries, &data_centre, |pool| {
+        front.rollouts.rules(pool, share, &listing)
+    });
+    has_withheld
+}
+
+fn log_changes(previous: &Listing, listing: &Listing) {
     for entry in &listing.entries {
         if !previous.entries.contains(entry) {
             spdlog::info!("endpoint listed", kv: {
@@ -248,15 +273,6 @@
             spdlog::warn!("invalid endpoint entry skipped", kv: { name = name.as_str(), reason = reason.as_str() });
         }
     }
-    let data_centre = front.settings.borrow().data_centre.clone();
-    front.connections.set_endpoints(&listing.entries);
-    let share = rollout_bounds.map_or(0.0, |b| b.max_share);
-    front
-        .pools
-        .set_endpoints(&listing.entries, &data_centre, |pool| {
-            front.rollouts.rules(pool, share, &listing)
-        });
-    gauge!("front_listed_endpoints").set(listing.entries.len() as f64);
 }
 
 /// Leaves out endpoints, and the end of a drain, that only an older copy of the directory tells of.
--- a/crates/sesamehaven-front/src/settings.rs
+++ b/crates/sesamehaven-front/src/settings.rs
@@ -78,6 +78,8 @@
     pub bounds: Bounds,
     /// Whether organisations that have used less of their limits go first while capacity is short.
     pub has_organisation_order: bool,
+    /// Whether the whole deployment starts for the first time.
+    pub is_first_start: bool,
     /// The bounds of rollouts, or [`None`] if the deployment has none.
     pub rollouts: Option<RolloutBounds>,
 }
--- a/crates/sesamehaven-front/src/snapshot.rs
+++ b/crates/sesamehaven-front/src/snapshot.rs
@@ -15,7 +15,7 @@
 use crate::front::Front;
 use crate::origins::VersionSnapshot;
 use crate::protocol::{Directory, Protocol, Reading};
-use crate::refresh::{Dependency, observe_era};
+use crate::refresh::{Dependency, apply_endpoints, observe_era};
 use crate::rollouts::apply_rules;
 use crate::shared_limits::UsageSnapshot;
 
@@ -38,7 +38,7 @@
 const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
 /// The maximum number of parts that are saved.
 const SNAPSHOT_MAX_PARTS: usize = 64;
-/// The number of fronts that save on behalf of all.
+/// The number of fronts that save on behalf of all; each saves the versions that it uses.
 const SNAPSHOT_WRITERS: usize = 2;
 /// The maximum number of attempts to load the snapshots after a start.
 const SNAPSHOT_READ_ATTEMPTS: u32 = 8;
@@ -54,13 +54,20 @@
     restore_snapshots(&front, &*directory).await;
     let name = front.settings.borrow().name.clone();
     let mut last = Snapshot::default();
+    let mut has_withheld = false;
     let mut saved_in = front.restore_guard.borrow().era();
     let mut dependency = Dependency {
         name: "kept_spending",
         is_down: false,
     };
     loop {
-        tokio::time::sleep(SNAPSHOT_INTERVAL).await;
+        // A new version is used only once it is saved.
+        let new_version = front.origins.new_version();
+        let _ = tokio::time::timeout(SNAPSHOT_INTERVAL, new_version).await;
+        if !front.origins.is_restored() && !restore_versions(&front, &*directory).await {
+            // Saving would replace the record from before the start.
+            continue;
+        }
         let now = clock::now();
         let is_writer = front.peers.borrow().rank(now) < SNAPSHOT_WRITERS;
         let snapshot = match is_writer {
@@ -70,13 +77,19 @@
                 parts: front.part_quarantine.borrow().saved(SNAPSHOT_MAX_PARTS),
                 rollouts: front.rollouts.saved(now),
             },
-            false => Snapshot::default(),
+            false => Snapshot {
+                versions: front.origins.snapshot(now),
+                ..Snapshot::default()
+            },
         };
         let era = front.restore_guard.borrow().era();
         if era != saved_in {
             // The directory may have lost what was saved.
             (saved_in, last) = (era, Snapshot::default());
         }
+        if has_withheld {
+            has_withheld = apply_endpoints(&front);
+        }
         if snapshot == last {
             continue;
         }
@@ -92,20 +105,21 @@
         if let Ok(Reading { era, .. }) = outcome
             && observe_era(&front, era) == EraChange::Same
         {
+            front.origins.on_saved(&snapshot.versions);
             last = snapshot;
         }
+        has_withheld = apply_endpoints(&front);
     }
 }
 
 /// Restores what was saved before the start, the usage as soon as the limits are known.
 async fn restore_snapshots<P: Protocol>(front: &Front<P>, directory: &impl Directory) {
-    let loaded = load_snapshots(front, directory).await;
-    let versions = loaded.iter().flatten().map(|s| &s.versions);
-    front.origins.restore(versions, clock::now());
-    restore_parts(front, loaded.iter().flatten().flat_map(|s| &s.parts));
-    let Some(snapshots) = loaded else {
+    let Some(snapshots) = load_snapshots(front, directory).await else {
         return;
     };
+    let versions = snapshots.iter().map(|s| &s.versions);
+    front.origins.restore(versions, clock::now());
+    restore_parts(front, snapshots.iter().flat_map(|s| &s.parts));
     let rollouts = snapshots.iter().flat_map(|s| s.rollouts.clone());
     let listing = front.endpoints.listing();
     let rollouts = rollouts.collect();
@@ -118,6 +132,20 @@
     spdlog::info!("usage snapshots restored", kv: { fronts = snapshots.len() });
 }
 
+/// Restores the versions after the directory was away at the start; returns whether it has answered.
+async fn restore_versions<P: Protocol>(front: &Front<P>, directory: &impl Directory) -> bool {
+    let Ok(Reading { value, era }) = directory.load_snapshots().await else {
+        return false;
+    };
+    observe_era(front, era);
+    let snapshots: Vec<Snapshot> = value.iter().filter_map(parse_snapshot).collect();
+    front
+        .origins
+        .restore(snapshots.iter().map(|s| &s.versions), clock::now());
+    spdlog::info!("versions restored", kv: { fronts = snapshots.len() });
+    true
+}
+
 fn restore_parts<'a, P: Protocol>(front: &Front<P>, parts: impl Iterator<Item = &'a SavedPart>) {
     let mut quarantine = front.part_quarantine.borrow_mut();
     quarantine.restore(parts, clock::now());
--- a/crates/sesamehaven/src/stream_origin.rs
+++ b/crates/sesamehaven/src/stream_origin.rs
@@ -16,6 +16,9 @@
 
 /// How long the origin of a stream is remembered, which is longer than callers wait for a stream.
 pub const ORIGIN_RETENTION: Millis = Millis(60_000);
+/// How long a new version may be left unused until it is recorded; a record that takes longer is not
+/// worth the endpoints.
+const RECORD_TIMEOUT: Millis = Millis(1_000);
 /// The maximum number of streams whose origin is remembered.
 const MAX_STREAMS: usize = 32_768;
 
@@ -103,41 +106,104 @@
     }
 }
 
-/// The software versions that have served lately.
+/// The software versions of a pool that have served lately.
+///
+/// A process that starts knows the versions of before from a record that outlives all processes. So that
+/// the record is complete, a version is used only once it is recorded, while others are.
+///
+/// # Example
+///
+/// ```
+/// use sesamehaven::software_version::PoolVersion;
+/// use sesamehaven::stream_origin::VersionHistory;
+/// use sesamehaven::unit::Instant;
+///
+/// let (old, new) = (PoolVersion(1), PoolVersion(2));
+/// let mut history = VersionHistory::default();
+/// history.on_listing([old], Instant(0));
+/// assert!(!history.is_complete(Instant(0)), "others may have served before");
+/// history.restore([old], Instant(0));
+/// assert!(history.is_complete(Instant(0)));
+/// history.on_listing([old, new], Instant(500));
+/// history.on_recorded(&[old]);
+/// assert!(history.is_withheld(new, Instant(500)));
+/// history.on_recorded(&[old, new]);
+/// assert!(!history.is_withheld(new, Instant(520)));
+/// ```
 #[derive(Debug, Default)]
 pub struct VersionHistory {
-    listed: Vec<PoolVersion>,
+    /// The listed versions, each with the time since when.
+    listed: Vec<(PoolVersion, Instant)>,
     gone: HashMap<PoolVersion, Instant>,
+    recorded: Vec<PoolVersion>,
+    is_restored: bool,
+    watched_since: Option<Instant>,
 }
 
 impl VersionHistory {
-    /// Replaces the versions that are listed now.
-    pub fn on_listing(&mut self, versions: impl IntoIterator<Item = PoolVersion>, now: Instant) {
-        let mut listed: Vec<PoolVersion> = versions.into_iter().collect();
-        listed.sort_unstable();
-        listed.dedup();
-        for version in std::mem::replace(&mut self.listed, listed) {
-            self.gone.insert(version, now);
-        }
-        let listed = &self.listed;
+    /// Replaces the versions that are listed now; returns whether one of them is new.
+    pub fn on_listing(
+        &mut self,
+        versions: impl IntoIterator<Item = PoolVersion>,
+        now: Instant,
+    ) -> bool {
+        self.watched_since.get_or_insert(now);
+        let mut versions: Vec<PoolVersion> = versions.into_iter().collect();
+        versions.sort_unstable();
+        versions.dedup();
+        let previous = std::mem::take(&mut self.listed);
+        let since = |v: &PoolVersion| previous.iter().find(|(p, _)| p == v).map(|(_, at)| *at);
+        let has_new = versions.iter().any(|v| since(v).is_none());
+        self.listed = versions
+            .iter()
+            .map(|v| (*v, since(v).unwrap_or(now)))
+            .collect();
+        self.gone.extend(previous.iter().map(|(v, _)| (*v, now)));
         self.gone
-            .retain(|v, at| !listed.contains(v) && now.since(*at) <= ORIGIN_RETENTION);
+            .retain(|v, at| !versions.contains(v) && now.since(*at) <= ORIGIN_RETENTION);
+        has_new
     }
 
-    /// Adds versions that served at some time before, as another process remembers.
-    pub fn merge(&mut self, versions: impl IntoIterator<Item = PoolVersion>, now: Instant) {
+    /// Adds the versions of a record from before this process started.
+    pub fn restore(&mut self, versions: impl IntoIterator<Item = PoolVersion>, now: Instant) {
         for version in versions {
-            if !self.listed.contains(&version) {
+            if self.listed.iter().all(|(v, _)| *v != version) {
                 self.gone.insert(version, now);
             }
         }
+        self.is_restored = true;
+    }
+
+    /// Records that exactly these versions are in the record that outlives this process.
+    pub fn on_recorded(&mut self, versions: &[PoolVersion]) {
+        self.recorded = versions.to_vec();
+    }
+
+    /// Returns whether a version is not used yet, as it is about to be recorded beside others.
+    pub fn is_withheld(&self, version: PoolVersion, now: Instant) -> bool {
+        let is_new = |(v, since): &(PoolVersion, Instant)| {
+            *v == version && now.since(*since) < RECORD_TIMEOUT
+        };
+        let is_recorded = |v: PoolVersion| self.recorded.contains(&v);
+        !is_recorded(version)
+            && self.listed.iter().any(is_new)
+            && self.listed.iter().any(|(v, _)| is_recorded(*v))
+    }
+
+    /// Returns whether all versions are known that may have begun a stream which a caller takes up now.
+    pub fn is_complete(&self, now: Instant) -> bool {
+        let is_old = |since| now.since(since) > ORIGIN_RETENTION;
+        self.is_restored || self.watched_since.is_some_and(is_old)
     }
 
     /// Returns the versions that are listed, or were within [`ORIGIN_RETENTION`].
     pub fn recent(&self, now: Instant) -> impl Iterator<Item = PoolVersion> {
         let gone = self.gone.iter();
         let gone = gone.filter(move |(_, at)| now.since(**at) <= ORIGIN_RETENTION);
-        self.listed.iter().copied().chain(gone.map(|(v, _)| *v))
+        self.listed
+            .iter()
+            .map(|(v, _)| *v)
+            .chain(gone.map(|(v, _)| *v))
     }
 }
 
@@ -155,16 +221,18 @@
 impl Continuation {
     /// Decides where a stream may go on.
     ///
-    /// `recent` are the versions of the pools of its route that have served lately, and `serving` those
-    /// that accept requests. A stream of unknown origin goes on only if it can have but one.
+    /// `recent` are the versions of the pools of its route that have served lately, all of them if
+    /// `is_complete`, and `serving` those that accept requests. A stream of unknown origin goes on only if
+    /// it can have but one.
     pub fn decide(
         origin: Option<PoolVersion>,
         recent: &[PoolVersion],
+        is_complete: bool,
         serving: &[PoolVersion],
     ) -> Self {
         let version = match (origin, recent) {
             (Some(version), _) => version,
-            (None, [only]) => *only,
+            (None, [only]) if is_complete => *only,
             (None, _) => return Continuation::Unknown,
         };
         match serving.contains(&version) {
--- a/crates/sesamehaven/tests/stream_origin.rs
+++ b/crates/sesamehaven/tests/stream_origin.rs
@@ -28,7 +28,48 @@
     #[case] serving: &[PoolVersion],
     #[case] expected: Continuation,
 ) {
-    assert_eq!(Continuation::decide(origin, recent, serving), expected);
+    assert_eq!(
+        Continuation::decide(origin, recent, true, serving),
+        expected
+    );
+    let if_incomplete = match origin {
+        Some(_) => expected,
+        None => Continuation::Unknown,
+    };
+    assert_eq!(
+        Continuation::decide(origin, recent, false, serving),
+        if_incomplete
+    );
+}
+
+#[test]
+fn a_history_is_complete_once_it_is_restored_or_streams_of_before_have_ended() {
+    let mut history = VersionHistory::default();
+    assert!(!history.is_complete(Instant(0)));
+    history.on_listing([V1], Instant(0));
+    assert!(!history.is_complete(Instant(0).after(ORIGIN_RETENTION)));
+    assert!(history.is_complete(Instant(1).after(ORIGIN_RETENTION)));
+    let mut restored = VersionHistory::default();
+    restored.restore([V1], Instant(0));
+    assert!(restored.is_complete(Instant(0)));
+}
+
+#[test]
+fn a_new_version_is_withheld_until_it_is_recorded_but_not_for_long() {
+    let mut history = VersionHistory::default();
+    history.on_listing([V1], Instant(0));
+    assert!(!history.is_withheld(V1, Instant(0)), "it is the only one");
+    history.on_recorded(&[V1]);
+    assert!(history.on_listing([V1, V2], Instant(5_000)));
+    assert!(history.is_withheld(V2, Instant(5_900)));
+    assert!(!history.is_withheld(V1, Instant(5_900)));
+    assert!(
+        !history.is_withheld(V2, Instant(6_000)),
+        "its record takes long"
+    );
+    history.on_recorded(&[V1, V2]);
+    assert!(!history.on_listing([V1, V2], Instant(5_010)));
+    assert!(!history.is_withheld(V2, Instant(5_010)));
 }
 
 #[test]
@@ -47,7 +88,7 @@
     assert_eq!(recent(&history, end), [V1, V2]);
     assert_eq!(recent(&history, end.after(Millis(1))), [V2]);
     history.on_listing([V1, V2], Instant(3_000));
-    history.merge([V1], Instant(3_000));
+    history.restore([V1], Instant(3_000));
     assert_eq!(recent(&history, Instant(3_000)), [V1, V2]);
 }
 
