Save which version began each running stream while a pool has several

Cause: after the loss of all fronts while two versions serve, nobody knows which of them began a stream, and every take-up is refused although endpoints of its version are there.

A stream that is taken up counts as running where it goes on. A front that starts reads the streams of all fronts.

--- a/crates/sesamehaven-front/src/admission.rs
+++ b/crates/sesamehaven-front/src/admission.rs
@@ -105,6 +105,7 @@
         deadline: arrived.after(timeout),
         run_status: Cell::new(RunStatus::NotRun),
         version: Cell::new(None),
+        running_stream: RefCell::default(),
         tried: RefCell::default(),
         runs: Cell::new(0),
         failed_response: RefCell::default(),
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -23,6 +23,7 @@
 use crate::clock;
 use crate::front::Front;
 use crate::in_flight::SentRequest;
+use crate::origins::RunningStream;
 use crate::pools::{Rejection, Slot};
 use crate::protocol::{ForwardedMeta, Protocol, RequestMeta};
 use crate::routing_table::{Organisation, RetryPolicy, Route};
@@ -104,6 +105,8 @@
     pub run_status: Cell<RunStatus>,
     /// The software version that began the stream, once the caller has an event of it.
     pub version: Cell<Option<PoolVersion>>,
+    /// The stream of the response, if its caller may take it up.
+    pub running_stream: RefCell<Option<RunningStream>>,
     /// The endpoints that were tried or could not be reached.
     pub tried: RefCell<SmallVec<[SmolStr; 2]>>,
     /// The number of attempts in which it may have run or may still run.
--- a/crates/sesamehaven-front/src/lib.rs
+++ b/crates/sesamehaven-front/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod rollouts;
 pub mod routing_table;
 pub mod run;
+pub mod saved_versions;
 pub mod serve;
 pub mod settings;
 pub mod shared_limits;
--- a/crates/sesamehaven-front/src/origins.rs
+++ b/crates/sesamehaven-front/src/origins.rs
@@ -6,7 +6,7 @@
 //! [`docs/FRONT.md`](../../../docs/FRONT.md#streams-and-versions).
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -32,6 +32,7 @@
 use crate::peers::Proximity;
 use crate::protocol::{EndpointEntry, Listing, Protocol};
 use crate::routing_table::{RetryPolicy, Route};
+use crate::saved_versions::VersionSnapshot;
 
 /// The error code of a stream whose software version serves no more.
 const VERSION_GONE: &str = "version_gone";
@@ -62,17 +63,24 @@
     asked: Vec<StreamId>,
 }
 
-/// The versions that have served lately, by pool, as they are saved in the directory.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct VersionSnapshot {
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    versions: BTreeMap<SmolStr, Vec<SmolStr>>,
+/// A stream that this front has begun or goes on with, until it is dropped.
+#[derive(Debug)]
+pub struct RunningStream {
+    running: Rc<RefCell<HashMap<StreamId, PoolVersion>>>,
+    stream: StreamId,
+}
+
+impl Drop for RunningStream {
+    fn drop(&mut self) {
+        self.running.borrow_mut().remove(&self.stream);
+    }
 }
 
 /// What a front remembers of the origins of streams and of the versions that serve.
 #[derive(Debug, Default)]
 pub struct Origins {
     streams: RefCell<StreamOrigins>,
+    running: Rc<RefCell<HashMap<StreamId, PoolVersion>>>,
     history: RefCell<HashMap<SmolStr, VersionHistory>>,
     new: RefCell<Vec<StreamOrigin>>,
     asked: RefCell<Vec<StreamId>>,
@@ -144,46 +152,41 @@
         has_withheld
     }
 
-    /// Returns the versions that must survive a restart of all fronts.
+    /// Returns what must survive a restart of all fronts.
     pub fn snapshot(&self, now: Instant) -> VersionSnapshot {
-        let history = self.history.borrow();
-        let mut versions = BTreeMap::new();
-        for (pool, known) in history.iter() {
-            let mut recent: Vec<PoolVersion> = known.recent(now).collect();
-            recent.sort_unstable();
-            if !recent.is_empty() {
-                let names = recent.iter().map(|v| v.to_string().into());
-                versions.insert(pool.clone(), names.collect());
-            }
-        }
-        VersionSnapshot { versions }
+        VersionSnapshot::new(&self.history.borrow(), &self.running.borrow(), now)
     }
 
-    /// Records that the directory has saved a snapshot.
-    pub(crate) fn on_saved(&self, snapshot: &VersionSnapshot) {
+    /// Records that the directory has saved a snapshot; returns whether it has a version that the one
+    /// before had not.
+    pub(crate) fn on_saved(&self, snapshot: &VersionSnapshot) -> bool {
         let mut history = self.history.borrow_mut();
-        for (pool, names) in &snapshot.versions {
+        let mut has_new = false;
+        for (pool, saved) in snapshot.versions() {
             if let Some(known) = history.get_mut(pool) {
-                let saved: Vec<PoolVersion> = names.iter().filter_map(|n| n.parse().ok()).collect();
-                known.on_recorded(&saved);
+                has_new |= known.on_recorded(&saved);
             }
         }
+        has_new
     }
 
-    /// Restores the versions from before the start.
+    /// Restores what was saved before the start.
     pub fn restore<'a>(
         &self,
         snapshots: impl IntoIterator<Item = &'a VersionSnapshot>,
         now: Instant,
     ) {
+        let mut origins = Vec::new();
         let mut history = self.history.borrow_mut();
-        for (pool, names) in snapshots.into_iter().flat_map(|s| &s.versions) {
-            let versions = names.iter().filter_map(|name| name.parse().ok());
-            history
-                .entry(pool.clone())
-                .or_default()
-                .restore(versions, now);
+        for snapshot in snapshots {
+            for (pool, versions) in snapshot.versions() {
+                let known = history.entry(pool.clone()).or_default();
+                known.restore(versions, now);
+            }
+            origins.extend(snapshot.origins());
         }
+        drop(history);
+        self.learn(&origins);
         self.is_restored.set(true);
     }
 
@@ -200,10 +203,20 @@
     }
 
     /// Records a stream that this front has begun, and tells others of it.
-    pub fn record(&self, origin: StreamOrigin) {
+    pub fn begin(&self, origin: StreamOrigin) -> RunningStream {
         self.learn(&[origin]);
         self.new.borrow_mut().push(origin);
         self.has_outgoing.notify_one();
+        self.go_on(origin)
+    }
+
+    /// Records that this front goes on with a stream that another one may have begun.
+    pub(crate) fn go_on(&self, StreamOrigin { stream, version }: StreamOrigin) -> RunningStream {
+        self.running.borrow_mut().insert(stream, version);
+        RunningStream {
+            running: Rc::clone(&self.running),
+            stream,
+        }
     }
 
     fn learn(&self, origins: &[StreamOrigin]) {
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -69,6 +69,11 @@
         Ok(Some((pool, version))) => {
             job.pool = pool;
             job.version.set(Some(version));
+            if let Some(first) = &job.meta.resumes {
+                let stream = StreamId::new(first);
+                let running = job.front.origins.go_on(StreamOrigin { stream, version });
+                job.running_stream.replace(Some(running));
+            }
         }
         Err(failure) => {
             job.log("failed", "", failure.code);
@@ -293,7 +298,8 @@
     job.version.set(Some(version));
     if job.route.retry_policy == RetryPolicy::Resume {
         let stream = StreamId::new(&job.meta.id);
-        job.front.origins.record(StreamOrigin { stream, version });
+        let running = job.front.origins.begin(StreamOrigin { stream, version });
+        job.running_stream.replace(Some(running));
     }
 }
 
--- a/crates/sesamehaven-front/src/snapshot.rs
+++ b/crates/sesamehaven-front/src/snapshot.rs
@@ -13,10 +13,10 @@
 
 use crate::clock;
 use crate::front::Front;
-use crate::origins::VersionSnapshot;
 use crate::protocol::{Directory, Protocol, Reading};
 use crate::refresh::{Dependency, apply_endpoints, observe_era};
 use crate::rollouts::apply_rules;
+use crate::saved_versions::VersionSnapshot;
 use crate::shared_limits::UsageSnapshot;
 
 /// What a front saves in the directory for a restart of all fronts.
@@ -36,17 +36,21 @@
 
 /// The interval between snapshots while there is something to save.
 const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
+/// The interval for each front of a large fleet, so that all together write 50 times a second at most.
+const SNAPSHOT_INTERVAL_PER_FRONT: Duration = Duration::from_millis(20);
 /// The maximum number of parts that are saved.
 const SNAPSHOT_MAX_PARTS: usize = 64;
-/// The number of fronts that save on behalf of all; each saves the versions that it uses.
+/// The number of fronts that save on behalf of all; each saves the
+/// versions that it uses and its streams.
 const SNAPSHOT_WRITERS: usize = 2;
 /// The maximum number of attempts to load the snapshots after a start.
 const SNAPSHOT_READ_ATTEMPTS: u32 = 8;
 /// The pause between these attempts.
 const SNAPSHOT_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Saves the usage of limits that are nearly exhausted, the versions of pools that have had several, the
-/// parts of prompts that crash endpoints, and rollouts, because they are lost if all fronts restart.
+/// Saves the usage of limits that are nearly exhausted, the versions of pools, the streams of pools that
+/// have several, the parts of prompts that crash endpoints, and rollouts, because they are lost if all
+/// fronts restart.
 pub(crate) async fn save_snapshots<P: Protocol>(
     front: Rc<Front<P>>,
     directory: Rc<impl Directory>,
@@ -63,33 +67,22 @@
     loop {
         // A new version is used only once it is saved.
         let new_version = front.origins.new_version();
-        let _ = tokio::time::timeout(SNAPSHOT_INTERVAL, new_version).await;
+        let has_new = tokio::time::timeout(interval(&front), new_version)
+            .await
+            .is_ok();
+        if has_new || has_withheld {
+            has_withheld = apply_endpoints(&front);
+        }
         if !front.origins.is_restored() && !restore_versions(&front, &*directory).await {
             // Saving would replace the record from before the start.
             continue;
         }
-        let now = clock::now();
-        let is_writer = front.peers.borrow().rank(now) < SNAPSHOT_WRITERS;
-        let snapshot = match is_writer {
-            true => Snapshot {
-                usage: front.shared_limits.borrow().snapshot(now),
-                versions: front.origins.snapshot(now),
-                parts: front.part_quarantine.borrow().saved(SNAPSHOT_MAX_PARTS),
-                rollouts: front.rollouts.saved(now),
-            },
-            false => Snapshot {
-                versions: front.origins.snapshot(now),
-                ..Snapshot::default()
-            },
-        };
+        let snapshot = snapshot_of(&front);
         let era = front.restore_guard.borrow().era();
         if era != saved_in {
             // The directory may have lost what was saved.
             (saved_in, last) = (era, Snapshot::default());
         }
-        if has_withheld {
-            has_withheld = apply_endpoints(&front);
-        }
         if snapshot == last {
             continue;
         }
@@ -105,13 +98,37 @@
         if let Ok(Reading { era, .. }) = outcome
             && observe_era(&front, era) == EraChange::Same
         {
-            front.origins.on_saved(&snapshot.versions);
+            if front.origins.on_saved(&snapshot.versions) {
+                has_withheld = apply_endpoints(&front);
+            }
             last = snapshot;
         }
-        has_withheld = apply_endpoints(&front);
     }
 }
 
+fn snapshot_of<P: Protocol>(front: &Front<P>) -> Snapshot {
+    let now = clock::now();
+    let versions = front.origins.snapshot(now);
+    if front.peers.borrow().rank(now) >= SNAPSHOT_WRITERS {
+        return Snapshot {
+            versions,
+            ..Snapshot::default()
+        };
+    }
+    Snapshot {
+        usage: front.shared_limits.borrow().snapshot(now),
+        versions,
+        parts: front.part_quarantine.borrow().saved(SNAPSHOT_MAX_PARTS),
+        rollouts: front.rollouts.saved(now),
+    }
+}
+
+/// Returns the interval between snapshots, which grows with the fleet.
+fn interval<P: Protocol>(front: &Front<P>) -> Duration {
+    let fronts = front.peers.borrow().liveness.live_processes(clock::now());
+    SNAPSHOT_INTERVAL.max(SNAPSHOT_INTERVAL_PER_FRONT * fronts as u32)
+}
+
 /// Restores what was saved before the start, the usage as soon as the limits are known.
 async fn restore_snapshots<P: Protocol>(front: &Front<P>, directory: &impl Directory) {
     let Some(snapshots) = load_snapshots(front, directory).await else {
--- a/crates/sesamehaven/src/stream_origin.rs
+++ b/crates/sesamehaven/src/stream_origin.rs
@@ -7,6 +7,8 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 
@@ -23,7 +25,7 @@
 const MAX_STREAMS: usize = 32_768;
 
 /// A stream, identified by the request that brought its first event.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct StreamId(u64);
 
 impl StreamId {
@@ -39,6 +41,14 @@
     }
 }
 
+impl FromStr for StreamId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(StreamId)
+    }
+}
+
 /// A stream and the software version that began it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamOrigin {
@@ -174,9 +184,11 @@
         self.is_restored = true;
     }
 
-    /// Records that exactly these versions are in the record that outlives this process.
-    pub fn on_recorded(&mut self, versions: &[PoolVersion]) {
-        self.recorded = versions.to_vec();
+    /// Records that exactly these versions are in the record that outlives this process; returns
+    /// whether one of them was not before.
+    pub fn on_recorded(&mut self, versions: &[PoolVersion]) -> bool {
+        let previous = std::mem::replace(&mut self.recorded, versions.to_vec());
+        versions.iter().any(|v| !previous.contains(v))
     }
 
     /// Returns whether a version is not used yet, as it is about to be recorded beside others.
