Finish streams that are taken up before new ones begin, and save them each 250 ms

Change: a stream that goes on at its version is queued regardless of the expected wait, as requests are that this process has dispatched before. While there are streams to save, they are saved each 250 ms.

--- a/crates/sesamehaven-front/src/saved_versions.rs
+++ b/crates/sesamehaven-front/src/saved_versions.rs
@@ -70,6 +70,10 @@
             .map(move |(p, names)| (p, parse(names)))
     }
 
+    pub(crate) fn has_streams(&self) -> bool {
+        !self.streams.is_empty()
+    }
+
     /// Returns the streams that ran, with their versions; what cannot be read is left out.
     pub(crate) fn origins(&self) -> impl Iterator<Item = StreamOrigin> {
         let by_version = self.streams.iter();
--- a/crates/sesamehaven-front/src/snapshot.rs
+++ b/crates/sesamehaven-front/src/snapshot.rs
@@ -36,6 +36,8 @@
 
 /// The interval between snapshots while there is something to save.
 const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
+/// The interval between snapshots while there are streams to save.
+const STREAMS_INTERVAL: Duration = Duration::from_millis(250);
 /// The interval for each front of a large fleet, so that all together write 50 times a second at most.
 const SNAPSHOT_INTERVAL_PER_FRONT: Duration = Duration::from_millis(20);
 /// The maximum number of parts that are saved.
@@ -67,7 +69,7 @@
     loop {
         // A new version is used only once it is saved.
         let new_version = front.origins.new_version();
-        let has_new = tokio::time::timeout(interval(&front), new_version)
+        let has_new = tokio::time::timeout(interval(&front, &last), new_version)
             .await
             .is_ok();
         if has_new || has_withheld {
@@ -124,9 +126,13 @@
 }
 
 /// Returns the interval between snapshots, which grows with the fleet.
-fn interval<P: Protocol>(front: &Front<P>) -> Duration {
+fn interval<P: Protocol>(front: &Front<P>, last: &Snapshot) -> Duration {
+    let interval = match last.versions.has_streams() {
+        true => STREAMS_INTERVAL,
+        false => SNAPSHOT_INTERVAL,
+    };
     let fronts = front.peers.borrow().liveness.live_processes(clock::now());
-    SNAPSHOT_INTERVAL.max(SNAPSHOT_INTERVAL_PER_FRONT * fronts as u32)
+    interval.max(SNAPSHOT_INTERVAL_PER_FRONT * fronts as u32)
 }
 
 /// Restores what was saved before the start, the usage as soon as the limits are known.
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -225,8 +225,8 @@
     /// Queues a request, or refuses it if no endpoint is ready, its expected wait is too
     /// long, or all endpoints asked for a pause that it cannot wait for.
     ///
-    /// Requests of starved classes and requests that have been dispatched before are queued
-    /// regardless of the wait.
+    /// Requests of starved classes and those that have been dispatched before, also by another process,
+    /// are queued regardless of the wait.
     pub fn on_arrival(&mut self, ticket: Ticket, work: Work, now: Instant) -> Steps {
         if !self.placement.has_ready(None, &[]) {
             return self.refuse(ticket, Refusal::NoEndpoint, work.arrived, now);
@@ -255,7 +255,8 @@
         let class = work.queue_class();
         let is_starved = self.backlog.is_starved(&class, length, work.rank);
         let is_too_late = wait.0 > 0 && wait.0 + waited.0 > max_wait.0;
-        if is_too_late && !is_starved && work.tried.is_empty() {
+        let has_run = !work.tried.is_empty() || work.version.is_some();
+        if is_too_late && !is_starved && !has_run {
             self.backlog.count_refused(&class, length, work.rank, now);
             let reason = match self.placement.opens_at(None, &[], now) > now {
                 true => Refusal::Paused,
--- a/crates/sesamehaven/tests/dispatcher.rs
+++ b/crates/sesamehaven/tests/dispatcher.rs
@@ -26,6 +26,26 @@
     }
 }
 
+/// In a burst after the loss of all processes, streams that were begun are finished before new ones begin.
+#[test]
+fn a_stream_that_goes_on_is_queued_where_a_new_request_is_refused() {
+    let mut pool = Dispatcher::default();
+    pool.set_endpoints([listed("e", 2)]);
+    let now = Instant(1_000);
+    let version = pool.version("e");
+    for n in 0..15 {
+        pool.on_arrival(Ticket(n), work("brief", 1, 400.0, now), now);
+    }
+    let refused = |steps: &Steps| matches!(steps[..], [Step::Refuse { .. }]);
+    let new = work("brief", 1, 400.0, now);
+    let taken_up = Work {
+        version,
+        ..new.clone()
+    };
+    assert!(refused(&pool.on_arrival(Ticket(20), new, now)));
+    assert!(!refused(&pool.on_arrival(Ticket(21), taken_up, now)));
+}
+
 fn work(class: &str, route: u8, slot_ms: f64, now: Instant) -> Work {
     Work {
         rank: rank(route),
