Place requests by the prompts that endpoints are reading, with a weaker own order among few fronts

Engines read prompts one after the other; a prompt of 54,600 tokens takes 0.6 s there, and a front with a strong order of its own sent the next request behind it while others read nothing.

Change: the expected prefill time of requests without a first event counts in an endpoint's score, as a share of the objective. Fronts tell each other theirs in digests (format 7). The own order of endpoints weighs as much as a full endpoint's load from eight other fronts on, and less among fewer, where it only made prompts queue; pools whose counts come too late to choose by keep it in full. The score and the limits of a wait are modules of their own.

--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -154,6 +154,7 @@
             deadline: self.deadline,
             slot_ms: self.estimated_slot_ms(),
             first_event_ms: self.estimated_first_event_ms(),
+            prefill_ms: self.estimated_prefill_ms(),
             session: self.meta.session,
             tried: self.tried.borrow().clone(),
             version: self.version.get(),
@@ -257,11 +258,17 @@
     /// Estimates the time to the first event on an average endpoint, in milliseconds.
     fn estimated_first_event_ms(&self) -> f64 {
         match self.meta.tokens {
-            Some((prompt, _)) => PREFILL_OVERHEAD_MS + prompt as f64 * PREFILL_MS_PER_TOKEN,
+            Some(_) => PREFILL_OVERHEAD_MS + self.estimated_prefill_ms(),
             None => PLAIN_CALL_MS,
         }
     }
 
+    /// Estimates the time in which an average endpoint reads the prompt, in milliseconds.
+    fn estimated_prefill_ms(&self) -> f64 {
+        let prompt = self.meta.tokens.map_or(0, |(prompt, _)| prompt);
+        prompt as f64 * PREFILL_MS_PER_TOKEN
+    }
+
     /// Estimates how long the request occupies a slot of an average endpoint, in milliseconds.
     fn estimated_slot_ms(&self) -> f64 {
         let Some((_, max_output)) = self.meta.tokens else {
--- a/crates/sesamehaven-front/src/peers.rs
+++ b/crates/sesamehaven-front/src/peers.rs
@@ -31,7 +31,7 @@
 use crate::shared_limits::Usage;
 
 /// The version of the digest format; digests of other versions are dropped.
-const DIGEST_VERSION: u8 = 6;
+const DIGEST_VERSION: u8 = 7;
 /// The maximum size of a digest in bytes, which common networks deliver as one datagram.
 pub(crate) const DIGEST_MAX_BYTES: usize = 8 << 10;
 /// How long a front is retained as a peer after its last digest.
@@ -59,6 +59,9 @@
 pub struct Load {
     /// The requests in flight, by the hash of the endpoint.
     pub running: Vec<(u32, u32)>,
+    /// The expected time to prefill the prompts that have no first event yet, in milliseconds, by the hash
+    /// of the endpoint.
+    pub prefill: Vec<(u32, u32)>,
     /// The weight of the requests that wait for a slot, by the hash of the pool.
     pub waiting: Vec<(u32, u32)>,
 }
@@ -72,6 +75,9 @@
     pub ids: Vec<u64>,
     /// The requests in flight, by the hash of the endpoint.
     pub running: HashMap<u32, u32>,
+    /// The expected time to prefill the prompts that have no first event yet, in milliseconds, by the hash
+    /// of the endpoint.
+    pub prefill: HashMap<u32, u32>,
     /// The weight of the requests that wait for a slot, by the hash of the pool.
     pub waiting: HashMap<u32, u32>,
 }
@@ -84,6 +90,10 @@
             let sum = self.running.entry(*endpoint).or_insert(0);
             *sum = sum.saturating_add(*n).min(MAX_LOAD);
         }
+        for (endpoint, ms) in &load.prefill {
+            let sum = self.prefill.entry(*endpoint).or_insert(0);
+            *sum = sum.saturating_add(*ms).min(MAX_LOAD);
+        }
         for (pool, n) in &load.waiting {
             let sum = self.waiting.entry(*pool).or_insert(0);
             *sum = sum.saturating_add(*n).min(MAX_LOAD);
--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -311,6 +311,10 @@
             pool.set_peers(loads.fronts, waiting, clock::now(), |hash| {
                 running(hash).unwrap_or_default()
             });
+            pool.set_peer_prefill(|hash| {
+                let prefill = loads.prefill.get(&short_hash(hash)).copied();
+                prefill.unwrap_or_default()
+            });
         }
         self.others.borrow_mut().clone_from(&loads.ids);
         let has_limits = !self.limits.borrow().is_empty();
@@ -327,6 +331,11 @@
         let waiting = pools.iter().filter(|(_, pool)| pool.waiting() > 0);
         Load {
             running: running.map(|(hash, n)| (short_hash(hash), n)).collect(),
+            prefill: pools
+                .values()
+                .flat_map(Dispatcher::prefill)
+                .map(|(hash, ms)| (short_hash(hash), ms))
+                .collect(),
             waiting: waiting
                 .map(|(name, pool)| (short_hash(hash_of(name)), pool.weighted_waiting()))
                 .collect(),
--- a/crates/sesamehaven/examples/replay/caller.rs
+++ b/crates/sesamehaven/examples/replay/caller.rs
@@ -174,6 +174,7 @@
             + tokens.0 * EXPECTED_TOKEN_MS.0
             + tokens.1 * EXPECTED_TOKEN_MS.1,
         first_event_ms: EXPECTED_PREPARE_MS + tokens.0 * EXPECTED_TOKEN_MS.0,
+        prefill_ms: tokens.0 * EXPECTED_TOKEN_MS.0,
         session: Some(req.session),
         tried: req.tried.clone(),
         version: None,
--- a/crates/sesamehaven/examples/replay/simulation.rs
+++ b/crates/sesamehaven/examples/replay/simulation.rs
@@ -471,6 +471,10 @@
             .map(|e| self.fronts.iter().map(|f| f.outstanding[e]).sum())
             .collect();
         let waiting: Vec<usize> = self.fronts.iter().map(|f| f.dispatcher.waiting()).collect();
+        let mut prefill: HashMap<u64, u32> = HashMap::new();
+        for (hash, ms) in self.fronts.iter().flat_map(|f| f.dispatcher.prefill()) {
+            *prefill.entry(hash).or_default() += ms;
+        }
         let all_waiting: usize = waiting.iter().sum();
         let others = self.fronts.len() - 1;
         let hashes: Vec<u64> = self.names.iter().map(hash_of).collect();
@@ -484,6 +488,11 @@
                     let at = hashes.iter().position(|h| *h == hash);
                     at.map_or(0, |at| peers[at])
                 });
+            let own: HashMap<u64, u32> = front.dispatcher.prefill().collect();
+            front.dispatcher.set_peer_prefill(|hash| {
+                let sum = prefill.get(&hash).copied().unwrap_or_default();
+                sum - own.get(&hash).copied().unwrap_or_default()
+            });
         }
     }
 }
--- a/crates/sesamehaven/src/dispatched_run.rs
+++ b/crates/sesamehaven/src/dispatched_run.rs
@@ -13,6 +13,8 @@
     pub(crate) rank: Rank,
     pub(crate) slot_ms: f64,
     pub(crate) first_event_ms: f64,
+    /// The expected prefill time until the first event arrives, zero from then on.
+    pub(crate) pending_prefill_ms: f64,
     pub(crate) started: Instant,
     /// How the response counts while a version is rolled out.
     pub(crate) sample: Option<Sample>,
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -42,6 +42,7 @@
 use crate::rollout_traffic::RolloutTraffic;
 use crate::software_version::PoolVersion;
 use crate::unit::{Instant, Millis};
+use crate::wait_limits::{WaitLimits, limited_wait};
 
 pub use crate::refusal::Refusal;
 pub use crate::step::{Step, Steps};
@@ -49,16 +50,6 @@
 
 /// The share of the slots that the lowest rank leaves free for higher ranks.
 const RESERVE_SHARE: f64 = 0.14;
-/// The longest accepted expected wait for a slot, as a share of the objective, counted
-/// from the arrival of the request at this process.
-const WAIT_SHARE: f64 = 0.6;
-/// The same for the highest rank, whose requests are worth serving late.
-const URGENT_WAIT_SHARE: f64 = 2.0;
-/// The share of the objective after which a waiting request is refused, counted from its
-/// arrival at this process.
-const GIVE_UP_SHARE: f64 = 1.2;
-/// The same for the highest rank.
-const URGENT_GIVE_UP_SHARE: f64 = 3.0;
 /// Requests must hold their slots for at least this many intervals between peer
 /// counts; with shorter requests, the counts are out of date before they are used.
 const MIN_HOLD_INTERVALS: f64 = 3.0;
@@ -174,10 +165,23 @@
         self.peers_updated_at = now;
         let is_informative = others > 0 && self.mean_hold_ms > age.0 as f64 * MIN_HOLD_INTERVALS;
         let share = is_informative.then_some(self.waiting_share);
+        self.placement.set_others(others, is_informative);
         self.placement
             .set_peers(share, freshness(others, age), now, running);
     }
 
+    /// Updates the expected time to prefill the prompts that the other processes have sent to each
+    /// endpoint, in milliseconds.
+    pub fn set_peer_prefill(&mut self, prefill_ms: impl Fn(u64) -> u32) {
+        self.placement.set_peer_prefill(prefill_ms);
+    }
+
+    /// Returns the hash of each endpoint that reads prompts of this process, with the expected time to
+    /// prefill them, in milliseconds.
+    pub fn prefill(&self) -> impl Iterator<Item = (u64, u32)> + '_ {
+        self.placement.prefill()
+    }
+
     /// Returns the hash of each endpoint with the number of requests that this process
     /// runs there.
     pub fn running(&self) -> impl Iterator<Item = (u64, u32)> + '_ {
@@ -236,12 +240,10 @@
             return self.refuse(ticket, Refusal::NoVersion, now, now);
         }
         let is_urgent = self.backlog.rank_position(work.rank).0 == 0;
-        let (wait_share, give_up_share) = match is_urgent {
-            true => (URGENT_WAIT_SHARE, URGENT_GIVE_UP_SHARE),
-            false => (WAIT_SHARE, GIVE_UP_SHARE),
-        };
-        let give_up_at = work.arrived.after(work.share_of_objective(give_up_share));
-        let give_up_at = give_up_at.min(work.deadline);
+        let WaitLimits {
+            max_wait,
+            give_up_at,
+        } = WaitLimits::of(&work, is_urgent);
         if self.is_paused_beyond(give_up_at, &work, now) {
             return self.refuse(ticket, Refusal::Paused, now, now);
         }
@@ -250,7 +252,6 @@
         }
         let wait = self.expected_wait(ticket, &work, now);
         let waited = now.since(work.arrived);
-        let max_wait = work.share_of_objective(wait_share);
         let length = work.length();
         let class = work.queue_class();
         let is_starved = self.backlog.is_starved(&class, length, work.rank);
@@ -292,6 +293,8 @@
             return;
         };
         let factor = run.first_event_factor(now);
+        let prefill_ms = std::mem::take(&mut run.pending_prefill_ms);
+        self.placement.on_prefill_end(&run.endpoint, prefill_ms);
         self.placement.on_first_event(&run.endpoint, factor);
         if let (Some(rollout), Some(sample)) = (&mut self.rollout, &mut run.sample) {
             rollout.on_first_event(sample, factor);
@@ -320,6 +323,8 @@
             rollout.on_end(sample, outcome, run.first_event_factor(now));
         }
         let is_long = Length::of(run.slot_ms).is_long();
+        self.placement
+            .on_prefill_end(&run.endpoint, run.pending_prefill_ms);
         self.placement
             .on_end(&run.endpoint, is_long, outcome, factor, now);
         self.fill(now)
@@ -428,6 +433,7 @@
             rank: work.rank,
             slot_ms: work.slot_ms,
             first_event_ms: work.first_event_ms,
+            pending_prefill_ms: work.prefill_ms,
             started: now,
         };
         self.running.insert(ticket, run);
@@ -437,7 +443,10 @@
     /// Estimates the wait for a slot behind the requests that precede this one.
     fn expected_wait(&self, ticket: Ticket, work: &Work, now: Instant) -> Millis {
         let opens_at = self.placement.opens_at(work.version, &work.tried, now);
-        let pause = opens_at.since(now).max(self.limited_wait(work));
+        let rate = self.placement.limited_rate(work.version, &work.tried);
+        let pause = opens_at
+            .since(now)
+            .max(limited_wait(rate, self.backlog.len()));
         let (free, slots) = self.slots(opens_at);
         let is_free = free > self.reserve(work, slots, now);
         let demand = work.demand(ticket, now);
@@ -457,16 +466,6 @@
         Millis(pause.0 + drain_time(ahead, own_slots * capacity_share.max(0.25)).0)
     }
 
-    /// Returns how long it takes until the limits of the endpoints let a request through behind those
-    /// that wait, if all of its endpoints have named limits.
-    fn limited_wait(&self, work: &Work) -> Millis {
-        let rate = self.placement.limited_rate(work.version, &work.tried);
-        match rate {
-            Some(rate) if rate > 0.0 => Millis((self.backlog.len() as f64 / rate * 1_000.0) as u64),
-            _ => Millis(0),
-        }
-    }
-
     /// Returns whether no endpoint takes a request before it gives up, since those that it has not
     /// tried asked for a pause.
     fn is_paused_beyond(&self, give_up_at: Instant, work: &Work, now: Instant) -> bool {
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod election;
 pub mod endpoint_limits;
 pub mod endpoint_load;
+mod endpoint_score;
 pub mod endpoint_silence;
 mod endpoint_state;
 pub mod error;
@@ -90,6 +91,7 @@
 pub mod stream_origin;
 pub mod tier;
 pub mod unit;
+mod wait_limits;
 mod work;
 
 pub use crate::error::{Error, Result};
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -15,6 +15,7 @@
 use crate::candidate_choice;
 use crate::digest::{mix_bits, to_unit_interval};
 use crate::endpoint_load::EndpointLoad;
+use crate::endpoint_score::{Preference, score};
 use crate::exposure::{Access, VersionRules};
 use crate::pool_endpoint::{FAILURE_EXCESS, PoolEndpoint, QUEUED_AHEAD};
 use crate::request_rate::{Allowance, RequestRate};
@@ -30,23 +31,9 @@
 /// The time factor, relative to the pool median, above which an endpoint runs one
 /// probe request at a time.
 const SLOW_TIME_FACTOR: f64 = 3.0;
-/// The score bonus of the endpoint that recently ran the session, in units of a full
-/// endpoint's load.
-const SESSION_BONUS: f64 = 1.2;
-/// The score bonus of an endpoint in the same data centre, in units of a full
-/// endpoint's load.
-const NEAR_BONUS: f64 = 0.6;
 /// How long an endpoint that rejected a request as full is skipped; about the time
 /// that a request holds a slot.
 const FULL_COOLDOWN: Millis = Millis(150);
-/// The weight of the process's own preference order, in units of a full endpoint's
-/// load.
-///
-/// With different preferences, processes with stale counts of each other's requests
-/// are less likely to choose the same endpoints.
-const PREFERENCE_WEIGHT: f64 = 1.0;
-/// The weight of the random tie-breaker, in units of a full endpoint's load.
-const TIE_BREAK_WEIGHT: f64 = 0.05;
 /// The share of free slots below which processes divide them among themselves.
 const CONTENTION_SHARE: f64 = 0.5;
 /// The average number of processes that may claim one free slot.
@@ -59,7 +46,7 @@
 pub struct Placement {
     endpoints: Vec<PoolEndpoint>,
     sessions: SessionTable,
-    seed: u64,
+    preference: Preference,
     rules: VersionRules,
     /// Whether other processes dispatch to the same endpoints.
     is_shared: bool,
@@ -73,7 +60,7 @@
         Placement {
             endpoints: Vec::new(),
             sessions: SessionTable::default(),
-            seed,
+            preference: Preference::new(seed),
             rules: VersionRules::default(),
             is_shared: false,
             peer_updates: 0,
@@ -136,7 +123,7 @@
                 endpoint.allowance = None;
                 continue;
             };
-            let delay = to_unit_interval(mix_bits(endpoint.hash ^ self.seed));
+            let delay = to_unit_interval(mix_bits(endpoint.hash ^ self.preference.seed));
             let new = || Allowance::new(rate, delay, now);
             endpoint
                 .allowance
@@ -173,7 +160,7 @@
             endpoint.peer_running = running(endpoint.hash);
             endpoint.freshness = freshness;
         }
-        let draw = mix_bits(self.seed ^ self.peer_updates);
+        let draw = mix_bits(self.preference.seed ^ self.peer_updates);
         for endpoint in &mut self.endpoints {
             let is_claimed = |slot: &u32| {
                 to_unit_interval(mix_bits(endpoint.hash ^ draw ^ u64::from(*slot)))
@@ -183,6 +170,26 @@
         }
     }
 
+    /// Updates the number of other processes, and whether their counts are recent enough to choose by.
+    pub fn set_others(&mut self, others: usize, has_timely_counts: bool) {
+        self.preference.weight = Preference::weight(others, has_timely_counts);
+    }
+
+    /// Updates the expected prefill time of what the other processes have sent to each endpoint.
+    pub fn set_peer_prefill(&mut self, prefill_ms: impl Fn(u64) -> u32) {
+        for endpoint in &mut self.endpoints {
+            endpoint.peer_prefill_ms = f64::from(prefill_ms(endpoint.hash));
+        }
+    }
+
+    /// Returns the hash of each endpoint that reads prompts of this process, with the expected time to
+    /// prefill them, in milliseconds.
+    pub fn prefill(&self) -> impl Iterator<Item = (u64, u32)> + '_ {
+        let times = self.endpoints.iter();
+        let times = times.map(|e| (e.hash, e.own_prefill_ms.round() as u32));
+        times.filter(|(_, ms)| *ms > 0)
+    }
+
     /// Returns the hash of each endpoint with the number of requests that this process
     /// runs there.
     pub fn running(&self) -> impl Iterator<Item = (u64, u32)> + '_ {
@@ -276,7 +283,7 @@
             if endpoint.is_probe_due(now) {
                 return Some(endpoint.listed.id.clone());
             }
-            let score = self.score(endpoint, demand, last, now);
+            let score = score(endpoint, demand, last, self.preference, now);
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, endpoint));
             }
@@ -287,7 +294,7 @@
     /// Chooses an endpoint of the version that is tried, which has a slot free at once.
     pub fn choose_candidate(&self, demand: &Demand, now: Instant) -> Option<SmolStr> {
         let median = self.median_time_factor();
-        let draw = mix_bits(demand.tie_breaker ^ self.seed);
+        let draw = mix_bits(demand.tie_breaker ^ self.preference.seed);
         let has_room = |e: &PoolEndpoint| self.has_room(e, demand, median, now);
         let chosen = candidate_choice::choose(self.open(now), draw, now, has_room);
         chosen.map(|e| e.listed.id.clone())
@@ -306,6 +313,7 @@
         endpoint.claimable = endpoint.claimable.saturating_sub(1);
         endpoint.reports.on_start(now);
         endpoint.own_long_running += u32::from(demand.is_long);
+        endpoint.own_prefill_ms += demand.prefill_ms;
         let hash = endpoint.hash;
         if let Some(session) = demand.session {
             self.sessions.record(session, hash, now);
@@ -327,6 +335,13 @@
         }
     }
 
+    /// Records that an endpoint has read a prompt, or has ended before.
+    pub fn on_prefill_end(&mut self, id: &str, prefill_ms: f64) {
+        if let Some(endpoint) = self.endpoint(id) {
+            endpoint.own_prefill_ms = (endpoint.own_prefill_ms - prefill_ms).max(0.0);
+        }
+    }
+
     /// Records that a request has ended; `factor` is the ratio of its actual to its
     /// expected duration.
     pub fn on_end(
@@ -440,27 +455,6 @@
         !demand.is_long || f64::from(endpoint.own_long_running) < long_max
     }
 
-    /// Returns the score of an endpoint for a request; lower is better.
-    fn score(
-        &self,
-        endpoint: &PoolEndpoint,
-        demand: &Demand,
-        last: Option<u64>,
-        now: Instant,
-    ) -> f64 {
-        let load = f64::from(endpoint.load(now) + 1) / f64::from(endpoint.listed.slots.max(1));
-        let ran_session = last == Some(endpoint.hash);
-        let session_bonus = if ran_session { SESSION_BONUS } else { 0.0 };
-        let near_bonus = if endpoint.listed.is_near {
-            NEAR_BONUS
-        } else {
-            0.0
-        };
-        let preference = to_unit_interval(mix_bits(endpoint.hash ^ self.seed)) * PREFERENCE_WEIGHT;
-        let tie = to_unit_interval(mix_bits(endpoint.hash ^ demand.tie_breaker)) * TIE_BREAK_WEIGHT;
-        load * endpoint.time_factor - session_bonus - near_bonus + preference + tie
-    }
-
     fn median_time_factor(&self) -> f64 {
         median(self.ready().map(|e| e.time_factor))
     }
--- a/crates/sesamehaven/src/pool_endpoint.rs
+++ b/crates/sesamehaven/src/pool_endpoint.rs
@@ -69,6 +69,10 @@
     pub is_long: bool,
     /// The expected time to its first event on an average endpoint, in milliseconds.
     pub first_event_ms: f64,
+    /// The part of it in which the endpoint reads this prompt and no other one, in milliseconds.
+    pub prefill_ms: f64,
+    /// The time within which the first event is on time.
+    pub objective: Millis,
     /// The time left to its objective, or [`None`] if it is late already.
     pub time_left: Option<Millis>,
     /// A number, different for each request, that breaks ties between endpoints.
@@ -101,6 +105,10 @@
     pub(crate) hash: u64,
     pub(crate) own_running: u32,
     pub(crate) own_long_running: u32,
+    /// The expected prefill time of this process's requests there that have no first event yet.
+    pub(crate) own_prefill_ms: f64,
+    /// The same of the other processes.
+    pub(crate) peer_prefill_ms: f64,
     pub(crate) peer_running: u32,
     pub(crate) reports: LoadReports,
     /// How long the number of requests in a report counts.
@@ -128,6 +136,8 @@
             probed_at: Instant(0),
             own_running: 0,
             own_long_running: 0,
+            own_prefill_ms: 0.0,
+            peer_prefill_ms: 0.0,
             peer_running: 0,
             reports: LoadReports::default(),
             freshness: freshness(0, Millis(0)),
@@ -173,6 +183,12 @@
         self.own_running.saturating_add(others)
     }
 
+    /// Returns the expected time to prefill the prompts there that have no first event yet, at an
+    /// average endpoint.
+    pub(crate) fn prefill_ms(&self) -> f64 {
+        self.own_prefill_ms + self.peer_prefill_ms
+    }
+
     /// Records the time to the first event of a response, as a ratio of the expected time.
     pub(crate) fn on_first_event(&mut self, factor: f64) {
         let factor = factor.clamp(TIME_FACTOR_RANGE.0, TIME_FACTOR_RANGE.1);
--- a/crates/sesamehaven/src/work.rs
+++ b/crates/sesamehaven/src/work.rs
@@ -33,6 +33,8 @@
     pub slot_ms: f64,
     /// The expected time to the first event at an endpoint of average speed, in milliseconds.
     pub first_event_ms: f64,
+    /// The part of it in which an endpoint reads this prompt and no other one, in milliseconds.
+    pub prefill_ms: f64,
     /// The session or prefix whose cached prompt the request can reuse.
     pub session: Option<u64>,
     /// The endpoints that have been tried already.
@@ -55,6 +57,7 @@
             deadline: arrived.after(Millis(objective.0 * 8)),
             slot_ms: 100.0,
             first_event_ms: 50.0,
+            prefill_ms: 0.0,
             session: None,
             tried: SmallVec::new(),
             version: None,
@@ -68,6 +71,8 @@
             session: self.session,
             is_long: self.length().is_long(),
             first_event_ms: self.first_event_ms,
+            prefill_ms: self.prefill_ms,
+            objective: self.objective,
             time_left: (due > now).then(|| due.since(now)),
             tie_breaker: ticket.0,
             version: self.version,
--- a/crates/sesamehaven/tests/limited_endpoint_use.rs
+++ b/crates/sesamehaven/tests/limited_endpoint_use.rs
@@ -123,6 +123,8 @@
                 session: None,
                 is_long: false,
                 first_event_ms: 50.0,
+                prefill_ms: 0.0,
+                objective: Millis(800),
                 time_left: Some(Millis(2_000)),
                 tie_breaker: rng.random(),
                 version: None,
--- a/crates/sesamehaven/tests/placement.rs
+++ b/crates/sesamehaven/tests/placement.rs
@@ -4,6 +4,7 @@
 
 mod common;
 
+use sesamehaven::digest::hash_of;
 use sesamehaven::placement::{Demand, DispatchOutcome, Placement};
 use sesamehaven::unit::{Instant, Millis};
 
@@ -22,6 +23,8 @@
         session,
         is_long: false,
         first_event_ms: 100.0,
+        prefill_ms: 0.0,
+        objective: Millis(800),
         time_left: None,
         tie_breaker,
         version: None,
@@ -187,6 +190,39 @@
     assert_eq!(p.choose(&too_long, &[], now).unwrap(), "d");
 }
 
+/// Long prompts arrive while slots are free everywhere.
+#[test]
+fn a_short_request_does_not_wait_behind_a_long_prompt() {
+    let mut p = placement(6);
+    let now = Instant(0);
+    let short = Demand {
+        prefill_ms: 5.0,
+        ..demand(None, 1)
+    };
+    let long = Demand {
+        prefill_ms: 600.0,
+        ..short
+    };
+    let preferred = p.choose(&short, &[], now).unwrap();
+    p.on_start(&preferred, &long, now);
+    let busy = p.prefill().count();
+    let other = p.choose(&short, &[], now).unwrap();
+    assert_ne!(other, preferred, "the long prompt is still read there");
+    p.on_prefill_end(&preferred, 600.0);
+    p.on_end(&preferred, false, DispatchOutcome::Success, None, now);
+    assert_eq!((busy, p.prefill().count()), (1, 0));
+    assert_eq!(p.choose(&short, &[], now).unwrap(), preferred);
+    // The long prompt of another process counts the same.
+    p.set_peer_prefill(|endpoint| {
+        if endpoint == hash_of(&preferred) {
+            600
+        } else {
+            0
+        }
+    });
+    assert_eq!(p.choose(&short, &[], now).unwrap(), other);
+}
+
 #[test]
 fn tried_endpoints_are_skipped() {
     let p = placement(6);
