Keep saving the usage of limits each 500 ms in large fleets

Cause: the interval of 20 ms for each front, meant for running streams, also applied to the two fronts that save the usage of limits, 2 s at 103 fronts, in which what was drawn would be forgotten after the loss of all.

Change: only fronts that save streams and no usage, and withhold no version, save less often than each 500 ms.

--- a/crates/sesamehaven-front/src/snapshot.rs
+++ b/crates/sesamehaven-front/src/snapshot.rs
@@ -38,12 +38,11 @@
 const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
 /// The interval between snapshots while there are streams to save.
 const STREAMS_INTERVAL: Duration = Duration::from_millis(250);
-/// The interval for each front of a large fleet, so that all together write 50 times a second at most.
-const SNAPSHOT_INTERVAL_PER_FRONT: Duration = Duration::from_millis(20);
+/// The same for each front of a large fleet, so that all together write 50 times a second at most.
+const STREAMS_INTERVAL_PER_FRONT: Duration = Duration::from_millis(20);
 /// The maximum number of parts that are saved.
 const SNAPSHOT_MAX_PARTS: usize = 64;
-/// The number of fronts that save on behalf of all; each saves the
-/// versions that it uses and its streams.
+/// The number of fronts that save on behalf of all; each saves the versions that it uses and its streams.
 const SNAPSHOT_WRITERS: usize = 2;
 /// The maximum number of attempts to load the snapshots after a start.
 const SNAPSHOT_READ_ATTEMPTS: u32 = 8;
@@ -69,9 +68,8 @@
     loop {
         // A new version is used only once it is saved.
         let new_version = front.origins.new_version();
-        let has_new = tokio::time::timeout(interval(&front, &last), new_version)
-            .await
-            .is_ok();
+        let interval = interval(&front, &last, has_withheld);
+        let has_new = tokio::time::timeout(interval, new_version).await.is_ok();
         if has_new || has_withheld {
             has_withheld = apply_endpoints(&front);
         }
@@ -125,14 +123,22 @@
     }
 }
 
-/// Returns the interval between snapshots, which grows with the fleet.
-fn interval<P: Protocol>(front: &Front<P>, last: &Snapshot) -> Duration {
-    let interval = match last.versions.has_streams() {
-        true => STREAMS_INTERVAL,
-        false => SNAPSHOT_INTERVAL,
-    };
-    let fronts = front.peers.borrow().liveness.live_processes(clock::now());
-    interval.max(SNAPSHOT_INTERVAL_PER_FRONT * fronts as u32)
+/// Returns the interval between snapshots.
+///
+/// Streams are saved more often in small fleets, and less often in large ones, except by the fronts that
+/// save the usage of limits.
+fn interval<P: Protocol>(front: &Front<P>, last: &Snapshot, has_withheld: bool) -> Duration {
+    if !last.versions.has_streams() {
+        return SNAPSHOT_INTERVAL;
+    }
+    let now = clock::now();
+    let peers = front.peers.borrow();
+    let fronts = peers.liveness.live_processes(now) as u32;
+    let interval = STREAMS_INTERVAL.max(STREAMS_INTERVAL_PER_FRONT * fronts);
+    match has_withheld || peers.rank(now) < SNAPSHOT_WRITERS {
+        true => interval.min(SNAPSHOT_INTERVAL),
+        false => interval,
+    }
 }
 
 /// Restores what was saved before the start, the usage as soon as the limits are known.
