Count a request's own prompt in the time until an endpoint has read it

Cause: only the prompts ahead of a request counted, so a slow endpoint that was reading nothing looked better than a fast one that would have finished sooner.

Change: the score counts the time until the request's own prompt is read.

--- a/crates/sesamehaven/src/endpoint_score.rs
+++ b/crates/sesamehaven/src/endpoint_score.rs
@@ -7,8 +7,8 @@
 use crate::pool_endpoint::{Demand, PoolEndpoint};
 use crate::unit::Instant;
 
-/// The weight of the prefill that is ahead of a request, as a multiple of its objective, in units of a
-/// full endpoint's load.
+/// The weight of the expected time until a prompt is read, behind those that are ahead of it, as a
+/// multiple of the objective, in units of a full endpoint's load.
 const PREFILL_WEIGHT: f64 = 9.0;
 /// The bonus of the endpoint that recently ran the session, in units of a full endpoint's load.
 const SESSION_BONUS: f64 = 1.2;
@@ -69,8 +69,8 @@
     now: Instant,
 ) -> f64 {
     let load = f64::from(endpoint.load(now) + 1) / f64::from(endpoint.listed.slots.max(1));
-    let ahead_ms = endpoint.prefill_ms() * endpoint.first_event_factor;
-    let prefill = PREFILL_WEIGHT * ahead_ms / demand.objective.0.max(1) as f64;
+    let until_read_ms = (endpoint.prefill_ms() + demand.prefill_ms) * endpoint.first_event_factor;
+    let prefill = PREFILL_WEIGHT * until_read_ms / demand.objective.0.max(1) as f64;
     let ran_session = last == Some(endpoint.hash);
     let session_bonus = if ran_session { SESSION_BONUS } else { 0.0 };
     let near_bonus = if endpoint.listed.is_near {
