Leave prompts being read out of the choice where counts of other processes are stale

Cause: with counts of the others a second old, the time until a prompt is read sent all processes to the same fast endpoints.

Change: it counts only while the counts of the other processes are recent enough to choose by, as the draw of free slots does.

--- a/crates/sesamehaven/src/endpoint_score.rs
+++ b/crates/sesamehaven/src/endpoint_score.rs
@@ -30,12 +30,18 @@
     pub(crate) seed: u64,
     /// The weight of the order, in units of a full endpoint's load.
     pub(crate) weight: f64,
+    /// Whether what is known of the other processes is recent enough to choose by.
+    pub(crate) has_timely_counts: bool,
 }
 
 impl Preference {
     /// Returns an order with full weight.
     pub(crate) fn new(seed: u64) -> Self {
-        Preference { seed, weight: 1.0 }
+        Preference {
+            seed,
+            weight: 1.0,
+            has_timely_counts: true,
+        }
     }
 
     /// Returns the weight of the order among a number of other processes, whose requests this process
@@ -70,7 +76,10 @@
 ) -> f64 {
     let load = f64::from(endpoint.load(now) + 1) / f64::from(endpoint.listed.slots.max(1));
     let until_read_ms = (endpoint.prefill_ms() + demand.prefill_ms) * endpoint.first_event_factor;
-    let prefill = PREFILL_WEIGHT * until_read_ms / demand.objective.0.max(1) as f64;
+    let prefill = match preference.has_timely_counts {
+        true => PREFILL_WEIGHT * until_read_ms / demand.objective.0.max(1) as f64,
+        false => 0.0,
+    };
     let ran_session = last == Some(endpoint.hash);
     let session_bonus = if ran_session { SESSION_BONUS } else { 0.0 };
     let near_bonus = if endpoint.listed.is_near {
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -173,6 +173,7 @@
     /// Updates the number of other processes, and whether their counts are recent enough to choose by.
     pub fn set_others(&mut self, others: usize, has_timely_counts: bool) {
         self.preference.weight = Preference::weight(others, has_timely_counts);
+        self.preference.has_timely_counts = has_timely_counts || others == 0;
     }
 
     /// Updates the expected prefill time of what the other processes have sent to each endpoint.
