Cancel calls whose endpoint always has bytes ready

The call polls its exchange first and then its cancellation, which shares the budget of the task: an endpoint that writes faster than the agent reads used the budget up each time, so that the cancellation was never seen. It is polled without the budget now. The test bounds the close at 5 s in place of 30, and has a case with an endpoint that writes from several threads. Ruled out: a lost wake-up of the backpressure, a lost cancel frame. The other selects have no source without end before a cancellation.

--- a/crates/sesamehaven-daemons/src/call.rs
+++ b/crates/sesamehaven-daemons/src/call.rs
@@ -11,6 +11,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot};
+use tokio::task::unconstrained;
 use tokio::time::timeout;
 
 use sesamehaven::config::Endpoint;
@@ -136,7 +137,8 @@
         let end = tokio::select! {
             biased;
             end = self.exchange(&client, &agent) => end,
-            _ = &mut cancel => CallEnd::Cancelled,
+            // An endpoint that always has bytes ready uses up the budget of the task each time.
+            _ = unconstrained(&mut cancel) => CallEnd::Cancelled,
         };
         let progress = Progress::Ended(end);
         agent.do_send(CallEvent { id, progress });
--- a/crates/sesamehaven-system-tests/tests/unframed_answers.rs
+++ b/crates/sesamehaven-system-tests/tests/unframed_answers.rs
@@ -15,6 +15,10 @@
 const AUTHORIZATION: (&str, &str) = ("authorization", "Bearer key-of-org-1");
 /// The bytes that an endpoint without end sends at a time.
 const PART_BYTES: usize = 64 << 10;
+/// How soon after its deadline a call has ended, half a second of grace and the agent's own delay included.
+const CLOSED_WITHIN: Duration = Duration::from_secs(5);
+/// The threads that write an answer faster than an agent reads it.
+const WRITERS: usize = 4;
 
 type Script = fn(&str, &mut TcpStream);
 
@@ -145,6 +149,16 @@
     while io.write_all(part).is_ok() {}
 }
 
+/// Writes from several threads, so that the agent has always bytes to read.
+fn write_faster_than_read(io: &mut TcpStream) {
+    std::thread::scope(|scope| {
+        for _ in 0..WRITERS {
+            let mut io = io.try_clone().unwrap();
+            scope.spawn(move || write_without_end(&mut io, &[b'a'; 16 * PART_BYTES]));
+        }
+    });
+}
+
 #[rstest]
 #[case::head_line(|_: &str, io: &mut TcpStream| write_without_end(io, &[b'a'; PART_BYTES]))]
 #[case::head_fields(|_: &str, io: &mut TcpStream| {
@@ -162,6 +176,10 @@
     write_head(io, "text/plain");
     write_without_end(io, &[b'a'; PART_BYTES]);
 })]
+#[case::fast_body(|_: &str, io: &mut TcpStream| {
+    write_head(io, "text/plain");
+    write_faster_than_read(io);
+})]
 #[actix_rt::test]
 async fn bytes_without_end_are_read_no_longer_than_the_deadline(#[case] script: Script) {
     let endpoint = ScriptedEndpoint::start(script).unwrap();
@@ -176,7 +194,7 @@
     // The caller gets an error, or a body that does not end whole.
     let response = fleet.http.send("POST", &url, &headers, "a").await;
     assert!(response.is_err() || response.is_ok_and(|r| r.status != 200));
-    let closed = wait::until("the end of the call", || async {
+    let closed = wait::until_within(CLOSED_WITHIN, "the end of the call", || async {
         let is_closed = endpoint.open.load(Ordering::SeqCst) == 0;
         is_closed.then_some(())
     });
