Tell prompts being read with the requests of an endpoint

A digest named its endpoints twice, once with the requests that run and once with the prompts that are read, and an empty digest was a byte longer than before, so that `a_digest_does_not_grow_with_idle_ organisations` failed its bound. Both figures stand in one entry now, in the digest and in the calls of the dispatcher, where one call sets both. The rule when counts are recent enough stands in one place (`Preference::set_others`). No decision changes.

--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -23,7 +23,7 @@
 use sesamehaven::unit::Millis;
 
 use crate::clock;
-use crate::peers::{Load, Loads};
+use crate::peers::{EndpointShare, Load, Loads};
 use crate::protocol::EndpointEntry;
 
 /// How often the queues are processed while requests are waiting.
@@ -306,14 +306,10 @@
     pub fn set_peer_loads(&self, loads: &Loads) {
         for (name, pool) in self.pools.borrow_mut().iter_mut() {
             let waiting = loads.waiting.get(&short_hash(hash_of(name)));
-            let running = |hash: u64| loads.running.get(&short_hash(hash)).copied();
             let waiting = waiting.copied().unwrap_or_default();
             pool.set_peers(loads.fronts, waiting, clock::now(), |hash| {
-                running(hash).unwrap_or_default()
-            });
-            pool.set_peer_prefill(|hash| {
-                let prefill = loads.prefill.get(&short_hash(hash)).copied();
-                prefill.unwrap_or_default()
+                let dispatched = loads.dispatched.get(&short_hash(hash)).copied();
+                dispatched.unwrap_or_default()
             });
         }
         self.others.borrow_mut().clone_from(&loads.ids);
@@ -327,15 +323,15 @@
     /// Returns the requests of this front running at each endpoint and, weighted, waiting for each pool.
     pub fn local_load(&self) -> Load {
         let pools = self.pools.borrow();
-        let running = pools.values().flat_map(Dispatcher::running);
+        let dispatched = pools.values().flat_map(Dispatcher::dispatched);
+        let dispatched = dispatched.map(|(hash, load)| EndpointShare {
+            endpoint: short_hash(hash),
+            running: load.running,
+            prefill_ms: load.prefill_ms,
+        });
         let waiting = pools.iter().filter(|(_, pool)| pool.waiting() > 0);
         Load {
-            running: running.map(|(hash, n)| (short_hash(hash), n)).collect(),
-            prefill: pools
-                .values()
-                .flat_map(Dispatcher::prefill)
-                .map(|(hash, ms)| (short_hash(hash), ms))
-                .collect(),
+            dispatched: dispatched.collect(),
             waiting: waiting
                 .map(|(name, pool)| (short_hash(hash_of(name)), pool.weighted_waiting()))
                 .collect(),
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -35,7 +35,7 @@
 use crate::dispatched_run::Run;
 use crate::endpoint_load::{EndpointLoad, freshness};
 use crate::exposure::VersionRules;
-use crate::placement::{Demand, DispatchOutcome, ListedEndpoint, Placement};
+use crate::placement::{Demand, DispatchOutcome, DispatchedLoad, ListedEndpoint, Placement};
 use crate::refusal::{self, RETRY_AFTER_MAX};
 use crate::request_rate::RequestRate;
 use crate::rollout_evidence::Evidence;
@@ -150,14 +150,14 @@
         self.placement.on_load(endpoint, load, now);
     }
 
-    /// Updates the number of other processes, their [`weighted_waiting`](Self::weighted_waiting), and the
-    /// requests that they run at each endpoint.
+    /// Updates the number of other processes, their [`weighted_waiting`](Self::weighted_waiting), and what
+    /// they run at each endpoint.
     pub fn set_peers(
         &mut self,
         others: usize,
         waiting: u32,
         now: Instant,
-        running: impl Fn(u64) -> u32,
+        dispatched: impl Fn(u64) -> DispatchedLoad,
     ) {
         let own = self.backlog.weight() + 1.0;
         self.waiting_share = own / (own + f64::from(waiting) + others as f64);
@@ -167,25 +167,12 @@
         let share = is_informative.then_some(self.waiting_share);
         self.placement.set_others(others, is_informative);
         self.placement
-            .set_peers(share, freshness(others, age), now, running);
+            .set_peers(share, freshness(others, age), now, dispatched);
     }
 
-    /// Updates the expected time to prefill the prompts that the other processes have sent to each
-    /// endpoint, in milliseconds.
-    pub fn set_peer_prefill(&mut self, prefill_ms: impl Fn(u64) -> u32) {
-        self.placement.set_peer_prefill(prefill_ms);
-    }
-
-    /// Returns the hash of each endpoint that reads prompts of this process, with the expected time to
-    /// prefill them, in milliseconds.
-    pub fn prefill(&self) -> impl Iterator<Item = (u64, u32)> + '_ {
-        self.placement.prefill()
-    }
-
-    /// Returns the hash of each endpoint with the number of requests that this process
-    /// runs there.
-    pub fn running(&self) -> impl Iterator<Item = (u64, u32)> + '_ {
-        self.placement.running()
+    /// Returns the hash of each endpoint at which this process runs requests, with what it runs there.
+    pub fn dispatched(&self) -> impl Iterator<Item = (u64, DispatchedLoad)> + '_ {
+        self.placement.dispatched()
     }
 
     /// Returns the software version of an endpoint.
--- a/crates/sesamehaven/src/endpoint_score.rs
+++ b/crates/sesamehaven/src/endpoint_score.rs
@@ -44,13 +44,13 @@
         }
     }
 
-    /// Returns the weight of the order among a number of other processes, whose requests this process
-    /// counts in time to choose by them or not.
-    pub(crate) fn weight(others: usize, has_timely_counts: bool) -> f64 {
-        match has_timely_counts || others == 0 {
+    /// Updates the number of other processes, and whether their counts are recent enough to choose by.
+    pub(crate) fn set_others(&mut self, others: usize, has_timely_counts: bool) {
+        self.has_timely_counts = has_timely_counts || others == 0;
+        self.weight = match self.has_timely_counts {
             true => (others as f64 / FULL_PREFERENCE_OTHERS).min(1.0),
             false => 1.0,
-        }
+        };
     }
 
     fn of(self, endpoint: &PoolEndpoint) -> f64 {
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -23,7 +23,7 @@
 use crate::software_version::PoolVersion;
 use crate::unit::{Instant, Millis};
 
-pub use crate::pool_endpoint::{Demand, DispatchOutcome, ListedEndpoint};
+pub use crate::pool_endpoint::{Demand, DispatchOutcome, DispatchedLoad, ListedEndpoint};
 
 /// The time to the first event, relative to the pool median, above which an endpoint gets only
 /// requests that are on time there.
@@ -140,7 +140,7 @@
         rates.sum()
     }
 
-    /// Updates the number of requests that the other processes run at each endpoint.
+    /// Updates what the other processes run at each endpoint.
     ///
     /// All processes see the same few free slots. Each therefore draws at random which of
     /// them it may claim until the next update, in proportion to `waiting_share`, its share of
@@ -151,13 +151,15 @@
         waiting_share: Option<f64>,
         freshness: Millis,
         now: Instant,
-        running: impl Fn(u64) -> u32,
+        dispatched: impl Fn(u64) -> DispatchedLoad,
     ) {
         self.is_shared = waiting_share.is_some();
         let waiting_share = waiting_share.unwrap_or(1.0);
         self.peer_updates += 1;
         for endpoint in &mut self.endpoints {
-            endpoint.peer_running = running(endpoint.hash);
+            let load = dispatched(endpoint.hash);
+            endpoint.peer_running = load.running;
+            endpoint.peer_prefill_ms = f64::from(load.prefill_ms);
             endpoint.freshness = freshness;
         }
         let draw = mix_bits(self.preference.seed ^ self.peer_updates);
@@ -172,30 +174,19 @@
 
     /// Updates the number of other processes, and whether their counts are recent enough to choose by.
     pub fn set_others(&mut self, others: usize, has_timely_counts: bool) {
-        self.preference.weight = Preference::weight(others, has_timely_counts);
-        self.preference.has_timely_counts = has_timely_counts || others == 0;
+        self.preference.set_others(others, has_timely_counts);
     }
 
-    /// Updates the expected prefill time of what the other processes have sent to each endpoint.
-    pub fn set_peer_prefill(&mut self, prefill_ms: impl Fn(u64) -> u32) {
-        for endpoint in &mut self.endpoints {
-            endpoint.peer_prefill_ms = f64::from(prefill_ms(endpoint.hash));
-        }
-    }
-
-    /// Returns the hash of each endpoint that reads prompts of this process, with the expected time to
-    /// prefill them, in milliseconds.
-    pub fn prefill(&self) -> impl Iterator<Item = (u64, u32)> + '_ {
-        let times = self.endpoints.iter();
-        let times = times.map(|e| (e.hash, e.own_prefill_ms.round() as u32));
-        times.filter(|(_, ms)| *ms > 0)
-    }
-
-    /// Returns the hash of each endpoint with the number of requests that this process
-    /// runs there.
-    pub fn running(&self) -> impl Iterator<Item = (u64, u32)> + '_ {
+    /// Returns the hash of each endpoint at which this process runs requests, with what it runs there.
+    pub fn dispatched(&self) -> impl Iterator<Item = (u64, DispatchedLoad)> + '_ {
         let busy = self.endpoints.iter().filter(|e| e.own_running > 0);
-        busy.map(|e| (e.hash, e.own_running))
+        busy.map(|e| {
+            let load = DispatchedLoad {
+                running: e.own_running,
+                prefill_ms: e.own_prefill_ms.round() as u32,
+            };
+            (e.hash, load)
+        })
     }
 
     /// Returns the number of requests that all ready endpoints accept, including
--- a/crates/sesamehaven/src/pool_endpoint.rs
+++ b/crates/sesamehaven/src/pool_endpoint.rs
@@ -45,6 +45,25 @@
     Neutral,
 }
 
+/// What processes have sent to an endpoint that has not ended yet.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct DispatchedLoad {
+    /// The number of requests.
+    pub running: u32,
+    /// The expected time to prefill the prompts that have no first event yet, in milliseconds.
+    pub prefill_ms: u32,
+}
+
+impl DispatchedLoad {
+    /// Returns the load of requests that have no prompts, or whose first events have arrived.
+    pub fn of_running(running: u32) -> Self {
+        DispatchedLoad {
+            running,
+            prefill_ms: 0,
+        }
+    }
+}
+
 /// An endpoint as listed in the directory.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ListedEndpoint {
