Allocate the future of a request apart from its connection

Each connection held 9.4 kB for the future of its handler, also while no request ran, and up to 15 kB in practice. It is boxed now.

Samples of histograms are aggregated each 5 s besides. They were held one by one until somebody read the metrics, so that a front whose metrics nobody reads grew without bound.

--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -57,6 +57,8 @@
 const TASK_RESTART_DELAY: Duration = Duration::from_millis(100);
 /// How often the settings are re-read without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(5);
+/// How often the samples of histograms are aggregated.
+const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Runs a front until SIGTERM, then drains the requests in flight.
 ///
@@ -165,6 +167,10 @@
     spawn_task("send_origins", move || {
         origins::send_origins(Rc::clone(&shared), Rc::clone(&socket))
     });
+    let upkeep = metrics.clone();
+    spawn_task("aggregate_metrics", move || {
+        aggregate_metrics(upkeep.clone())
+    });
     actix_rt::spawn(gossip::serve_state(Rc::clone(&front), tcp));
     actix_rt::spawn(reload_settings(Rc::clone(&front), hangup, reload));
     let pools = Rc::clone(&front.pools);
@@ -183,6 +189,14 @@
     Ok(())
 }
 
+/// Aggregates the samples of histograms periodically, which are held one by one until then.
+async fn aggregate_metrics(metrics: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(METRICS_UPKEEP_INTERVAL).await;
+        metrics.run_upkeep();
+    }
+}
+
 /// Waits until the requests in flight have finished or the grace period is nearly over.
 ///
 /// Requests that the load balancer still sends are served until it has noticed. Then idle
@@ -358,7 +372,8 @@
         .on_connect_ext(|io: &CallerStream, data| {
             data.insert(io.streaming_flag());
         })
-        .h1(fn_service(handler));
+        // A connection has room for the future of its handler, also while none runs.
+        .h1(fn_service(move |req| Box::pin(handler(req))));
     let Ok(service) = factory.new_service(()).await else {
         spdlog::error!("failed to create the HTTP service");
         return;
