--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -23,7 +23,7 @@
 use sesamehaven::unit::Millis;
 
 use crate::clock;
-use crate::peers::{EndpointShare, Load, Loads};
+use crate::load::{EndpointShare, Load, Loads};
 use crate::protocol::EndpointEntry;
 
 /// How often the queues are processed while requests are waiting.
