Keep streams of slow endpoints from pausing behind long prompts

A slow engine reads 2,048 prompt tokens in 93 ms and sends one token meanwhile, so that a prompt of more than about 5,000 tokens stops every stream there.

Now the intervals between events tell the speed, slow endpoints take any number of streams, and only with prompts that are read within half the accepted gap, and answers that end within half the time left.

--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -151,6 +151,7 @@
             arrived: waiting_since,
             first_sent: self.first_sent,
             objective: self.route.objective,
+            gap_objective: self.route.is_stream.then_some(self.route.gap_objective),
             deadline: self.deadline,
             slot_ms: self.estimated_slot_ms(),
             first_event_ms: self.estimated_first_event_ms(),
--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -85,6 +85,13 @@
         }
     }
 
+    /// Records that events of a stream have arrived together.
+    pub fn on_events(&self) {
+        if let Some(dispatcher) = self.pools.pools.borrow_mut().get_mut(&self.pool) {
+            dispatcher.on_event(self.ticket, clock::now());
+        }
+    }
+
     /// Releases the slot and marks the endpoint as unreachable.
     pub fn mark_unreachable(self) {
         let (ticket, now) = (self.ticket, clock::now());
--- a/crates/sesamehaven-front/src/relay.rs
+++ b/crates/sesamehaven-front/src/relay.rs
@@ -59,6 +59,7 @@
         let FirstEvents { source, read } = next;
         match read {
             StreamRead::Events(events) => {
+                source.response.slot.on_events();
                 job.front.check_survival(source.response.request());
                 tx.send(events)
                     .await
--- a/crates/sesamehaven/examples/replay/caller.rs
+++ b/crates/sesamehaven/examples/replay/caller.rs
@@ -169,6 +169,7 @@
         arrived: Instant(req.sent),
         first_sent: Instant(req.first_sent),
         objective: Millis(class.objective_ms),
+        gap_objective: Some(Millis(class.max_gap_ms)),
         deadline: Instant(req.deadline),
         slot_ms: EXPECTED_PREPARE_MS
             + tokens.0 * EXPECTED_TOKEN_MS.0
--- a/crates/sesamehaven/examples/replay/simulation.rs
+++ b/crates/sesamehaven/examples/replay/simulation.rs
@@ -447,6 +447,9 @@
             }
             Some(_) => req.is_late |= self.now - req.last_event > class.max_gap_ms,
         }
+        self.fronts[req.front]
+            .dispatcher
+            .on_event(Ticket(id as u64), Instant(self.now));
         req.last_event = self.now;
         let (front, is_first) = (req.front, req.first_event == Some(self.now));
         if is_first {
--- a/crates/sesamehaven/src/dispatched_run.rs
+++ b/crates/sesamehaven/src/dispatched_run.rs
@@ -3,6 +3,7 @@
 use smol_str::SmolStr;
 
 use crate::backlog::Rank;
+use crate::event_pace::StreamPace;
 use crate::rollout_traffic::Sample;
 use crate::unit::Instant;
 
@@ -16,6 +17,8 @@
     /// The expected prefill time until the first event arrives, zero from then on.
     pub(crate) pending_prefill_ms: f64,
     pub(crate) started: Instant,
+    /// The events of its response, if it is a stream.
+    pub(crate) pace: StreamPace,
     /// How the response counts while a version is rolled out.
     pub(crate) sample: Option<Sample>,
 }
--- a/crates/sesamehaven/src/dispatcher.rs
+++ b/crates/sesamehaven/src/dispatcher.rs
@@ -34,6 +34,7 @@
 use crate::digest::hash_of;
 use crate::dispatched_run::Run;
 use crate::endpoint_load::{EndpointLoad, freshness};
+use crate::event_pace::StreamPace;
 use crate::exposure::VersionRules;
 use crate::placement::{Demand, DispatchOutcome, DispatchedLoad, ListedEndpoint, Placement};
 use crate::refusal::{self, RETRY_AFTER_MAX};
@@ -288,6 +289,16 @@
         }
     }
 
+    /// Records that an event of a stream has arrived, the first one or a later one.
+    pub fn on_event(&mut self, ticket: Ticket, now: Instant) {
+        let Some(run) = self.running.get_mut(&ticket) else {
+            return;
+        };
+        if let Some(interval_ms) = run.pace.on_event(now) {
+            self.placement.on_event_interval(&run.endpoint, interval_ms);
+        }
+    }
+
     /// Records that a request has ended at its endpoint and starts waiting requests in
     /// the freed slot.
     pub fn on_end(&mut self, ticket: Ticket, outcome: DispatchOutcome, now: Instant) -> Steps {
@@ -367,7 +378,7 @@
             let Some(work) = self.pending.get(&ticket) else {
                 continue;
             };
-            let demand = work.demand(ticket, now);
+            let demand = work.demand(ticket, self.time_factor, now);
             if let Some(endpoint) = self.choose_candidate(work, &demand, now) {
                 self.start(ticket, &demand, endpoint, now, steps);
                 return true;
@@ -422,6 +433,7 @@
             first_event_ms: work.first_event_ms,
             pending_prefill_ms: work.prefill_ms,
             started: now,
+            pace: StreamPace::default(),
         };
         self.running.insert(ticket, run);
         steps.push(Step::Start { ticket, endpoint });
@@ -436,7 +448,7 @@
             .max(limited_wait(rate, self.backlog.len()));
         let (free, slots) = self.slots(opens_at);
         let is_free = free > self.reserve(work, slots, now);
-        let demand = work.demand(ticket, now);
+        let demand = work.demand(ticket, self.time_factor, now);
         if is_free && self.placement.has_free_slot(&demand, &work.tried, opens_at) {
             return pause;
         }
--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -20,6 +20,7 @@
 use crate::pool_endpoint::{FAILURE_EXCESS, PoolEndpoint, QUEUED_AHEAD};
 use crate::request_rate::{Allowance, RequestRate};
 use crate::session_table::SessionTable;
+use crate::slow_endpoint::SlowLimits;
 use crate::software_version::PoolVersion;
 use crate::unit::{Instant, Millis};
 
@@ -28,9 +29,6 @@
 /// The time to the first event, relative to the pool median, above which an endpoint gets only
 /// requests that are on time there.
 const SLOW_FIRST_EVENT: f64 = 2.0;
-/// The time factor, relative to the pool median, above which an endpoint runs one
-/// probe request at a time.
-const SLOW_TIME_FACTOR: f64 = 3.0;
 /// How long an endpoint that rejected a request as full is skipped; about the time
 /// that a request holds a slot.
 const FULL_COOLDOWN: Millis = Millis(150);
@@ -231,11 +229,11 @@
     /// Returns whether any endpoint has a free slot for a request, regardless of which
     /// process may claim it.
     pub fn has_free_slot(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> bool {
-        let median = self.median_time_factor();
+        let limits = self.slow_limits(demand, tried, now);
         let is_fit = |e: &PoolEndpoint| {
             !tried.contains(&e.listed.id)
                 && demand.allows(e)
-                && self.has_room(e, demand, median, now)
+                && self.has_room(e, demand, limits, now)
         };
         self.open(now).any(is_fit)
     }
@@ -247,7 +245,7 @@
     /// requests for which they are fast enough.
     pub fn choose(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> Option<SmolStr> {
         let last = demand.session.and_then(|s| self.sessions.endpoint(s, now));
-        let median = self.median_time_factor();
+        let limits = self.slow_limits(demand, tried, now);
         let is_contended = self.is_contended(now);
         // Most endpoints are on time, and then neither the median nor the others matter.
         let slow_factor = LazyCell::new(|| {
@@ -265,7 +263,7 @@
             if !is_open || !demand.allows(endpoint) || tried.contains(&endpoint.listed.id) {
                 continue;
             }
-            if !self.has_room(endpoint, demand, median, now) {
+            if !self.has_room(endpoint, demand, limits, now) {
                 continue;
             }
             let is_slow = || slow_factor.is_some_and(|f| endpoint.first_event_factor > f);
@@ -285,9 +283,9 @@
 
     /// Chooses an endpoint of the version that is tried, which has a slot free at once.
     pub fn choose_candidate(&self, demand: &Demand, now: Instant) -> Option<SmolStr> {
-        let median = self.median_time_factor();
+        let limits = self.slow_limits(demand, &[], now);
         let draw = mix_bits(demand.tie_breaker ^ self.preference.seed);
-        let has_room = |e: &PoolEndpoint| self.has_room(e, demand, median, now);
+        let has_room = |e: &PoolEndpoint| self.has_room(e, demand, limits, now);
         let chosen = candidate_choice::choose(self.open(now), draw, now, has_room);
         chosen.map(|e| e.listed.id.clone())
     }
@@ -319,6 +317,17 @@
         }
     }
 
+    /// Records the mean interval between some events of a stream, in milliseconds.
+    pub fn on_event_interval(&mut self, id: &str, interval_ms: f64) {
+        if let Some(endpoint) = self.endpoint(id) {
+            endpoint.pace.observe(interval_ms);
+        }
+        let median_ms = median(self.ready().filter_map(|e| e.pace.interval_ms()));
+        for endpoint in &mut self.endpoints {
+            endpoint.set_median_interval(median_ms);
+        }
+    }
+
     /// Records the first event of a response; `factor` is the ratio of the actual to the expected
     /// time to it.
     pub fn on_first_event(&mut self, id: &str, factor: f64) {
@@ -428,7 +437,7 @@
         &self,
         endpoint: &PoolEndpoint,
         demand: &Demand,
-        median: f64,
+        limits: SlowLimits,
         now: Instant,
     ) -> bool {
         if endpoint.free(now) == 0 {
@@ -440,15 +449,26 @@
         if endpoint.ejections > 0 && endpoint.own_running > 0 {
             return false;
         }
-        if endpoint.time_factor > SLOW_TIME_FACTOR * median && endpoint.own_running > 0 {
+        if !limits.allow(endpoint, demand, now) {
             return false;
         }
         let long_max = (f64::from(endpoint.listed.slots) * LONG_SLOT_SHARE).ceil();
         !demand.is_long || f64::from(endpoint.own_long_running) < long_max
     }
 
-    fn median_time_factor(&self) -> f64 {
-        median(self.ready().map(|e| e.time_factor))
+    /// Returns the limits of slow endpoints, which hold while a faster one, free or not, may take the request.
+    fn slow_limits(&self, demand: &Demand, tried: &[SmolStr], now: Instant) -> SlowLimits {
+        let limits = SlowLimits::new(median(self.ready().map(|e| e.time_factor)));
+        let is_faster = |e: &PoolEndpoint| {
+            e.ejected_until <= now
+                && !tried.contains(&e.listed.id)
+                && demand.allows(e)
+                && !limits.is_slow(e)
+        };
+        match self.open(now).any(is_faster) {
+            true => limits,
+            false => SlowLimits::NONE,
+        }
     }
 
     fn median_first_event_factor(&self) -> f64 {
--- a/crates/sesamehaven/src/pool_endpoint.rs
+++ b/crates/sesamehaven/src/pool_endpoint.rs
@@ -5,6 +5,7 @@
 use crate::announcement::Standing;
 use crate::digest::hash_of;
 use crate::endpoint_load::{LoadReports, freshness};
+use crate::event_pace::EventPace;
 use crate::exposure::Access;
 use crate::request_rate::Allowance;
 use crate::software_version::PoolVersion;
@@ -29,6 +30,8 @@
 const FIRST_EVENT_WEIGHT: f64 = 0.1;
 /// The lower and upper bound of the time factor of an endpoint.
 const TIME_FACTOR_RANGE: (f64, f64) = (0.1, 20.0);
+/// The lower bound of a median interval between events, in milliseconds, below which the clock is too coarse.
+const MIN_INTERVAL_MS: f64 = 1.0;
 /// The number of samples before the failure rate of an endpoint is evaluated.
 const MIN_SAMPLES: u32 = 4;
 /// The failure rate, in excess of the pool average, above which an endpoint is ejected.
@@ -90,8 +93,14 @@
     pub first_event_ms: f64,
     /// The part of it in which the endpoint reads this prompt and no other one, in milliseconds.
     pub prefill_ms: f64,
+    /// The expected time in a slot at an average endpoint, in milliseconds.
+    pub slot_ms: f64,
     /// The time within which the first event is on time.
     pub objective: Millis,
+    /// The gap between events up to which a stream is on time, or [`None`] for other responses.
+    pub gap_objective: Option<Millis>,
+    /// The time left to the deadline.
+    pub deadline_left: Millis,
     /// The time left to its objective, or [`None`] if it is late already.
     pub time_left: Option<Millis>,
     /// A number, different for each request, that breaks ties between endpoints.
@@ -134,7 +143,10 @@
     pub(crate) freshness: Millis,
     /// The free slots that this process may claim until the next peer update.
     pub(crate) claimable: u32,
+    /// How much longer requests take here than on average, by the intervals between events where there are
+    /// streams, and by the ratio of actual to expected time in a slot elsewhere.
     pub(crate) time_factor: f64,
+    pub(crate) pace: EventPace,
     /// The moving average of the ratio of actual to expected time to the first event.
     pub(crate) first_event_factor: f64,
     pub(crate) failure_rate: f64,
@@ -162,6 +174,7 @@
             freshness: freshness(0, Millis(0)),
             claimable: 0,
             time_factor: 1.0,
+            pace: EventPace::default(),
             first_event_factor: 1.0,
             failure_rate: 0.0,
             samples: 0,
@@ -214,9 +227,19 @@
         self.first_event_factor += FIRST_EVENT_WEIGHT * (factor - self.first_event_factor);
     }
 
+    /// Updates the time factor by the intervals between events, given the median of the pool.
+    pub(crate) fn set_median_interval(&mut self, median_ms: f64) {
+        if let Some(interval_ms) = self.pace.interval_ms() {
+            let factor = interval_ms / median_ms.max(MIN_INTERVAL_MS);
+            self.time_factor = factor.clamp(TIME_FACTOR_RANGE.0, TIME_FACTOR_RANGE.1);
+        }
+    }
+
     /// Records what came of a request; `factor` is the ratio of its actual to its expected duration.
     pub(crate) fn on_outcome(&mut self, outcome: DispatchOutcome, factor: Option<f64>) {
-        if let Some(factor) = factor {
+        if let Some(factor) = factor
+            && self.pace.interval_ms().is_none()
+        {
             let factor = factor.clamp(TIME_FACTOR_RANGE.0, TIME_FACTOR_RANGE.1);
             self.time_factor += SAMPLE_WEIGHT * (factor - self.time_factor);
         }
--- a/crates/sesamehaven/src/work.rs
+++ b/crates/sesamehaven/src/work.rs
@@ -27,6 +27,8 @@
     pub first_sent: Instant,
     /// The time within which the response, or its first event, is on time.
     pub objective: Millis,
+    /// The gap between events up to which a stream is on time, or [`None`] for other responses.
+    pub gap_objective: Option<Millis>,
     /// When the caller stops waiting.
     pub deadline: Instant,
     /// The expected time in a slot at an endpoint of average speed, in milliseconds.
@@ -54,6 +56,7 @@
             arrived,
             first_sent: arrived,
             objective,
+            gap_objective: None,
             deadline: arrived.after(Millis(objective.0 * 8)),
             slot_ms: 100.0,
             first_event_ms: 50.0,
@@ -65,14 +68,19 @@
         }
     }
 
-    pub(crate) fn demand(&self, ticket: Ticket, now: Instant) -> Demand {
+    /// Returns what the request demands of an endpoint; `time_factor` is how much longer requests
+    /// take in the pool than expected.
+    pub(crate) fn demand(&self, ticket: Ticket, time_factor: f64, now: Instant) -> Demand {
         let due = self.first_sent.after(self.objective);
         Demand {
             session: self.session,
             is_long: self.length().is_long(),
             first_event_ms: self.first_event_ms,
             prefill_ms: self.prefill_ms,
+            slot_ms: self.slot_ms * time_factor,
             objective: self.objective,
+            gap_objective: self.gap_objective,
+            deadline_left: self.deadline.since(now),
             time_left: (due > now).then(|| due.since(now)),
             tie_breaker: ticket.0,
             version: self.version,
