Read on after a signal in the tests' clients

The tests of requests right after a freeze were listed in KNOWN-RED.txt: one or two of 24 requests got no answer, and the front logged "request unanswered". Traces at both ends show that the caller closed the connection: the front reads the end of the stream, and the first read of the test's client had failed with EINTR, which the client took for a closed connection. Neither the front nor the HTTP server dropped anything.

The readers of the tests go on after EINTR now, as read_exact does; what they expect stays the same.

--- a/crates/sesamehaven-system-tests/tests/unframed_answers.rs
+++ b/crates/sesamehaven-system-tests/tests/unframed_answers.rs
@@ -57,9 +57,7 @@
 fn read_request(io: &mut TcpStream) -> Option<String> {
     let (mut read, mut byte) = (Vec::new(), [0]);
     while !read.ends_with(b"\r\n\r\n") {
-        if io.read(&mut byte).ok()? == 0 {
-            return None;
-        }
+        io.read_exact(&mut byte).ok()?;
         read.push(byte[0]);
     }
     let head = String::from_utf8_lossy(&read).to_ascii_lowercase();
--- a/crates/sesamehaven-wire/tests/http1_property.rs
+++ b/crates/sesamehaven-wire/tests/http1_property.rs
@@ -26,7 +26,12 @@
         let (mut io, _) = listener.accept().unwrap();
         io.set_nodelay(true).unwrap();
         let mut head = [0; 1024];
-        let _ = io.read(&mut head).unwrap();
+        let _ = loop {
+            match io.read(&mut head) {
+                Err(err) if err.kind() == std::io::ErrorKind::Interrupted => {}
+                read => break read.unwrap(),
+            }
+        };
         for part in parts {
             // The client may close before the last part.
             if io.write_all(&part).is_err() {
