--- a/crates/sesamehaven-front/src/admission.rs
+++ b/crates/sesamehaven-front/src/admission.rs
@@ -178,13 +178,7 @@
     };
     let peers = job.front.peers.borrow();
     let mut shared_limits = job.front.shared_limits.borrow_mut();
-    let charged = shared_limits.charge(
-        &organisation.name,
-        job.rank.route,
-        amount,
-        &peers.liveness,
-        clock::now(),
-    );
+    let charged = shared_limits.charge(&organisation.name, amount, &peers.liveness, clock::now());
     let (min, max) = LIMIT_RETRY_AFTER;
     charged.map(|()| amount).map_err(|wait| {
         counter!("front_over_limit_total").increment(1);
--- a/crates/sesamehaven-front/src/shared_limits.rs
+++ b/crates/sesamehaven-front/src/shared_limits.rs
@@ -5,11 +5,10 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use sesamehaven::Tier;
 use sesamehaven::digest::{hash_of, short_hash};
 use sesamehaven::limit_use::LimitUse;
 use sesamehaven::shared_limit::{
-    BurstLimit, PeerId, PeerTracker, SavedUsage, SharedRetryBudget, SharedWindow, WindowLimit,
+    PeerId, PeerTracker, SavedUsage, SharedRetryBudget, SharedWindow, WindowLimit,
 };
 use sesamehaven::unit::{Instant, Millis};
 
@@ -97,15 +96,15 @@
             let window_limit = window_limit(&limit, bounds);
             let window = self.windows.entry(organisation.name.clone());
             let mut carried = || previous.remove(&organisation.name);
-            let window = window.or_insert_with(|| {
-                carried().unwrap_or_else(|| SharedWindow::new(window_limit, now))
-            });
-            window.set_limit(window_limit);
-            window.set_burst(burst_limit(&limit, bounds), now);
+            window
+                .or_insert_with(|| {
+                    carried().unwrap_or_else(|| SharedWindow::new(window_limit, now))
+                })
+                .set_limit(window_limit);
         }
     }
 
-    /// Charges a request of a tier to its organisation's limit.
+    /// Charges an amount to an organisation's limit.
     ///
     /// # Errors
     ///
@@ -113,13 +112,12 @@
     pub fn charge(
         &mut self,
         organisation: &str,
-        tier: Tier,
         amount: u64,
         liveness: &PeerTracker,
         now: Instant,
     ) -> Result<(), Millis> {
         match self.windows.get_mut(organisation) {
-            Some(window) => window.consume_as(tier, amount, liveness.limit_share(now), now),
+            Some(window) => window.consume(amount, liveness.limit_share(now), now),
             None => Ok(()),
         }
     }
@@ -245,32 +243,16 @@
 const TOLERANCE_SHARE: f64 = 0.4;
 
 fn window_limit(limit: &RateLimit, bounds: &Bounds) -> WindowLimit {
-    WindowLimit {
-        window: bounds.limit_window,
-        amount: (allowed(limit, bounds) + used_tolerance(limit, bounds)) as u64,
-    }
-}
-
-/// Returns the limit on what an organisation may use at once, with the same tolerance as its window.
-fn burst_limit(limit: &RateLimit, bounds: &Bounds) -> BurstLimit {
-    BurstLimit {
-        rate_per_s: limit.rate_per_s as f64,
-        burst: limit.burst as f64 + used_tolerance(limit, bounds),
-    }
-}
-
-/// Returns what an organisation may use within a window, without the tolerance.
-fn allowed(limit: &RateLimit, bounds: &Bounds) -> f64 {
-    let window_s = bounds.limit_window.0 as f64 / 1_000.0;
-    limit.rate_per_s as f64 * window_s + limit.burst as f64
-}
-
-/// Returns the part of the tolerance that organisations may use.
-fn used_tolerance(limit: &RateLimit, bounds: &Bounds) -> f64 {
+    let window = bounds.limit_window;
+    let allowed = limit.rate_per_s as f64 * window.0 as f64 / 1_000.0 + limit.burst as f64;
     let slack = if limit.counts_tokens {
         bounds.limit_slack
     } else {
         0.0
     };
-    (allowed(limit, bounds) * bounds.limit_overage + slack) * TOLERANCE_SHARE
+    let tolerance = allowed * bounds.limit_overage + slack;
+    WindowLimit {
+        window,
+        amount: (allowed + tolerance * TOLERANCE_SHARE) as u64,
+    }
 }
--- a/crates/sesamehaven-front/tests/shared_limits.rs
+++ b/crates/sesamehaven-front/tests/shared_limits.rs
@@ -2,7 +2,6 @@
 
 use rstest::rstest;
 
-use sesamehaven::Tier;
 use sesamehaven::limit_use::LimitUse;
 use sesamehaven::unit::Instant;
 use sesamehaven_front::peers::{Digest, Peers, encode};
@@ -37,7 +36,7 @@
 
 fn charge(limits: &mut SharedLimits, organisation: usize, peers: &Peers) {
     let name = format!("organisation-{organisation}");
-    let charged = limits.charge(&name, Tier::MOST_URGENT, 3_000, &peers.liveness, Instant(1));
+    let charged = limits.charge(&name, 3_000, &peers.liveness, Instant(1));
     assert!(charged.is_ok());
 }
 
@@ -70,7 +69,7 @@
     let now = Instant(20_000);
     own.merge_usage(7, &other.usage(now), true, now);
     let name = "organisation-2";
-    let charged = other.charge(name, Tier::MOST_URGENT, 4_000_000, &peers.liveness, now);
+    let charged = other.charge(name, 4_000_000, &peers.liveness, now);
     assert!(charged.is_ok());
     own.merge_usage(7, &other.usage(now), true, now);
     let used = own.limit_use(Some(name), now);
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -92,7 +92,6 @@
 mod step;
 pub mod stream_origin;
 pub mod tier;
-mod token_bucket;
 pub mod unit;
 mod wait_limits;
 mod work;
--- a/crates/sesamehaven/src/shared_limit.rs
+++ b/crates/sesamehaven/src/shared_limit.rs
@@ -10,9 +10,6 @@
 use crate::limit_use::LimitUse;
 pub use crate::peer_tracker::{PeerId, PeerTracker};
 use crate::sliding_window::SlidingWindow;
-use crate::tier::Tier;
-pub use crate::token_bucket::BurstLimit;
-use crate::token_bucket::TokenBucket;
 use crate::unit::{Instant, Millis};
 
 /// The share of a limit from which its usage is persisted as one sum.
@@ -100,10 +97,6 @@
 pub struct SharedWindow {
     limit: WindowLimit,
     window: SlidingWindow,
-    /// What limits the consumption within less than the window, if anything does.
-    bucket: Option<TokenBucket>,
-    /// The share of the limit that fell to the connected processes when it was last consumed.
-    share: f64,
     /// The part of the usage that was persisted by processes that are gone.
     lost: SlidingWindow,
     total: u64,
@@ -132,8 +125,6 @@
         SharedWindow {
             limit,
             window,
-            bucket: None,
-            share: 1.0,
             lost: SlidingWindow::new(limit.window),
             total: 0,
             peers: HashMap::new(),
@@ -150,13 +141,6 @@
         self.limit.amount = limit.amount;
     }
 
-    /// Limits what may be consumed at once, in addition to the window; what was consumed so far counts on.
-    pub fn set_burst(&mut self, limit: BurstLimit, now: Instant) {
-        self.bucket
-            .get_or_insert_with(|| TokenBucket::new(limit, now))
-            .set_limit(limit);
-    }
-
     /// Consumes `amount`, or returns how long to wait until it is available.
     ///
     /// `share` is the share of the limit that falls to the connected processes.
@@ -165,21 +149,6 @@
     ///
     /// Returns the time to wait if the limit would be exceeded.
     pub fn consume(&mut self, amount: u64, share: f64, now: Instant) -> Result<(), Millis> {
-        self.consume_as(Tier::MOST_URGENT, amount, share, now)
-    }
-
-    /// Consumes `amount` for a request of a tier, which leaves a part of the burst for more urgent ones.
-    ///
-    /// # Errors
-    ///
-    /// Returns the time to wait if the limit would be exceeded.
-    pub fn consume_as(
-        &mut self,
-        tier: Tier,
-        amount: u64,
-        share: f64,
-        now: Instant,
-    ) -> Result<(), Millis> {
         self.window.expire(now);
         self.lost.expire(now);
         let lost = self.lost.sum.max(0.0);
@@ -189,32 +158,17 @@
         if excess > 0.0 && self.window.sum > 0.0 {
             return Err(self.window.wait_for(excess, now));
         }
-        self.share = share;
-        if let Some(bucket) = &mut self.bucket {
-            let wait = bucket.wait_for(tier, amount as f64, share, now);
-            if wait > Millis(0) {
-                return Err(wait);
-            }
-        }
-        self.add(amount as f64, now);
+        self.window.add(amount as f64, now);
         self.total += amount;
         Ok(())
     }
 
     /// Refunds the amount of a request that has not run.
     pub fn refund(&mut self, amount: u64, now: Instant) {
-        self.add(-(amount as f64), now);
+        self.window.add(-(amount as f64), now);
         self.total = self.total.saturating_sub(amount);
     }
 
-    /// Records what was consumed just now, here or at another process.
-    fn add(&mut self, amount: f64, now: Instant) {
-        self.window.add(amount, now);
-        if let Some(bucket) = &mut self.bucket {
-            bucket.add(amount, self.share, now);
-        }
-    }
-
     /// Returns the total that this process has consumed.
     pub fn consumed(&self) -> u64 {
         self.total
@@ -335,7 +289,7 @@
         self.window.expire(now);
         match previous {
             // A smaller total results from refunds.
-            Some(previous) => self.add(total as f64 - previous.total as f64, now),
+            Some(previous) => self.window.add(total as f64 - previous.total as f64, now),
             // What it consumed earlier may be part of what was persisted, but is not lost.
             None if is_first_window => self.lost.add(-(total as f64), now),
             None => {}
