--- a/crates/sesamehaven-front/src/pools.rs
+++ b/crates/sesamehaven-front/src/pools.rs
@@ -85,8 +85,8 @@
         }
     }
 
-    /// Records that events of a stream have arrived together.
-    pub fn on_events(&self) {
+    /// Records that an event of a stream has arrived, or several together.
+    pub fn on_event(&self) {
         if let Some(dispatcher) = self.pools.pools.borrow_mut().get_mut(&self.pool) {
             dispatcher.on_event(self.ticket, clock::now());
         }
--- a/crates/sesamehaven-front/src/relay.rs
+++ b/crates/sesamehaven-front/src/relay.rs
@@ -59,7 +59,7 @@
         let FirstEvents { source, read } = next;
         match read {
             StreamRead::Events(events) => {
-                source.response.slot.on_events();
+                source.response.slot.on_event();
                 job.front.check_survival(source.response.request());
                 tx.send(events)
                     .await
