Probe slow endpoints that no stream suits

Since slow endpoints take only streams that end there in time, one that was twenty times slower for a while got no request of which the deadline was less than forty times its usual duration, and so no events that would show that it is fast again. A process that has sent such an endpoint nothing for five seconds sends it any request now. The test fails without that: the endpoint is never chosen again.

--- a/crates/sesamehaven/src/placement.rs
+++ b/crates/sesamehaven/src/placement.rs
@@ -296,6 +296,7 @@
             return;
         };
         endpoint.own_running += 1;
+        endpoint.sent_at = now;
         if let Some(allowance) = &mut endpoint.allowance {
             allowance.consume(now);
             endpoint.probed_at = now;
--- a/crates/sesamehaven/src/pool_endpoint.rs
+++ b/crates/sesamehaven/src/pool_endpoint.rs
@@ -147,6 +147,8 @@
     /// streams, and by the ratio of actual to expected time in a slot elsewhere.
     pub(crate) time_factor: f64,
     pub(crate) pace: EventPace,
+    /// When this process last sent it a request.
+    pub(crate) sent_at: Instant,
     /// The moving average of the ratio of actual to expected time to the first event.
     pub(crate) first_event_factor: f64,
     pub(crate) failure_rate: f64,
@@ -175,6 +177,7 @@
             claimable: 0,
             time_factor: 1.0,
             pace: EventPace::default(),
+            sent_at: Instant(0),
             first_event_factor: 1.0,
             failure_rate: 0.0,
             samples: 0,
--- a/crates/sesamehaven/src/slow_endpoint.rs
+++ b/crates/sesamehaven/src/slow_endpoint.rs
@@ -23,6 +23,10 @@
 /// The length of an answer is known only vaguely, and later prompts delay it.
 const MAX_DURATION_SHARE: f64 = 0.5;
 
+/// How long a process sends nothing to a slow endpoint before it sends any request as a probe, without which
+/// it would not notice that the endpoint is fast again.
+const PROBE_INTERVAL: Millis = Millis(5_000);
+
 /// What the slow endpoints of a pool may take.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct SlowLimits {
@@ -48,7 +52,8 @@
 
     /// Returns whether an endpoint may take a request.
     pub(crate) fn allow(self, endpoint: &PoolEndpoint, demand: &Demand, now: Instant) -> bool {
-        if !self.is_slow(endpoint) {
+        let is_probe_due = now.since(endpoint.sent_at) >= PROBE_INTERVAL;
+        if !self.is_slow(endpoint) || is_probe_due {
             return true;
         }
         let factor = endpoint.time_factor / self.median;
--- a/crates/sesamehaven/tests/placement.rs
+++ b/crates/sesamehaven/tests/placement.rs
@@ -154,6 +154,34 @@
     assert!(at_b <= 1, "{at_b} requests at the slow endpoint");
 }
 
+/// An endpoint was so slow for a while that no stream would end there in time, and all others are full.
+#[test]
+fn an_endpoint_that_was_too_slow_is_probed() {
+    let mut p = placement(2);
+    let stream = Demand {
+        slot_ms: 1_000.0,
+        gap_objective: Some(Millis(300)),
+        ..demand(None, 0)
+    };
+    let now = Instant(10_000);
+    for id in IDS {
+        p.on_start(id, &stream, now);
+        p.on_event_interval(id, if id == "b" { 400.0 } else { 20.0 });
+        p.on_end(id, false, DispatchOutcome::Success, None, now);
+    }
+    while let Some(id) = p.choose(&stream, &[], now) {
+        assert_ne!(
+            id, "b",
+            "the stream would take longer than its caller waits"
+        );
+        p.on_start(&id, &stream, now);
+    }
+    let later = Instant(15_000);
+    assert_eq!(p.choose(&stream, &[], later).unwrap(), "b");
+    p.on_start("b", &stream, later);
+    assert_eq!(p.choose(&stream, &[], later), None, "one probe is enough");
+}
+
 /// The first event takes four times as long at one endpoint, as on deployments whose engines are
 /// unlike, and all others are full most of the time.
 #[test]
