Log each charge of the retry budget with its level

Each charge now has a line, second_send or second_send_refused, with what this front has spent and may spend and the number of fronts, and counts in front_second_sends_total. Decisions are unchanged.

--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -6,7 +6,7 @@
 
 use actix_http::{Method, Response};
 use bytes::{BufMut, Bytes, BytesMut};
-use metrics::histogram;
+use metrics::{counter, histogram};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
@@ -303,7 +303,15 @@
         let bounds = self.front.settings.borrow().bounds;
         let peers = self.front.peers.borrow();
         let mut shared_limits = self.front.shared_limits.borrow_mut();
-        shared_limits.try_acquire_retry(&self.pool, &bounds, &peers.liveness, now)
+        let is_allowed = shared_limits.try_acquire_retry(&self.pool, &bounds, &peers.liveness, now);
+        let level = shared_limits.retry_level(&self.pool, &bounds, &peers.liveness, now);
+        let (event, outcome) = match is_allowed {
+            true => ("second_send", "allowed"),
+            false => ("second_send_refused", "refused"),
+        };
+        counter!("front_second_sends_total", "outcome" => outcome).increment(1);
+        self.log(event, "", level);
+        is_allowed
     }
 
     /// Logs a decision or an event of this request.
--- a/crates/sesamehaven-front/src/shared_limits.rs
+++ b/crates/sesamehaven-front/src/shared_limits.rs
@@ -8,7 +8,7 @@
 use sesamehaven::digest::{hash_of, short_hash};
 use sesamehaven::limit_use::LimitUse;
 use sesamehaven::shared_limit::{
-    PeerId, PeerTracker, SavedUsage, SharedRetryBudget, SharedWindow, WindowLimit,
+    BudgetLevel, PeerId, PeerTracker, SavedUsage, SharedRetryBudget, SharedWindow, WindowLimit,
 };
 use sesamehaven::unit::{Instant, Millis};
 
@@ -227,6 +227,18 @@
         self.retry_budget(pool, bounds).try_consume(processes, now)
     }
 
+    /// Returns how far this front has spent its share of a pool's retry budget.
+    pub fn retry_level(
+        &mut self,
+        pool: &SmolStr,
+        bounds: &Bounds,
+        liveness: &PeerTracker,
+        now: Instant,
+    ) -> BudgetLevel {
+        let processes = liveness.total_processes(now);
+        self.retry_budget(pool, bounds).level(processes, now)
+    }
+
     fn retry_budget(&mut self, pool: &SmolStr, bounds: &Bounds) -> &mut SharedRetryBudget {
         self.retry_budgets.entry(pool.clone()).or_insert_with(|| {
             SharedRetryBudget::new(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window)
--- a/crates/sesamehaven/src/shared_limit.rs
+++ b/crates/sesamehaven/src/shared_limit.rs
@@ -4,6 +4,7 @@
 //! See [`docs/FRONT.md`](../../../docs/FRONT.md#limits-that-processes-share).
 
 use std::collections::HashMap;
+use std::fmt::{self, Display, Formatter};
 
 use serde::{Deserialize, Serialize};
 
@@ -375,13 +376,45 @@
 
     /// Takes one retry from the budget; returns false if none is left.
     pub fn try_consume(&mut self, processes: usize, now: Instant) -> bool {
-        self.requests.expire(now);
-        self.retries.expire(now);
-        let budget = self.ratio * self.requests.sum + self.slack / processes.max(1) as f64;
-        if self.retries.sum + 1.0 > budget * USABLE_BUDGET_SHARE {
+        let level = self.level(processes, now);
+        if level.spent + 1.0 > level.allowed {
             return false;
         }
         self.retries.add(1.0, now);
         true
     }
+
+    /// Returns how far the budget is spent.
+    pub fn level(&mut self, processes: usize, now: Instant) -> BudgetLevel {
+        self.requests.expire(now);
+        self.retries.expire(now);
+        let budget = self.ratio * self.requests.sum + self.slack / processes.max(1) as f64;
+        BudgetLevel {
+            spent: self.retries.sum,
+            allowed: budget * USABLE_BUDGET_SHARE,
+            processes,
+        }
+    }
+}
+
+/// How far one process has spent its share of a retry budget.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetLevel {
+    /// The retries within the window.
+    pub spent: f64,
+    /// How many this process may make within the window.
+    pub allowed: f64,
+    /// The number of processes among which the constant part is divided.
+    pub processes: usize,
+}
+
+impl Display for BudgetLevel {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let BudgetLevel {
+            spent,
+            allowed,
+            processes,
+        } = self;
+        write!(f, "{spent:.0} of {allowed:.1}, {processes} processes")
+    }
 }
