Earn the retry budget, so that a restart does not renew it

Each front compared a sum over the last window with its share and began that sum anew at each start: what was spent just before a kill could be spent once more after it, the constant part included.

The budget is a balance now. Within any window it spends no more than saved and earned since, whatever ran before, so nothing has to be known.

--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -91,8 +91,9 @@
     }
     {
         let bounds = job.front.settings.borrow().bounds;
+        let peers = job.front.peers.borrow();
         let mut shared_limits = job.front.shared_limits.borrow_mut();
-        shared_limits.record_request(&job.pool, &bounds, now);
+        shared_limits.record_request(&job.pool, &bounds, &peers.liveness, now);
     }
     let front = Rc::clone(&job.front);
     let sent = SentRequest::new(&job);
--- a/crates/sesamehaven-front/src/shared_limits.rs
+++ b/crates/sesamehaven-front/src/shared_limits.rs
@@ -7,9 +7,8 @@
 
 use sesamehaven::digest::{hash_of, short_hash};
 use sesamehaven::limit_use::LimitUse;
-use sesamehaven::shared_limit::{
-    BudgetLevel, PeerId, PeerTracker, SavedUsage, SharedRetryBudget, SharedWindow, WindowLimit,
-};
+use sesamehaven::shared_limit::{PeerId, PeerTracker, SavedUsage, SharedWindow, WindowLimit};
+use sesamehaven::shared_retry_budget::{BudgetLevel, SharedRetryBudget};
 use sesamehaven::unit::{Instant, Millis};
 
 use crate::routing_table::{RateLimit, RoutingTable};
@@ -211,8 +210,16 @@
     }
 
     /// Counts a request to a pool, which adds to its retry budget.
-    pub fn record_request(&mut self, pool: &SmolStr, bounds: &Bounds, now: Instant) {
-        self.retry_budget(pool, bounds).on_request(now);
+    pub fn record_request(
+        &mut self,
+        pool: &SmolStr,
+        bounds: &Bounds,
+        liveness: &PeerTracker,
+        now: Instant,
+    ) {
+        let processes = liveness.total_processes(now);
+        self.retry_budget(pool, bounds, now)
+            .on_request(processes, now);
     }
 
     /// Consumes one retry from a pool's budget, if one is left.
@@ -224,10 +231,11 @@
         now: Instant,
     ) -> bool {
         let processes = liveness.total_processes(now);
-        self.retry_budget(pool, bounds).try_consume(processes, now)
+        self.retry_budget(pool, bounds, now)
+            .try_consume(processes, now)
     }
 
-    /// Returns how far this front has spent its share of a pool's retry budget.
+    /// Returns how much this front has left of its share of a pool's retry budget.
     pub fn retry_level(
         &mut self,
         pool: &SmolStr,
@@ -236,13 +244,18 @@
         now: Instant,
     ) -> BudgetLevel {
         let processes = liveness.total_processes(now);
-        self.retry_budget(pool, bounds).level(processes, now)
+        self.retry_budget(pool, bounds, now).level(processes, now)
     }
 
-    fn retry_budget(&mut self, pool: &SmolStr, bounds: &Bounds) -> &mut SharedRetryBudget {
-        self.retry_budgets.entry(pool.clone()).or_insert_with(|| {
-            SharedRetryBudget::new(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window)
-        })
+    fn retry_budget(
+        &mut self,
+        pool: &SmolStr,
+        bounds: &Bounds,
+        now: Instant,
+    ) -> &mut SharedRetryBudget {
+        let (ratio, slack) = (bounds.retry_ratio, bounds.retry_slack);
+        let budgets = self.retry_budgets.entry(pool.clone());
+        budgets.or_insert_with(|| SharedRetryBudget::new(ratio, slack, bounds.retry_window, now))
     }
 }
 
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -85,6 +85,7 @@
 pub mod running;
 mod session_table;
 pub mod shared_limit;
+pub mod shared_retry_budget;
 mod sliding_window;
 mod slot_state;
 mod slow_endpoint;
--- a/crates/sesamehaven/src/shared_limit.rs
+++ b/crates/sesamehaven/src/shared_limit.rs
@@ -4,7 +4,6 @@
 //! See [`docs/FRONT.md`](../../../docs/FRONT.md#limits-that-processes-share).
 
 use std::collections::HashMap;
-use std::fmt::{self, Display, Formatter};
 
 use serde::{Deserialize, Serialize};
 
@@ -25,9 +24,6 @@
 /// Reports come each second, so this is two of them. A later one is by a process that did not know the usage itself
 /// until one window after its start.
 const MAX_REPORT_DELAY: Millis = Millis(2_500);
-/// The share of the retry budget that may be used, since the number of processes is only
-/// as recent as their last messages.
-const USABLE_BUDGET_SHARE: f64 = 0.85;
 
 /// A limit on the total consumption of all processes within a sliding window.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -343,78 +339,3 @@
         self.window.add(usage.max(self.total as f64), now);
     }
 }
-
-/// The share of one process in a retry budget that all processes have in common.
-///
-/// The part in proportion to requests needs no coordination; the constant part is
-/// divided evenly.
-#[derive(Debug)]
-pub struct SharedRetryBudget {
-    ratio: f64,
-    slack: f64,
-    requests: SlidingWindow,
-    retries: SlidingWindow,
-}
-
-impl SharedRetryBudget {
-    /// Creates a budget of `ratio` of the requests within `window`, plus `slack` for all
-    /// processes together.
-    pub fn new(ratio: f64, slack: f64, window: Millis) -> Self {
-        SharedRetryBudget {
-            ratio,
-            slack,
-            requests: SlidingWindow::new(window),
-            retries: SlidingWindow::new(window),
-        }
-    }
-
-    /// Records a request.
-    pub fn on_request(&mut self, now: Instant) {
-        self.requests.expire(now);
-        self.requests.add(1.0, now);
-    }
-
-    /// Takes one retry from the budget; returns false if none is left.
-    pub fn try_consume(&mut self, processes: usize, now: Instant) -> bool {
-        let level = self.level(processes, now);
-        if level.spent + 1.0 > level.allowed {
-            return false;
-        }
-        self.retries.add(1.0, now);
-        true
-    }
-
-    /// Returns how far the budget is spent.
-    pub fn level(&mut self, processes: usize, now: Instant) -> BudgetLevel {
-        self.requests.expire(now);
-        self.retries.expire(now);
-        let budget = self.ratio * self.requests.sum + self.slack / processes.max(1) as f64;
-        BudgetLevel {
-            spent: self.retries.sum,
-            allowed: budget * USABLE_BUDGET_SHARE,
-            processes,
-        }
-    }
-}
-
-/// How far one process has spent its share of a retry budget.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct BudgetLevel {
-    /// The retries within the window.
-    pub spent: f64,
-    /// How many this process may make within the window.
-    pub allowed: f64,
-    /// The number of processes among which the constant part is divided.
-    pub processes: usize,
-}
-
-impl Display for BudgetLevel {
-    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        let BudgetLevel {
-            spent,
-            allowed,
-            processes,
-        } = self;
-        write!(f, "{spent:.0} of {allowed:.1}, {processes} processes")
-    }
-}
--- a/crates/sesamehaven/src/sliding_window.rs
+++ b/crates/sesamehaven/src/sliding_window.rs
@@ -26,6 +26,10 @@
         }
     }
 
+    pub(crate) fn span(&self) -> Millis {
+        self.span
+    }
+
     fn bucket_ms(&self) -> u64 {
         (self.span.0 / BUCKETS).max(1)
     }
--- a/crates/sesamehaven/tests/retry_budget_restart.rs
+++ b/crates/sesamehaven/tests/retry_budget_restart.rs
@@ -4,7 +4,7 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
-use sesamehaven::shared_limit::SharedRetryBudget;
+use sesamehaven::shared_retry_budget::SharedRetryBudget;
 use sesamehaven::unit::{Instant, Millis};
 
 const RATIO: f64 = 0.2;
@@ -25,7 +25,7 @@
 impl Process {
     fn start(now: Instant) -> Self {
         Process {
-            budget: SharedRetryBudget::new(RATIO, SLACK, WINDOW),
+            budget: SharedRetryBudget::new(RATIO, SLACK, WINDOW, now),
             started: now,
         }
     }
@@ -79,12 +79,12 @@
             if now < process.started {
                 continue;
             }
-            process.budget.on_request(now);
+            let known = process.known(now);
+            process.budget.on_request(known, now);
             let wanted = match (demand_from..demand_to).contains(&now.0) {
                 true => 2,
                 false => u32::from(rng.random_bool(0.04)),
             };
-            let known = process.known(now);
             let made = (0..wanted).filter(|_| process.budget.try_consume(known, now));
             retries.extend(made.map(|_| now.0));
         }
--- a/crates/sesamehaven/tests/shared_limit.rs
+++ b/crates/sesamehaven/tests/shared_limit.rs
@@ -4,7 +4,8 @@
 
 use rstest::rstest;
 
-use sesamehaven::shared_limit::{PeerTracker, SharedRetryBudget, SharedWindow, WindowLimit};
+use sesamehaven::shared_limit::{PeerTracker, SharedWindow, WindowLimit};
+use sesamehaven::shared_retry_budget::SharedRetryBudget;
 use sesamehaven::unit::{Instant, Millis};
 
 const LIMIT: WindowLimit = WindowLimit {
@@ -134,10 +135,10 @@
 
 #[test]
 fn retries_stay_within_the_budget_of_any_window() {
-    let mut budget = SharedRetryBudget::new(0.2, 40.0, Millis(10_000));
+    let mut budget = SharedRetryBudget::new(0.2, 40.0, Millis(10_000), Instant(0));
     let mut taken = Vec::new();
     for now in (0..60_000).step_by(20) {
-        budget.on_request(Instant(now));
+        budget.on_request(4, Instant(now));
         if budget.try_consume(4, Instant(now)) {
             taken.push(now);
         }
