Charge the retry budget when a request is sent again

A second send was charged when the first attempt failed, and then waited for a slot, up to its deadline. The budget bounds arrivals within a window, so charges of a long time could arrive together, and requests that never found another endpoint used the budget up.

The budget is charged once the request has its slot, as streams that go on elsewhere were already. Before the wait it is only asked, so that a request that finds nothing left is answered at once.

--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -15,6 +15,8 @@
 use sesamehaven::limit_use::LimitUse;
 use sesamehaven::part_quarantine::{PartId, PartIds, PoolId};
 use sesamehaven::placement::DispatchOutcome;
+use sesamehaven::shared_limit::PeerTracker;
+use sesamehaven::shared_retry_budget::BudgetLevel;
 use sesamehaven::software_version::PoolVersion;
 use sesamehaven::unit::{Instant, Millis};
 
@@ -27,6 +29,8 @@
 use crate::pools::{Rejection, Slot};
 use crate::protocol::{ForwardedMeta, Protocol, RequestMeta};
 use crate::routing_table::{Organisation, RetryPolicy, Route};
+use crate::settings::Bounds;
+use crate::shared_limits::SharedLimits;
 
 /// The latency of an idle engine before it processes the prompt, in milliseconds.
 const PREFILL_OVERHEAD_MS: f64 = 83.0;
@@ -284,12 +288,9 @@
         self.estimated_first_event_ms() + output as f64 * DECODE_MS_PER_TOKEN
     }
 
-    /// Consumes one retry from the retry budget for a request that may have run, if its route allows
-    /// it to run again and a retry is left.
-    pub fn try_acquire_rerun(&self) -> bool {
-        self.route.retry_policy != RetryPolicy::Never
-            && self.has_attempts()
-            && self.try_acquire_retry()
+    /// Returns whether a request that may have run may run again, and the retry budget has a retry left.
+    pub fn may_rerun(&self) -> bool {
+        self.route.retry_policy != RetryPolicy::Never && self.has_attempts() && self.has_retry()
     }
 
     /// Returns whether the request may run at one more endpoint.
@@ -297,21 +298,47 @@
         self.runs.get() < self.route.max_attempts
     }
 
+    /// Returns whether the retry budget has a retry left, without consuming it.
+    pub fn has_retry(&self) -> bool {
+        let level = self.ask_retry_budget(SharedLimits::retry_level);
+        if !level.is_left() {
+            self.record_second_send(false, level);
+        }
+        level.is_left()
+    }
+
     /// Consumes one retry from the retry budget, if one is left.
     pub fn try_acquire_retry(&self) -> bool {
-        let now = clock::now();
+        let is_allowed = self.ask_retry_budget(SharedLimits::try_acquire_retry);
+        let level = self.ask_retry_budget(SharedLimits::retry_level);
+        self.record_second_send(is_allowed, level);
+        is_allowed
+    }
+
+    fn ask_retry_budget<T>(
+        &self,
+        ask: impl FnOnce(&mut SharedLimits, &SmolStr, &Bounds, &PeerTracker, Instant) -> T,
+    ) -> T {
         let bounds = self.front.settings.borrow().bounds;
         let peers = self.front.peers.borrow();
         let mut shared_limits = self.front.shared_limits.borrow_mut();
-        let is_allowed = shared_limits.try_acquire_retry(&self.pool, &bounds, &peers.liveness, now);
-        let level = shared_limits.retry_level(&self.pool, &bounds, &peers.liveness, now);
+        let now = clock::now();
+        ask(
+            &mut shared_limits,
+            &self.pool,
+            &bounds,
+            &peers.liveness,
+            now,
+        )
+    }
+
+    fn record_second_send(&self, is_allowed: bool, level: BudgetLevel) {
         let (event, outcome) = match is_allowed {
             true => ("second_send", "allowed"),
             false => ("second_send_refused", "refused"),
         };
         counter!("front_second_sends_total", "outcome" => outcome).increment(1);
         self.log(event, "", level);
-        is_allowed
     }
 
     /// Logs a decision or an event of this request.
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -212,6 +212,8 @@
 /// Tries endpoints until one has responded or no further attempt is allowed.
 async fn dispatch<P: Protocol>(job: &Job<P>) -> ServeResult<Served> {
     let mut attempts_without_run = 0;
+    // Whether an endpoint has had the request since the retry budget was last charged.
+    let mut is_retry = false;
     loop {
         let slot = match job.acquire().await {
             Ok(slot) => slot,
@@ -220,6 +222,10 @@
             }
             Err(_) => return Err(endpoint_failed()),
         };
+        // Charged after the wait, since the budget bounds arrivals within a window.
+        if std::mem::take(&mut is_retry) && !job.try_acquire_retry() {
+            return Err(not_retried(job));
+        }
         let endpoint = slot.endpoint.clone();
         job.log("dispatch", &endpoint, job.runs.get());
         let attempt = match failover::attempt(job, slot, job.meta.last_event_id).await {
@@ -230,25 +236,20 @@
             Attempt::Responded(response) => response,
             Attempt::NotSent | Attempt::NotRun => {
                 attempts_without_run += 1;
-                let was_sent = matches!(attempt, Attempt::NotRun);
-                if attempts_without_run > MAX_ATTEMPTS_WITHOUT_RUN
-                    || (was_sent && !job.try_acquire_retry())
+                is_retry = matches!(attempt, Attempt::NotRun);
+                if attempts_without_run > MAX_ATTEMPTS_WITHOUT_RUN || (is_retry && !job.has_retry())
                 {
-                    return Err(match job.runs.get() {
-                        0 => all_rejected(job),
-                        _ => endpoint_failed(),
-                    });
+                    return Err(not_retried(job));
                 }
                 continue;
             }
             Attempt::Quarantined if job.runs.get() == 0 => return Err(quarantined(job)),
             Attempt::Quarantined => return Err(endpoint_failed()),
-            Attempt::Unknown(_) => {
-                if job.try_acquire_rerun() {
-                    continue;
-                }
-                return Err(endpoint_failed());
+            Attempt::Unknown(_) if job.may_rerun() => {
+                is_retry = true;
+                continue;
             }
+            Attempt::Unknown(_) => return Err(endpoint_failed()),
         };
         let served = match job.route.is_stream && response.head.status.is_success() {
             true => read_first_events(job, response).await,
@@ -256,8 +257,8 @@
         };
         match served {
             ResponseAction::Serve(served) => return Ok(served),
-            ResponseAction::Retry => {}
-            ResponseAction::Unusable if job.try_acquire_rerun() => {}
+            ResponseAction::Retry => is_retry = true,
+            ResponseAction::Unusable if job.may_rerun() => is_retry = true,
             ResponseAction::Unusable => return Err(endpoint_failed()),
         }
     }
@@ -266,8 +267,7 @@
 /// How an endpoint's response is handled.
 enum ResponseAction {
     Serve(Served),
-    /// The endpoint reported a failure, which is kept, and the request is sent again; the retry budget is
-    /// already charged.
+    /// The endpoint reported a failure, which is kept, and the request is sent again.
     Retry,
     /// The response cannot be used.
     Unusable,
@@ -335,7 +335,7 @@
     if failed
         && job.route.retry_policy == RetryPolicy::Always
         && job.has_time_for_retry()
-        && job.try_acquire_retry()
+        && job.has_retry()
     {
         job.failed_response.replace(Some(res));
         return ResponseAction::Retry;
@@ -377,6 +377,14 @@
     pools.retry_after(&job.pool, REJECTED_RETRY_AFTER)
 }
 
+/// Returns the failure of a request that may not be sent once more.
+fn not_retried<P: Protocol>(job: &Job<P>) -> Failure {
+    match job.runs.get() {
+        0 => all_rejected(job),
+        _ => endpoint_failed(),
+    }
+}
+
 fn all_rejected<P: Protocol>(job: &Job<P>) -> Failure {
     let message = "the endpoints that were tried took no more work";
     Failure::unavailable("rejected", message, rejected_retry_after(job))
