Decide the version of an unknown stream by a list read after its take-up

Operators of another system reported streams that went on at a replica of another version: one machine was out of step while replicas of the new one joined, and callers took streams of these up there. It could happen here. A front that nobody tells which version began a stream goes on with it if one version alone has served, and judged that by the list it had, however old: cut off from the directory and the others, it sent a stream of v2 on to v1.

Such a request now waits for a list that was read after it came, which is asked for at once, for a second at most, and is refused with Retry-After without one. After three seconds without a list versions may have come and gone, so that the saved ones are read again first.

--- a/crates/sesamehaven-front/src/directory_cache.rs
+++ b/crates/sesamehaven-front/src/directory_cache.rs
@@ -25,8 +25,13 @@
     digest: Cell<u64>,
     confirmed: Cell<Instant>,
     is_unproven: Cell<bool>,
+    has_gap: Cell<bool>,
 }
 
+/// The longest time between two confirmations of the list within which a software version is not taken to have
+/// come and gone unseen.
+const MAX_UNSEEN: Millis = Millis(3_000);
+
 impl ListingCache {
     /// Returns the current endpoint list.
     pub fn listing(&self) -> Listing {
@@ -70,6 +75,23 @@
         now.since(self.confirmed.get())
     }
 
+    /// Returns whether the list is known to have been current at a time.
+    pub fn is_confirmed_at(&self, at: Instant) -> bool {
+        self.confirmed.get() >= at
+    }
+
+    /// Returns whether endpoints may have come and gone unseen since the last call.
+    pub fn take_gap(&self) -> bool {
+        self.has_gap.take()
+    }
+
+    fn set_confirmed(&self, at: Instant) {
+        let previous = self.confirmed.replace(at);
+        if previous > Instant::default() && at.since(previous) > MAX_UNSEEN {
+            self.has_gap.set(true);
+        }
+    }
+
     /// Stores a list that was current at `confirmed_at`, and returns the previous list if it
     /// differs.
     ///
@@ -78,7 +100,7 @@
         if confirmed_at < self.confirmed.get() {
             return None;
         }
-        self.confirmed.set(confirmed_at);
+        self.set_confirmed(confirmed_at);
         let digest = listing.digest();
         if self.digest.replace(digest) == digest {
             return None;
@@ -88,7 +110,7 @@
 
     /// Records that the list was still current at `confirmed_at`.
     pub fn confirm(&self, confirmed_at: Instant) {
-        self.confirmed.set(self.confirmed.get().max(confirmed_at));
+        self.set_confirmed(self.confirmed.get().max(confirmed_at));
     }
 }
 
--- a/crates/sesamehaven-front/src/front.rs
+++ b/crates/sesamehaven-front/src/front.rs
@@ -7,6 +7,7 @@
 
 use smallvec::SmallVec;
 use smol_str::SmolStr;
+use tokio::sync::Notify;
 
 use sesamehaven::digest::hash_of;
 use sesamehaven::part_quarantine::PartQuarantine;
@@ -36,6 +37,8 @@
 const STALL_LIST_TIMEOUT: Millis = Millis(1_000);
 /// How often a waiting request checks whether there is a new list.
 const STALL_LIST_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// How long a request that needs a list read after its arrival waits for it.
+const FRESH_LIST_TIMEOUT: Millis = Millis(1_000);
 
 /// The shared state of a front.
 #[derive(Debug)]
@@ -46,6 +49,8 @@
     pub config: ConfigCache,
     /// The endpoints listed by the directory.
     pub endpoints: ListingCache,
+    /// Wakes the task that reads the list of endpoints.
+    pub list_wanted: Notify,
     /// What is believed of the directory since it came back from an older copy.
     pub restore_guard: RefCell<RestoreGuard>,
     /// The request queues and endpoint slots of all pools.
@@ -98,6 +103,7 @@
         Front {
             config: ConfigCache::default(),
             endpoints: ListingCache::default(),
+            list_wanted: Notify::new(),
             restore_guard: RefCell::default(),
             pools: Rc::new(Pools::new(hash_of(settings.peers.to_string()))),
             connections: ConnectionPool::default(),
@@ -145,6 +151,19 @@
         }
     }
 
+    /// Waits until the list of endpoints is known to have been current at a time; returns whether it is.
+    pub async fn wait_for_list_at(&self, at: Instant) -> bool {
+        let end = clock::now().after(FRESH_LIST_TIMEOUT);
+        while !self.endpoints.is_confirmed_at(at) {
+            if clock::now() >= end {
+                return false;
+            }
+            self.list_wanted.notify_one();
+            tokio::time::sleep(STALL_LIST_POLL_INTERVAL).await;
+        }
+        true
+    }
+
     /// Returns whether the front is ready for callers.
     pub fn is_ready(&self) -> bool {
         !self.is_draining.get()
--- a/crates/sesamehaven-front/src/origins.rs
+++ b/crates/sesamehaven-front/src/origins.rs
@@ -195,11 +195,17 @@
         self.is_restored.get()
     }
 
+    /// Makes the record be read again, since versions may have come and gone unseen.
+    fn require_restore(&self) {
+        self.is_restored.set(false);
+    }
+
     /// Returns whether all versions of a route's pools are known that streams may be of.
     fn is_complete(&self, route: &Route, now: Instant) -> bool {
         let history = self.history.borrow();
         let known = |pool| history.get(pool).is_some_and(|h| h.is_complete(now));
-        self.is_first_start || route.pools.iter().all(|(pool, _)| known(pool))
+        let is_known = self.is_first_start || route.pools.iter().all(|(pool, _)| known(pool));
+        is_known && self.is_restored()
     }
 
     /// Records a stream that this front has begun, and tells others of it.
@@ -290,12 +296,17 @@
         Some(first) => origins.find(StreamId::new(first)).await,
         None => None,
     };
+    // Endpoints of another version may have begun the stream since the list was read.
+    let is_listed = origin.is_some() || job.front.wait_for_list_at(job.arrived).await;
+    if job.front.endpoints.take_gap() {
+        origins.require_restore();
+    }
     let recent = origins.recent(&job.route);
     let serves = |(pool, version): &&(SmolStr, PoolVersion)| job.front.pools.serves(pool, *version);
     let all: SmallVec<[PoolVersion; 4]> = recent.iter().map(|(_, v)| *v).collect();
     let serving: SmallVec<[PoolVersion; 4]> =
         recent.iter().filter(serves).map(|(_, v)| *v).collect();
-    let is_complete = origins.is_complete(&job.route, clock::now());
+    let is_complete = is_listed && origins.is_complete(&job.route, clock::now());
     let decision = Continuation::decide(origin, &all, is_complete, &serving);
     log_take_up(job, origin, decision, serving.len(), all.len());
     match decision {
@@ -304,9 +315,9 @@
             VERSION_GONE,
             "the software version that began the stream serves no more; begin it anew",
         )),
-        Continuation::Unknown if !origins.is_restored() => Err(Failure::unavailable(
+        Continuation::Unknown if !is_listed || !origins.is_restored() => Err(Failure::unavailable(
             ORIGIN_UNKNOWN,
-            "this front has not read yet which software versions served before it started",
+            "this front has not read yet which software versions serve and served before",
             NOT_RESTORED_RETRY_AFTER,
         )),
         Continuation::Unknown => Err(Failure::not_resumable(
--- a/crates/sesamehaven-front/src/refresh.rs
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -14,6 +14,9 @@
 use crate::front::Front;
 use crate::protocol::{Directory, Listing, ListingRead, Protocol, Reading};
 
+/// The interval between reads of the list while requests wait for a newer one.
+const WANTED_LIST_INTERVAL: Millis = Millis(100);
+
 /// Tracks the availability of a dependency, to log each change once.
 #[derive(Debug, Default)]
 pub(crate) struct Dependency {
@@ -73,10 +76,11 @@
     };
     let mut outage_grace = OutageGrace::default();
     let mut era = None;
+    let mut is_wanted = false;
     loop {
         let sent = clock::now();
-        if !should_poll(&front, front.endpoints.age(sent), sent) {
-            wait_for_next_poll(&front, sent).await;
+        if !is_wanted && !should_poll(&front, front.endpoints.age(sent), sent) {
+            is_wanted = wait_for_next_list_poll(&front, sent).await;
             continue;
         }
         match read_endpoints(&front, &*directory).await {
@@ -96,7 +100,7 @@
                 dependency.record(Err(&err));
             }
         }
-        wait_for_next_poll(&front, sent).await;
+        is_wanted = wait_for_next_list_poll(&front, sent).await;
     }
 }
 
@@ -201,6 +205,25 @@
     tokio::time::sleep(Millis(interval.0.saturating_sub(elapsed.0)).duration()).await;
 }
 
+/// Waits like [`wait_for_next_poll`], or until a request needs a newer list; returns whether one does.
+async fn wait_for_next_list_poll<P: Protocol>(front: &Front<P>, sent: Instant) -> bool {
+    let wanted = async {
+        front.list_wanted.notified().await;
+        let elapsed = clock::now().since(sent);
+        tokio::time::sleep(
+            WANTED_LIST_INTERVAL
+                .duration()
+                .saturating_sub(elapsed.duration()),
+        )
+        .await;
+    };
+    tokio::select! {
+        biased;
+        () = wanted => true,
+        () = wait_for_next_poll(front, sent) => false,
+    }
+}
+
 /// Applies a list of endpoints, but for what is not believed since the directory came back from an
 /// older copy.
 pub(crate) fn apply_listing<P: Protocol>(
