Let each front save up one second send

A front saves up 0.3 of its usable share of the retry budget. Among a hundred fronts, one with few requests to a pool has a share below four, so it never had a whole retry saved, however long nothing failed.

--- a/crates/sesamehaven/src/shared_retry_budget.rs
+++ b/crates/sesamehaven/src/shared_retry_budget.rs
@@ -95,7 +95,8 @@
         self.earned_until = self.earned_until.max(now);
         let by_time = slack * USABLE_SHARE * EARNED_SHARE * windows;
         let budget = (self.ratio * self.requests.sum + slack) * USABLE_SHARE;
-        let max = budget * (1.0 - EARNED_SHARE);
+        // Otherwise, a process with few requests in a large fleet could never save up a retry.
+        let max = (budget * (1.0 - EARNED_SHARE)).max(1.0);
         let margin = slack * (1.0 - USABLE_SHARE);
         let balance = self.balance.unwrap_or(margin) + by_requests + by_time;
         *self.balance.insert(balance.min(max))
--- a/crates/sesamehaven/tests/retry_budget_restart.rs
+++ b/crates/sesamehaven/tests/retry_budget_restart.rs
@@ -100,3 +100,13 @@
         }
     }
 }
+
+/// Guards against a share of which so little may be saved that no retry is ever left.
+#[test]
+fn a_process_with_few_requests_in_a_large_fleet_may_retry_one() {
+    let mut budget = SharedRetryBudget::new(RATIO, SLACK, WINDOW, Instant(0));
+    for now in (0..60_000).step_by(2_000) {
+        budget.on_request(100, Instant(now));
+    }
+    assert!(budget.try_consume(100, Instant(60_000)));
+}
