--- a/review/1/run.py
+++ b/review/1/run.py
@@ -13,6 +13,8 @@
 START_GAP_S = 0.015   # all machines start within 0.3 s of each other
 CLIENTS = 12
 WORK_S = 0.2
+PAUSE_BEFORE_S = 0.5   # nobody books from this long before a replica leaves
+PAUSE_AFTER_S = 2.3    # until this long after it has left
 EXIT_AFTER_S = 2.5     # a leaving replica serves on for drain_ms "and a little longer", and then exits
 BACK_AFTER_S = 0.35    # after the replica has left, the store serves the machine again
 
@@ -115,12 +117,15 @@
         await front.wait_ready()
 
     stop = asyncio.Event()
+    is_busy = asyncio.Event()
+    is_busy.set()
 
     async def client(n, front):
-        """Sends one booking after the other to a front that nothing disturbs."""
+        """Sends one booking after the other, while it is busy, to a front that nothing disturbs."""
         reader, writer = await asyncio.open_connection(front.ip, front.front)
         count = 0
         while not stop.is_set():
+            await is_busy.wait()
             count += 1
             attempt = f"c{n}-{count}"
             sent_at[attempt] = record.now()
@@ -144,12 +149,16 @@
         if s.TROUBLE:
             record(f"round {round_no}: the store turns {fronts[0].name} away")
             doors[0].shut()
-        await asyncio.sleep(AWAY_S - BACK_AFTER_S)
+        await asyncio.sleep(AWAY_S - BACK_AFTER_S - PAUSE_BEFORE_S)
+        # For some seconds nobody books.
+        is_busy.clear()
+        await asyncio.sleep(PAUSE_BEFORE_S)
         list_read.clear()
         await list_read.wait()
         # It never reports that it drains: its entry is removed, and it serves on.
         leaving = fleet[round_no]
         leaving.beats.cancel()
+        leaving.is_leaving = True
         asyncio.get_running_loop().call_later(EXIT_AFTER_S, leaving.exit)
         store.remove("servers", leaving.name)
         left[leaving.name] = record.now()
@@ -158,10 +167,13 @@
         doors[0].is_shut = False
         if s.TROUBLE:
             record(f"round {round_no}: the store serves {fronts[0].name} again")
-        await asyncio.sleep(4.5)
+        await asyncio.sleep(PAUSE_AFTER_S - BACK_AFTER_S)
+        is_busy.set()
+        await asyncio.sleep(4.5 - PAUSE_AFTER_S + BACK_AFTER_S)
         if newest.name in left:
             raise s.CannotRun("too few replicas")
     stop.set()
+    is_busy.set()
     await asyncio.gather(*clients)
     for attempt, name, after in late[:5]:
         record.say(f"{attempt} reached {name}, sent {after:.3f} s after it had left")
