Tell other fronts only the list that the directory confirmed

Cause: a front took failed reads of its own for an outage of the directory. After a second of them it kept missing endpoints for 2 s, stored the result as the list that was confirmed at that read, and so gave it to fronts which the directory had told better a moment before. Both are one class: a belief that is passed on as confirmed.

An outage now is a time in which no front that is heard had an answer; digests already have the age of each front's list. The confirmed list and the list in use are two things, and only the first is told to others. That a restored directory retains missing endpoints is decided by each front by the era of the list that it applies. A front that stood still counts its stall as no outage.

--- a/crates/sesamehaven-front/src/directory_cache.rs
+++ b/crates/sesamehaven-front/src/directory_cache.rs
@@ -10,20 +10,30 @@
 use tokio::sync::Notify;
 
 use sesamehaven::digest::hash_of;
-use sesamehaven::restore::Report;
+use sesamehaven::outage::OutageDetector;
+use sesamehaven::restore::{Era, Report};
 use sesamehaven::unit::{Instant, Millis};
 
 use crate::error::Result;
-use crate::protocol::{Listing, Protocol};
+use crate::protocol::{EndpointEntry, Listing, Protocol};
 use crate::routing_table::RoutingTable;
 
 /// The endpoint list and the time at which it was last confirmed.
+///
+/// After an outage of the directory, endpoints that are missing from the confirmed list stay in use for a
+/// moment, so that they can renew their entries. Other fronts get the confirmed list only: each decides by
+/// what it knows itself whether there was an outage.
 #[derive(Debug, Default)]
 pub struct ListingCache {
+    /// The list in use, which includes retained endpoints.
     listing: RefCell<Listing>,
-    reports: RefCell<HashMap<SmolStr, Report>>,
+    in_use_digest: Cell<u64>,
+    confirmed_listing: RefCell<Listing>,
     digest: Cell<u64>,
+    reports: RefCell<HashMap<SmolStr, Report>>,
     confirmed: Cell<Instant>,
+    outage: RefCell<OutageDetector>,
+    era: Cell<Option<Era>>,
     is_unproven: Cell<bool>,
     has_gap: Cell<bool>,
 }
@@ -33,11 +43,16 @@
 const MAX_UNSEEN: Millis = Millis(3_000);
 
 impl ListingCache {
-    /// Returns the current endpoint list.
+    /// Returns the endpoint list in use.
     pub fn listing(&self) -> Listing {
         self.listing.borrow().clone()
     }
 
+    /// Returns the endpoint list as last confirmed, for other fronts.
+    pub fn confirmed_listing(&self) -> Listing {
+        self.confirmed_listing.borrow().clone()
+    }
+
     /// Returns when an endpoint started, as the list says.
     pub fn started_at(&self, endpoint: &str) -> Option<u64> {
         let listing = self.listing.borrow();
@@ -45,7 +60,7 @@
         entry.map(|e| e.started_at)
     }
 
-    /// Returns the hash of the endpoint list, or zero before the first one.
+    /// Returns the hash of the confirmed list, or zero before the first one.
     pub fn digest(&self) -> u64 {
         self.digest.get()
     }
@@ -85,24 +100,68 @@
         self.has_gap.take()
     }
 
+    /// Records that a read sent at `sent` failed.
+    pub fn on_read_failed(&self, sent: Instant) {
+        self.outage.borrow_mut().on_failure(sent);
+    }
+
+    /// Records that this process resumed after a stall.
+    pub fn on_resumed(&self, at: Instant) {
+        self.outage.borrow_mut().on_resumed(at);
+    }
+
+    /// Records that the directory answered another front as of `at`.
+    pub fn on_confirmed_elsewhere(&self, at: Instant) {
+        self.outage.borrow_mut().on_confirmed(at);
+    }
+
     fn set_confirmed(&self, at: Instant) {
+        self.outage.borrow_mut().on_confirmed(at);
         let previous = self.confirmed.replace(at);
         if previous > Instant::default() && at.since(previous) > MAX_UNSEEN {
             self.has_gap.set(true);
         }
     }
 
-    /// Stores a list that was current at `confirmed_at`, and returns the previous list if it
-    /// differs.
+    /// Stores a list of an era that was current at `confirmed_at`, and returns the previous list in use if
+    /// that changes.
     ///
     /// A list older than the stored one is ignored.
-    pub fn update(&self, listing: Listing, confirmed_at: Instant) -> Option<Listing> {
+    pub fn update(
+        &self,
+        listing: Listing,
+        era: Option<Era>,
+        confirmed_at: Instant,
+    ) -> Option<Listing> {
         if confirmed_at < self.confirmed.get() {
             return None;
         }
         self.set_confirmed(confirmed_at);
+        let previous_era = self.era.replace(era);
+        if previous_era.is_some() && era > previous_era {
+            self.outage.borrow_mut().on_restored(confirmed_at);
+        }
+        self.digest.set(listing.digest());
+        self.confirmed_listing.replace(listing);
+        self.refresh_in_use(confirmed_at)
+    }
+
+    /// Stops using the endpoints that were retained for long enough, and returns the previous list in use if
+    /// there were any.
+    pub fn drop_retained(&self, now: Instant) -> Option<Listing> {
+        if self.in_use_digest == self.digest || self.outage.borrow().retains_missing(now) {
+            return None;
+        }
+        self.refresh_in_use(now)
+    }
+
+    fn refresh_in_use(&self, now: Instant) -> Option<Listing> {
+        let mut listing = self.confirmed_listing();
+        if self.outage.borrow().retains_missing(now) {
+            add_missing(&mut listing, &self.listing.borrow());
+        }
         let digest = listing.digest();
-        if self.digest.replace(digest) == digest {
+        if self.in_use_digest.replace(digest) == digest {
             return None;
         }
         Some(self.listing.replace(listing))
@@ -114,6 +173,16 @@
     }
 }
 
+/// Adds the endpoints of an earlier list whose names and addresses are missing.
+fn add_missing(listing: &mut Listing, earlier: &Listing) {
+    let is_missing = |entry: &&EndpointEntry| {
+        let mut listed = listing.entries.iter();
+        !listed.any(|e| e.id == entry.id || e.address == entry.address)
+    };
+    let missing: Vec<EndpointEntry> = earlier.entries.iter().filter(is_missing).cloned().collect();
+    listing.entries.extend(missing);
+}
+
 /// Returns whether this front polls the directory itself.
 ///
 /// Only the first fronts by rank poll it, as long as they keep the others up to date: the platform
--- a/crates/sesamehaven-front/src/gossip.rs
+++ b/crates/sesamehaven-front/src/gossip.rs
@@ -22,7 +22,7 @@
     self, DIGEST_MAX_BYTES, Digest, DirectoryState, News, Proximity, StateResponse,
 };
 use crate::protocol::{ListingRead, Protocol};
-use crate::refresh::{apply_config, apply_listing};
+use crate::refresh::{self, apply_config, apply_listing};
 use crate::rollouts;
 use crate::shared_limits::{Usage, UsageChanges};
 
@@ -196,12 +196,13 @@
     Millis(interval.max(DIGEST_INTERVAL.0))
 }
 
-/// Applies the loads that the other fronts report.
+/// Applies the loads that the other fronts report, and ends what lasts only for a time.
 pub async fn apply_peer_loads<P: Protocol>(front: Rc<Front<P>>) {
     loop {
         let loads = front.peers.borrow().loads(clock::now());
         front.pools.set_peer_loads(&loads);
         front.stalls.on_tick(clock::now());
+        refresh::drop_retained(&front);
         tokio::time::sleep(DIGEST_INTERVAL.duration()).await;
     }
 }
@@ -298,6 +299,11 @@
     if !is_new {
         return;
     }
+    if digest.listing_digest != 0 && !front.stalls.is_recovering(now) {
+        let confirmed_at = Instant(now.0.saturating_sub(digest.listing_age));
+        front.endpoints.on_resumed(front.stalls.resumed_at(now));
+        front.endpoints.on_confirmed_elsewhere(confirmed_at);
+    }
     let mut shared_limits = front.shared_limits.borrow_mut();
     // Only a full digest names other fronts.
     let is_whole = !digest.peers.is_empty();
@@ -448,7 +454,7 @@
                     config: (config_version > known_version).then(|| front.config.raw()),
                     listing_age: front.endpoints.age(now).0,
                     listing_digest,
-                    endpoints: (!is_known).then(|| front.endpoints.listing()),
+                    endpoints: (!is_known).then(|| front.endpoints.confirmed_listing()),
                     reports: match is_known {
                         true => HashMap::new(),
                         false => front.endpoints.reports(),
--- a/crates/sesamehaven-front/src/refresh.rs
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -74,8 +74,6 @@
         name: "endpoints",
         is_down: false,
     };
-    let mut outage_grace = OutageGrace::default();
-    let mut era = None;
     let mut is_wanted = false;
     loop {
         let sent = clock::now();
@@ -86,17 +84,10 @@
         match read_endpoints(&front, &*directory).await {
             Ok(reading) => {
                 dependency.record(Ok(()));
-                if reading.era > era && era.is_some() {
-                    outage_grace.record_restore(sent);
-                }
-                era = reading.era.max(era);
-                let mut read = reading.value;
-                read.listing =
-                    outage_grace.retain_missing(&front.endpoints.listing(), read.listing, sent);
-                apply_listing(&front, read, reading.era, sent);
+                apply_listing(&front, reading.value, reading.era, sent);
             }
             Err(err) => {
-                outage_grace.record_failure(sent);
+                front.endpoints.on_read_failed(sent);
                 dependency.record(Err(&err));
             }
         }
@@ -144,55 +135,6 @@
     change
 }
 
-/// How long endpoints that are missing from the list after an outage are retained.
-const OUTAGE_GRACE_PERIOD: Millis = Millis(2_000);
-/// The minimum outage of the directory during which entries may have expired.
-const MIN_OUTAGE: Millis = Millis(1_000);
-
-/// Keeps missing endpoints for [`OUTAGE_GRACE_PERIOD`] after an outage of the directory, so that they
-/// can renew their expired entries.
-#[derive(Debug, Default)]
-struct OutageGrace {
-    failing_since: Option<Instant>,
-    grace_until: Instant,
-}
-
-impl OutageGrace {
-    fn record_failure(&mut self, now: Instant) {
-        self.failing_since.get_or_insert(now);
-    }
-
-    /// Records that the directory has lost entries, however short its outage was.
-    fn record_restore(&mut self, now: Instant) {
-        self.failing_since = None;
-        self.grace_until = now.after(OUTAGE_GRACE_PERIOD);
-    }
-
-    fn retain_missing(
-        &mut self,
-        previous: &Listing,
-        mut listing: Listing,
-        now: Instant,
-    ) -> Listing {
-        if let Some(since) = self.failing_since.take()
-            && now.since(since) >= MIN_OUTAGE
-        {
-            self.grace_until = now.after(OUTAGE_GRACE_PERIOD);
-        }
-        if now >= self.grace_until {
-            return listing;
-        }
-        for entry in &previous.entries {
-            let is_back = listing.entries.iter().any(|e| e.id == entry.id);
-            let is_reused = listing.entries.iter().any(|e| e.address == entry.address);
-            if !is_back && !is_reused {
-                listing.entries.push(entry.clone());
-            }
-        }
-        listing
-    }
-}
-
 /// Returns whether this front currently polls the directory itself.
 fn should_poll<P: Protocol>(front: &Front<P>, age: Millis, now: Instant) -> bool {
     let rank = front.peers.borrow().rank(now);
@@ -236,9 +178,22 @@
         return;
     }
     let listing = believed_listing(front, read);
-    let Some(previous) = front.endpoints.update(listing, confirmed_at) else {
-        return;
-    };
+    let resumed_at = front.stalls.resumed_at(clock::now());
+    front.endpoints.on_resumed(resumed_at);
+    if let Some(previous) = front.endpoints.update(listing, era, confirmed_at) {
+        use_listing(front, &previous);
+    }
+}
+
+/// Stops using the endpoints that were retained after an outage for long enough.
+pub(crate) fn drop_retained<P: Protocol>(front: &Front<P>) {
+    if let Some(previous) = front.endpoints.drop_retained(clock::now()) {
+        use_listing(front, &previous);
+    }
+}
+
+/// Makes the rest of the front use a list that differs from the previous one.
+fn use_listing<P: Protocol>(front: &Front<P>, previous: &Listing) {
     let listing = front.endpoints.listing();
     front.origins.on_listing(&listing, clock::now());
     let (rollout_bounds, refresh_interval) = {
@@ -249,7 +204,7 @@
         let rollouts = &front.rollouts;
         rollouts.on_listing(&listing, refresh_interval, clock::now());
     }
-    log_changes(&previous, &listing);
+    log_changes(previous, &listing);
     front.connections.set_endpoints(&listing.entries);
     apply_endpoints(front);
     gauge!("front_listed_endpoints").set(listing.entries.len() as f64);
--- a/crates/sesamehaven-front/tests/directory_cache.rs
+++ b/crates/sesamehaven-front/tests/directory_cache.rs
@@ -7,6 +7,7 @@
 use rstest::rstest;
 
 use sesamehaven::announcement::Announcement;
+use sesamehaven::restore::Era;
 use sesamehaven::unit::{Instant, Millis};
 use sesamehaven_front::directory_cache::{ConfigCache, ListingCache, should_poll_directory};
 use sesamehaven_front::peers::{DirectoryState, Peers};
@@ -85,7 +86,7 @@
     let entries = ids.iter().map(|id| EndpointEntry {
         id: (*id).into(),
         pool: "pool".into(),
-        address: "10.0.0.1:80".parse().unwrap_or_else(|_| unreachable!()),
+        address: SocketAddr::from(([10, 0, 0, 1], id.bytes().map(u16::from).sum())),
         data_centre: "a".into(),
         version: "v1".parse().unwrap_or_else(|_| unreachable!()),
         slots: 6,
@@ -102,14 +103,60 @@
 #[test]
 fn an_older_endpoint_list_is_ignored() {
     let cache = ListingCache::default();
-    assert!(cache.update(listing(&["a", "b"]), Instant(100)).is_some());
-    assert!(cache.update(listing(&["b"]), Instant(500)).is_some());
-    assert!(cache.update(listing(&["a", "b"]), Instant(300)).is_none());
+    assert!(
+        cache
+            .update(listing(&["a", "b"]), None, Instant(100))
+            .is_some()
+    );
+    assert!(cache.update(listing(&["b"]), None, Instant(500)).is_some());
+    assert!(
+        cache
+            .update(listing(&["a", "b"]), None, Instant(300))
+            .is_none()
+    );
     assert_eq!(cache.listing(), listing(&["b"]));
-    assert!(cache.update(listing(&["b"]), Instant(900)).is_none());
+    assert!(cache.update(listing(&["b"]), None, Instant(900)).is_none());
     assert_eq!(cache.age(Instant(1_000)), Millis(100));
 }
 
+/// Guards against a front that tells others its own guess as a list that the directory confirmed.
+#[test]
+fn only_the_confirmed_list_is_told_to_others() {
+    let cache = ListingCache::default();
+    cache.update(listing(&["a", "b"]), None, Instant(1_000));
+    let confirmed = cache.digest();
+    cache.on_read_failed(Instant(1_500));
+    // After an outage, an endpoint may be missing only because its entry has expired.
+    cache.update(listing(&["a"]), None, Instant(4_000));
+    assert_eq!(cache.listing(), listing(&["a", "b"]));
+    assert_eq!(cache.confirmed_listing(), listing(&["a"]));
+    assert_ne!(cache.digest(), confirmed);
+    assert!(cache.drop_retained(Instant(5_900)).is_none());
+    assert!(cache.drop_retained(Instant(6_000)).is_some());
+    assert_eq!(cache.listing(), listing(&["a"]));
+    assert!(cache.drop_retained(Instant(6_100)).is_none());
+}
+
+#[test]
+fn endpoints_that_another_front_saw_leave_are_not_retained() {
+    let cache = ListingCache::default();
+    cache.update(listing(&["a", "b"]), None, Instant(1_000));
+    cache.on_read_failed(Instant(1_500));
+    cache.on_confirmed_elsewhere(Instant(1_800));
+    cache.on_read_failed(Instant(2_100));
+    cache.on_confirmed_elsewhere(Instant(2_600));
+    cache.update(listing(&["a"]), None, Instant(3_200));
+    assert_eq!(cache.listing(), listing(&["a"]));
+}
+
+#[test]
+fn endpoints_missing_from_an_older_copy_are_retained() {
+    let cache = ListingCache::default();
+    cache.update(listing(&["a", "b"]), Some(Era(1)), Instant(1_000));
+    cache.update(listing(&["a"]), Some(Era(2)), Instant(1_500));
+    assert_eq!(cache.listing(), listing(&["a", "b"]));
+}
+
 #[rstest]
 #[case::first(0, 0, true)]
 #[case::second(1, 0, true)]
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod offer;
 pub mod offer_history;
 pub mod order;
+pub mod outage;
 pub mod outcome;
 mod part_id;
 mod part_notice;
