Read the rest of a body before a refusal is sent

Callers whose bodies were still arriving got a reset and no answer to a request that was refused by its head (LOST).

Cause: the front answered and dropped the body, and the connection was closed with unread bytes 500 ms later. After a chunked body it was read without any bound.

The rest of a body is now read and dropped before the answer, for 5 s since the request arrived and 32 MiB at most. A body that has not ended by then keeps its payload until the answer is written, so that the connection is closed also after chunked bodies.

--- a/crates/sesamehaven-front/src/admission.rs
+++ b/crates/sesamehaven-front/src/admission.rs
@@ -29,6 +29,10 @@
 const NOT_READY_RETRY_AFTER: Millis = Millis(400);
 /// Retry-After while the memory for request bodies is exhausted.
 const MEMORY_RETRY_AFTER: Millis = Millis(300);
+/// The longest rest of a body that is read and dropped after a refusal, in bytes.
+const DISCARDED_BODY_MAX_BYTES: usize = 32 << 20;
+/// How long after a request arrived the rest of its body is read and dropped after a refusal.
+const DISCARD_TIMEOUT: Millis = Millis(5_000);
 /// Retry-After for a quarantined request.
 pub(crate) const QUARANTINE_RETRY_AFTER: Millis = Millis(60_000);
 /// The minimum and maximum Retry-After of a request over its rate limit.
@@ -256,6 +260,25 @@
     Ok(body.freeze())
 }
 
+/// Reads the rest of a body that nobody needs, and returns whether it has ended.
+///
+/// It gives up when that has taken too long since the request arrived.
+pub(crate) async fn discard_body(payload: &mut Payload, arrived: Instant) -> bool {
+    let mut len = 0;
+    let discard = async {
+        while let Some(Ok(chunk)) = payload.next().await {
+            len += chunk.len();
+            if len > DISCARDED_BODY_MAX_BYTES {
+                return false;
+            }
+        }
+        true
+    };
+    let remaining = arrived.after(DISCARD_TIMEOUT).since(clock::now());
+    let discarded = tokio::time::timeout(remaining.duration(), discard).await;
+    discarded.unwrap_or(false)
+}
+
 pub(crate) fn log_denied<P: Protocol>(
     front: &Front<P>,
     meta: &RequestMeta,
--- a/crates/sesamehaven-front/src/body.rs
+++ b/crates/sesamehaven-front/src/body.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
+use actix_http::Payload;
 use actix_http::body::{BodySize, MessageBody};
 use bytes::Bytes;
 use tokio::sync::{Semaphore, SemaphorePermit, mpsc};
@@ -23,12 +24,15 @@
 pub type Chunk = io::Result<Bytes>;
 
 /// The body of a response.
-#[derive(Debug)]
 pub enum Body {
     /// A complete body.
     Full(Bytes),
     /// A complete body that counts toward the memory of bodies until it is written.
     Held(Bytes, HeldBytes),
+    /// A complete body after which the connection is closed, as the rest of the request is not read.
+    ///
+    /// The connection goes on reading a chunked request whose payload has been dropped.
+    Closing(Bytes, Payload),
     /// A body that arrives in chunks.
     Stream(ChunkStream),
 }
@@ -147,10 +151,18 @@
 }
 
 impl Body {
+    /// Closes the connection after this body, since the payload of the request is not read to its end.
+    pub fn close_unread(self, payload: Payload) -> Self {
+        match self {
+            Body::Full(bytes) => Body::Closing(bytes, payload),
+            other => other,
+        }
+    }
+
     /// Returns whether the caller must go on reading, since the body holds memory meanwhile.
     pub fn is_supervised(&self) -> bool {
         match self {
-            Body::Full(_) => false,
+            Body::Full(_) | Body::Closing(..) => false,
             Body::Held(bytes, _) => bytes.len() > PART_BYTES,
             Body::Stream(_) => true,
         }
@@ -162,15 +174,23 @@
 
     fn size(&self) -> BodySize {
         match self {
-            Body::Full(bytes) | Body::Held(bytes, _) => BodySize::Sized(bytes.len() as u64),
+            Body::Full(bytes) | Body::Held(bytes, _) | Body::Closing(bytes, _) => {
+                BodySize::Sized(bytes.len() as u64)
+            }
             Body::Stream(_) => BodySize::Stream,
         }
     }
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Chunk>> {
         match &mut *self {
-            Body::Full(bytes) | Body::Held(bytes, _) if bytes.is_empty() => Poll::Ready(None),
-            Body::Full(bytes) => Poll::Ready(Some(Ok(std::mem::take(bytes)))),
+            Body::Full(bytes) | Body::Held(bytes, _) | Body::Closing(bytes, _)
+                if bytes.is_empty() =>
+            {
+                Poll::Ready(None)
+            }
+            Body::Full(bytes) | Body::Closing(bytes, _) => {
+                Poll::Ready(Some(Ok(std::mem::take(bytes))))
+            }
             // The connection copies what it gets, so it gets only what it may send soon.
             Body::Held(bytes, _) => {
                 let len = bytes.len().min(PART_BYTES);
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -13,7 +13,7 @@
 use sesamehaven::stream_origin::{StreamId, StreamOrigin};
 use sesamehaven::unit::{Instant, Millis};
 
-use crate::admission::{QUARANTINE_RETRY_AFTER, admit, charge, log_denied};
+use crate::admission::{QUARANTINE_RETRY_AFTER, admit, charge, discard_body, log_denied};
 use crate::attempt::{Attempt, EndpointResponse};
 use crate::body::Body;
 use crate::body_memory::read_body;
@@ -50,7 +50,15 @@
             unanswered.disarm();
             res
         }
-        Err(failure) => failure.response(),
+        Err(failure) => {
+            // A caller that is still sending would find its connection reset, and no answer.
+            let is_read = discard_body(&mut payload, arrived).await;
+            let res = failure.response();
+            match is_read {
+                true => res,
+                false => res.map_body(|_, body| body.close_unread(payload)),
+            }
+        }
     };
     if front.is_draining.get() {
         failure::close_connection(&mut res);
