Start no request in a stop that cannot end, and answer the rest

Callers whose requests became whole late in the grace period of a planned stop were cut off without an answer, also with requests that may not be repeated (LOST; reported by operators of other systems, and measured here).

Cause: nothing asked whether a request can end before the exit, and the exit ended the handlers that still ran.

Once the load balancer has noticed the stop, a request is started or tried again only if half again the longest recent run of its route fits into the time left, or its time limit where none has run; it is refused as not run otherwise. Shortly before the exit all requests without an answer get one: not run, or an unknown outcome.

--- a/crates/sesamehaven-front/src/admission.rs
+++ b/crates/sesamehaven-front/src/admission.rs
@@ -22,6 +22,7 @@
 use crate::job::{Job, RunStatus};
 use crate::protocol::{Protocol, RequestMeta};
 use crate::routing_table::{Organisation, Route, RoutingTable};
+use crate::stop::Stop;
 
 /// The longest accepted body if the configuration sets no limit, in bytes.
 const DEFAULT_BODY_MAX_BYTES: u64 = 4 << 20;
@@ -76,10 +77,12 @@
     let headers = forwarded_headers::<P>(req.headers());
     let len = content_length(req.headers());
     let timeout = meta.timeout.unwrap_or(route.timeout).min(route.timeout);
-    let reading = read_body(front, payload, len, limit);
-    let (body, held) = tokio::time::timeout(timeout.duration(), reading)
-        .await
-        .map_err(|_| body_overdue())??;
+    let (body, held) = tokio::select! {
+        biased;
+        read = read_body(front, payload, len, limit) => read?,
+        () = tokio::time::sleep(timeout.duration()) => return Err(body_overdue()),
+        () = front.stop.ended() => return Err(body_cut_off()),
+    };
     let random = u64::from(rand::random::<u32>());
     let pool = route.choose_pool(random).cloned().unwrap_or_default();
     let name = organisation.as_ref().map_or("", |o| o.name.as_str());
@@ -208,6 +211,11 @@
     Failure::client_error(StatusCode::REQUEST_TIMEOUT, "body_overdue", message)
 }
 
+fn body_cut_off() -> Failure {
+    let message = "this front stops before the body has arrived";
+    Failure::unavailable("stopping", message, NOT_READY_RETRY_AFTER)
+}
+
 fn content_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
@@ -263,7 +271,7 @@
 /// Reads the rest of a body that nobody needs, and returns whether it has ended.
 ///
 /// It gives up when that has taken too long since the request arrived.
-pub(crate) async fn discard_body(payload: &mut Payload, arrived: Instant) -> bool {
+pub(crate) async fn discard_body(payload: &mut Payload, arrived: Instant, stop: &Stop) -> bool {
     let mut len = 0;
     let discard = async {
         while let Some(Ok(chunk)) = payload.next().await {
@@ -275,8 +283,12 @@
         true
     };
     let remaining = arrived.after(DISCARD_TIMEOUT).since(clock::now());
-    let discarded = tokio::time::timeout(remaining.duration(), discard).await;
-    discarded.unwrap_or(false)
+    tokio::select! {
+        biased;
+        is_read = discard => is_read,
+        () = tokio::time::sleep(remaining.duration()) => false,
+        () = stop.ended() => false,
+    }
 }
 
 pub(crate) fn log_denied<P: Protocol>(
--- a/crates/sesamehaven-front/src/front.rs
+++ b/crates/sesamehaven-front/src/front.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use sesamehaven::digest::hash_of;
+use sesamehaven::grace::RunTimes;
 use sesamehaven::part_quarantine::PartQuarantine;
 use sesamehaven::quarantine::Quarantine;
 use sesamehaven::restore::RestoreGuard;
@@ -30,6 +31,7 @@
 use crate::rollouts::Rollouts;
 use crate::settings::Settings;
 use crate::shared_limits::SharedLimits;
+use crate::stop::Stop;
 
 /// Keys are rejected this long before the configuration reaches its maximum age.
 const KEY_MAX_AGE_MARGIN: Millis = Millis(250);
@@ -78,8 +80,10 @@
     pub(crate) crash_probes: RefCell<SmallVec<[SmolStr; 4]>>,
     /// The requests in flight, by endpoint.
     pub in_flight: Rc<InFlight>,
-    /// Whether the front is draining before it stops.
-    pub is_draining: Cell<bool>,
+    /// Tells when the front stops.
+    pub stop: Stop,
+    /// How long requests have run lately.
+    pub run_times: RefCell<RunTimes>,
     /// The number of requests being served.
     pub active_requests: Cell<u32>,
     /// The number of open connections of callers.
@@ -119,7 +123,8 @@
             stalls: StallDetector::default(),
             crash_probes: RefCell::default(),
             in_flight: Rc::default(),
-            is_draining: Cell::new(false),
+            stop: Stop::default(),
+            run_times: RefCell::default(),
             active_requests: Cell::new(0),
             caller_connections: Rc::default(),
             log_limiter: LogRateLimiter::default(),
@@ -166,7 +171,7 @@
 
     /// Returns whether the front is ready for callers.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining.get()
+        !self.stop.has_begun()
             && self.endpoints.digest() != 0
             && self.config.table().is_some()
             && self.can_verify_keys(clock::now())
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -209,6 +209,11 @@
             slot,
             in_flight,
         } = response;
+        let now = clock::now();
+        let ran_for = now.since(in_flight.request().sent_at);
+        let mut run_times = self.front.run_times.borrow_mut();
+        run_times.record(&self.route.name, ran_for, now);
+        drop(run_times);
         if head.status.is_success() {
             self.front.record_survival(in_flight.request());
         }
--- a/crates/sesamehaven-front/src/lib.rs
+++ b/crates/sesamehaven-front/src/lib.rs
@@ -43,5 +43,6 @@
 pub mod shared_limits;
 mod snapshot;
 pub mod source;
+pub mod stop;
 
 pub use crate::error::{Error, Result};
--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -17,6 +17,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
+use sesamehaven::grace::Grace;
 use sesamehaven::unit::{Instant, Millis};
 
 use crate::body::Body;
@@ -41,10 +42,6 @@
 const DISCONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The length of the listen backlog.
 const LISTEN_BACKLOG: u32 = 1_024;
-/// The time that the load balancer takes to notice that a front is not ready.
-const BALANCER_REACTION_TIME: Millis = Millis(2_800);
-/// How long before the end of the grace period the process exits.
-const GRACE_MARGIN: Millis = Millis(400);
 /// How long a new connection stays open for its first request while idle ones are being closed.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
 /// How long a draining front must be idle before it exits.
@@ -199,19 +196,19 @@
 
 /// Waits until the requests in flight have finished or the grace period is nearly over.
 ///
+/// What still runs then gets an answer that promises nothing.
+///
 /// Requests that the load balancer still sends are served until it has noticed. Then idle
 /// connections are closed, so that no request arrives too late to finish, and the others once their
 /// responses are written.
 async fn drain<P: Protocol>(front: &Front<P>, shutdown: watch::Sender<bool>) {
-    let started = clock::now();
-    front.is_draining.set(true);
+    let grace = Grace::new(clock::now(), front.settings.borrow().bounds.grace_period);
+    front.stop.begin(grace);
     spdlog::info!("front draining", kv: { in_flight = front.active_requests.get() });
-    let grace_period = front.settings.borrow().bounds.grace_period;
-    let deadline = started.after(Millis(grace_period.0.saturating_sub(GRACE_MARGIN.0)));
     let mut idle_since: Option<Instant> = None;
     loop {
         let now = clock::now();
-        if now.since(started) >= BALANCER_REACTION_TIME {
+        if grace.is_out_of_balance(now) {
             shutdown.send_replace(true);
         }
         // A response is on its way to the caller until its connection has ended.
@@ -224,7 +221,7 @@
             false => idle_since = None,
         }
         let is_settled = idle_since.is_some_and(|at| now.since(at) >= DRAIN_IDLE_TIME);
-        if now >= deadline || (is_settled && *shutdown.borrow()) {
+        if now >= grace.exits_at() || (is_settled && *shutdown.borrow()) {
             return;
         }
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -52,7 +52,7 @@
         }
         Err(failure) => {
             // A caller that is still sending would find its connection reset, and no answer.
-            let is_read = discard_body(&mut payload, arrived).await;
+            let is_read = discard_body(&mut payload, arrived, &front.stop).await;
             let res = failure.response();
             match is_read {
                 true => res,
@@ -60,7 +60,7 @@
             }
         }
     };
-    if front.is_draining.get() {
+    if front.stop.has_begun() {
         failure::close_connection(&mut res);
     }
     if let Some(is_streaming) = is_streaming {
@@ -117,18 +117,22 @@
     };
     let organisation = job.organisation.clone();
     let remaining = job.remaining(now).duration();
-    let result = tokio::time::timeout(remaining, dispatch(&job)).await;
+    let result = tokio::select! {
+        biased;
+        result = tokio::time::timeout(remaining, dispatch(&job)) => result.ok(),
+        () = front.stop.ended() => None,
+    };
     let failure = match result {
-        Ok(Ok(Served::Full(res))) => {
+        Some(Ok(Served::Full(res))) => {
             job.record_response_latency();
             return res;
         }
-        Ok(Ok(Served::Stream(first))) => {
+        Some(Ok(Served::Stream(first))) => {
             job.record_response_latency();
             return relay::respond(job, *first);
         }
-        Ok(Err(failure)) => failure,
-        Err(_) => timed_out(&job),
+        Some(Err(failure)) => failure,
+        None => timed_out(&job),
     };
     if let Some(res) = job.failed_response.take() {
         job.log("retry_in_vain", "", failure.code);
@@ -222,9 +226,15 @@
     // Whether an endpoint has had the request since the retry budget was last charged.
     let mut is_retry = false;
     loop {
-        let slot = match job.acquire().await {
+        let slot = tokio::select! {
+            biased;
+            () = job.too_late() => Err(None),
+            slot = job.acquire() => slot.map_err(Some),
+        };
+        let slot = match slot {
             Ok(slot) => slot,
-            Err(rejection) if job.runs.get() == 0 => {
+            Err(None) if job.runs.get() == 0 => return Err(stopping(job)),
+            Err(Some(rejection)) if job.runs.get() == 0 => {
                 return Err(rejected(rejection.reason, rejection.retry_after));
             }
             Err(_) => return Err(endpoint_failed()),
@@ -351,14 +361,30 @@
 }
 
 impl<P: Protocol> Job<P> {
+    /// Waits until the front stops too soon for one more attempt.
+    async fn too_late(&self) {
+        let expected = || {
+            let remaining = self.remaining(clock::now());
+            let run_times = self.front.run_times.borrow();
+            run_times.expected(&self.route.name, remaining)
+        };
+        self.front.stop.too_late_for(expected).await;
+    }
+
     /// Returns whether a failed request has an attempt left and enough time for it.
     fn has_time_for_retry(&self) -> bool {
         self.has_attempts() && self.remaining(clock::now()) > self.route.objective
     }
 }
 
+fn stopping<P: Protocol>(job: &Job<P>) -> Failure {
+    let message = "this front stops before the request could end";
+    Failure::unavailable("stopping", message, rejected_retry_after(job))
+}
+
 fn timed_out<P: Protocol>(job: &Job<P>) -> Failure {
     match job.run_status.get() {
+        RunStatus::NotRun if job.front.stop.has_begun() => stopping(job),
         RunStatus::NotRun => rejected(Refusal::Overdue, rejected_retry_after(job)),
         RunStatus::MayHaveRun(_) => Failure::outcome_unknown(
             StatusCode::GATEWAY_TIMEOUT,
--- a/crates/sesamehaven/src/lib.rs
+++ b/crates/sesamehaven/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod fair;
 pub mod forecast;
 pub mod gate;
+pub mod grace;
 pub mod grant_history;
 pub mod guard;
 pub mod home;
