Go on with a stream only by events of the same stream

Callers could find the text of an error in the middle of a stream that broke off, when the next endpoint answered 200 with something else (ORDER, MIXED; reported by operators of other systems).

Cause: only the status of the second response was looked at, and a text with an empty line is an event.

A continuation has to have the type of the response that began the stream, and its first event an id.

--- a/crates/sesamehaven-front/src/admission.rs
+++ b/crates/sesamehaven-front/src/admission.rs
@@ -120,6 +120,7 @@
         run_status: Cell::new(RunStatus::NotRun),
         version: Cell::new(None),
         running_stream: RefCell::default(),
+        stream_type: RefCell::default(),
         tried: RefCell::default(),
         runs: Cell::new(0),
         failed_response: RefCell::default(),
--- a/crates/sesamehaven-front/src/events.rs
+++ b/crates/sesamehaven-front/src/events.rs
@@ -21,6 +21,8 @@
     has_event: bool,
     /// The id of the last event that the caller has; events up to it are dropped.
     last_id: Option<u64>,
+    /// Whether an event with an id has to come first, since the events go on with those of another endpoint.
+    needs_id: bool,
 }
 
 /// The reason why a stream cannot be continued.
@@ -30,6 +32,8 @@
     TooLong,
     /// An event is missing.
     Gap,
+    /// What follows is not of the stream that it should go on with.
+    Foreign,
 }
 
 impl Splitter {
@@ -41,6 +45,14 @@
         }
     }
 
+    /// Creates a splitter for what another endpoint sends in the middle of a stream.
+    pub fn continue_after(last_id: Option<u64>) -> Self {
+        Splitter {
+            needs_id: last_id.is_some(),
+            ..Splitter::resume_after(last_id)
+        }
+    }
+
     /// Returns the id of the last complete event.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
@@ -63,7 +75,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if an event is missing or exceeds the maximum length; the events before it are left to
+    /// Fails if an event is missing, does not belong to the stream or exceeds the maximum length; the events before it are left to
     /// [`take_complete`](Splitter::take_complete).
     pub fn push(&mut self, chunk: &Bytes) -> Result<Option<Bytes>, EventError> {
         self.buf.extend_from_slice(chunk);
@@ -72,7 +84,13 @@
             match (event_id(&event), self.last_id) {
                 (Some(id), Some(last)) if id <= last => continue,
                 (Some(id), Some(last)) if id > last + 1 => return Err(EventError::Gap),
-                (Some(id), _) => self.last_id = Some(id),
+                (Some(id), _) => {
+                    self.last_id = Some(id);
+                    self.needs_id = false;
+                }
+                (None, _) if self.needs_id && !is_comment(&event) => {
+                    return Err(EventError::Foreign);
+                }
                 (None, _) => {}
             }
             self.has_event |= !is_empty_line(&event);
@@ -124,6 +142,12 @@
     matches!(event, b"\n" | b"\r\n")
 }
 
+/// Returns whether a block has no fields, only comments and empty lines.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|b| *b == b'\n');
+    lines.all(|l| matches!(l, b"" | b"\r") || l.starts_with(b":"))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let id = event
         .split(|b| *b == b'\n')
--- a/crates/sesamehaven-front/src/failover.rs
+++ b/crates/sesamehaven-front/src/failover.rs
@@ -11,11 +11,13 @@
 use sesamehaven::endpoint_silence::HeadWait;
 use sesamehaven::placement::DispatchOutcome;
 use sesamehaven::unit::Millis;
+use sesamehaven_wire::http1::Head;
 
 use crate::attempt::{Attempt, EndpointResponse};
 use crate::clock;
 use crate::connection_pool::LastReceived;
-use crate::job::Job;
+use crate::events::Splitter;
+use crate::job::{Job, StreamType};
 use crate::pools::Slot;
 use crate::protocol::Protocol;
 use crate::routing_table::{RetryPolicy, Route};
@@ -102,7 +104,7 @@
     substitute: Pin<&mut impl Future<Output = Option<FirstEvents>>>,
 ) -> StreamAttempt {
     let response = match attempt {
-        Attempt::Responded(response) if response.head.status.is_success() => response,
+        Attempt::Responded(response) if job.goes_on(&response.head) => response,
         Attempt::Responded(_) => return StreamAttempt::Endpoint(attempt),
         failed => {
             return match substitute.await {
@@ -126,7 +128,36 @@
 
 impl<P: Protocol> Job<P> {
     fn source(&self, response: Box<EndpointResponse>, last_id: Option<u64>) -> Source {
-        Source::new(&self.front.body_memory, response, last_id)
+        let splitter = match self.stream_type.borrow().is_some() {
+            true => Splitter::continue_after(last_id),
+            false => Splitter::resume_after(last_id),
+        };
+        Source::new(&self.front.body_memory, response, splitter)
+    }
+
+    /// Returns whether a response may go on with the stream that the caller is getting, if any.
+    fn goes_on(&self, head: &Head) -> bool {
+        let stream_type = self.stream_type.borrow();
+        let is_alike = |t: &StreamType| *t == StreamType::of(head);
+        head.status.is_success() && stream_type.as_ref().is_none_or(is_alike)
+    }
+
+    /// Returns the response of an endpoint that goes on with the stream.
+    fn accepted(&self, attempt: Attempt) -> Option<Box<EndpointResponse>> {
+        match attempt {
+            Attempt::Responded(response) if self.goes_on(&response.head) => Some(response),
+            Attempt::Responded(response) => {
+                let endpoint = response.slot.endpoint.clone();
+                self.log(
+                    "not_of_the_stream",
+                    &endpoint,
+                    response.head.status.as_u16(),
+                );
+                response.slot.complete(DispatchOutcome::Failure);
+                None
+            }
+            Attempt::Quarantined | Attempt::Unknown(_) | Attempt::NotSent | Attempt::NotRun => None,
+        }
     }
 }
 
@@ -249,7 +280,7 @@
         let slot = substitute_slot(job, last_id).await?;
         let response = match job.attempt(slot, last_id).await {
             Attempt::Quarantined => return None,
-            attempt => accepted(attempt),
+            attempt => job.accepted(attempt),
         };
         let Some(response) = response else {
             continue;
@@ -280,7 +311,7 @@
             StreamAttempt::Events(first) => return Some(Resumed::Events(first)),
             StreamAttempt::Endpoint(Attempt::Quarantined) => return None,
             StreamAttempt::Endpoint(attempt) => {
-                if let Some(response) = accepted(attempt) {
+                if let Some(response) = job.accepted(attempt) {
                     return Some(Resumed::Response(response));
                 }
             }
@@ -302,18 +333,6 @@
     Some(slot)
 }
 
-/// Returns the response of an endpoint that goes on with a stream.
-fn accepted(attempt: Attempt) -> Option<Box<EndpointResponse>> {
-    match attempt {
-        Attempt::Responded(response) if response.head.status.is_success() => Some(response),
-        Attempt::Responded(response) => {
-            response.slot.complete(DispatchOutcome::Failure);
-            None
-        }
-        Attempt::Quarantined | Attempt::Unknown(_) | Attempt::NotSent | Attempt::NotRun => None,
-    }
-}
-
 /// Returns how long a resumable stream may be silent before another endpoint is asked to go on with it.
 ///
 /// The timeout is derived from the objectives, so as to fail over well before callers time out; their
--- a/crates/sesamehaven-front/src/job.rs
+++ b/crates/sesamehaven-front/src/job.rs
@@ -4,8 +4,10 @@
 use std::fmt::Display;
 use std::rc::Rc;
 
+use actix_http::header::CONTENT_TYPE;
 use actix_http::{Method, Response};
 use bytes::{BufMut, Bytes, BytesMut};
+use http::HeaderValue;
 use metrics::{counter, histogram};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -19,6 +21,7 @@
 use sesamehaven::shared_retry_budget::BudgetLevel;
 use sesamehaven::software_version::PoolVersion;
 use sesamehaven::unit::{Instant, Millis};
+use sesamehaven_wire::http1::Head;
 
 use crate::attempt::EndpointResponse;
 use crate::body::Body;
@@ -75,6 +78,17 @@
     }
 }
 
+/// What kind of body a stream has, as its head says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StreamType(Option<HeaderValue>);
+
+impl StreamType {
+    /// Returns the type of a response.
+    pub fn of(head: &Head) -> Self {
+        StreamType(head.headers.get(CONTENT_TYPE.as_str()).cloned())
+    }
+}
+
 /// An admitted request.
 #[derive(Debug)]
 pub struct Job<P: Protocol> {
@@ -114,6 +128,8 @@
     pub version: Cell<Option<PoolVersion>>,
     /// The stream of the response, if its caller may take it up.
     pub running_stream: RefCell<Option<RunningStream>>,
+    /// The type of the stream, once the caller gets its head.
+    pub stream_type: RefCell<Option<StreamType>>,
     /// The endpoints that were tried or could not be reached.
     pub tried: RefCell<SmallVec<[SmolStr; 2]>>,
     /// The number of attempts in which it may have run or may still run.
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -23,7 +23,7 @@
 use crate::failure::{self, Failure, ServeResult};
 use crate::front::{CounterGuard, Front};
 use crate::headers::copy_response_headers;
-use crate::job::{Job, RunStatus};
+use crate::job::{Job, RunStatus, StreamType};
 use crate::origins;
 use crate::protocol::Protocol;
 use crate::relay;
@@ -304,6 +304,8 @@
 /// Binds a stream to the endpoint that sent its first events.
 fn serve_stream<P: Protocol>(job: &Job<P>, first: Box<FirstEvents>) -> Served {
     first.response().slot.on_first_event();
+    let stream_type = StreamType::of(&first.response().head);
+    job.stream_type.replace(Some(stream_type));
     bind_version(job, first.response().slot.version);
     Served::Stream(first)
 }
--- a/crates/sesamehaven-front/src/source.rs
+++ b/crates/sesamehaven-front/src/source.rs
@@ -39,12 +39,12 @@
     pub(crate) fn new(
         memory: &Rc<BodyMemory>,
         response: Box<EndpointResponse>,
-        last_id: Option<u64>,
+        splitter: Splitter,
     ) -> Self {
         Source {
             response,
             held: HeldBytes::new(memory, Holder::Partial),
-            splitter: Splitter::resume_after(last_id),
+            splitter,
             failure: None,
         }
     }
@@ -71,7 +71,7 @@
                     }
                     Ok(None) => self.hold_partial()?,
                     Err(_) => {
-                        const REASON: &str = "an event is missing or too long";
+                        const REASON: &str = "an event is missing, foreign or too long";
                         self.failure = Some(REASON);
                         let before = self.splitter.take_complete();
                         return before.map(StreamRead::Events).ok_or(REASON);
