--- a/crates/sesamehaven-front/src/error.rs
+++ b/crates/sesamehaven-front/src/error.rs
@@ -25,6 +25,10 @@
         Malformed { what: &'static str, reason: SmolStr } {
             display("{what} is malformed: {reason}")
         }
+        /// A document ends before it is complete, as one does that is still being written.
+        Truncated { what: &'static str, reason: SmolStr } {
+            display("{what} is incomplete: {reason}")
+        }
         /// A required system call failed.
         Io { what: &'static str, err: io::Error } {
             display("{what}: {err}")
@@ -50,6 +54,19 @@
         }
     }
 
+    /// Creates an error for a document that ends before it is complete.
+    pub fn truncated(what: &'static str, reason: impl std::fmt::Display) -> Self {
+        Error::Truncated {
+            what,
+            reason: SmolStr::new(reason.to_string()),
+        }
+    }
+
+    /// Returns whether a document ended before it was complete.
+    pub fn is_truncated(&self) -> bool {
+        matches!(self, Error::Truncated { .. })
+    }
+
     /// Creates an error for a malformed response.
     pub fn malformed(what: &'static str, reason: impl std::fmt::Display) -> Self {
         Error::Malformed {
--- a/crates/sesamehaven-front/src/gossip.rs
+++ b/crates/sesamehaven-front/src/gossip.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -468,15 +467,3 @@
         });
     }
 }
-
-/// Binds the UDP and TCP sockets for communication between fronts.
-///
-/// # Errors
-///
-/// Fails if the address is in use or does not belong to this VM.
-pub async fn bind_sockets(address: SocketAddr) -> io::Result<(UdpSocket, TcpListener)> {
-    Ok((
-        UdpSocket::bind(address).await?,
-        TcpListener::bind(address).await?,
-    ))
-}
--- a/crates/sesamehaven-front/src/lib.rs
+++ b/crates/sesamehaven-front/src/lib.rs
@@ -26,6 +26,7 @@
 mod headers;
 pub mod in_flight;
 pub mod job;
+mod listen;
 pub mod load;
 pub mod logging;
 pub mod origins;
--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use metrics::counter;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
 
 use sesamehaven::grace::Grace;
@@ -25,8 +25,10 @@
 use crate::clock;
 use crate::front::{CounterGuard, Front};
 use crate::gossip;
+use crate::listen;
 use crate::origins;
 use crate::peers::Proximity;
+use crate::pools::Pools;
 use crate::protocol::{Directory, Protocol};
 use crate::refresh;
 use crate::rollouts;
@@ -40,8 +42,6 @@
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// How long the front waits for the caller to close a connection that is being shut down.
 const DISCONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// The length of the listen backlog.
-const LISTEN_BACKLOG: u32 = 1_024;
 /// How long a new connection stays open for its first request while idle ones are being closed.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
 /// How long a draining front must be idle before it exits.
@@ -64,7 +64,7 @@
 /// # Errors
 ///
 /// Fails if the metrics recorder or a signal handler cannot be installed, or if an address other than
-/// that for metrics cannot be bound.
+/// that for metrics cannot be bound. One that is in use is waited for.
 pub fn run<P: Protocol>(
     settings: Settings,
     directory: impl Directory,
@@ -118,8 +118,11 @@
         settings.clone(),
         u64::from(rand::random::<u32>()),
     ));
-    let (udp, tcp) = gossip::bind_sockets(settings.peers).await?;
-    let udp = Rc::new(udp);
+    let sockets = tokio::select! {
+        bound = Sockets::bind(&settings) => bound?,
+        _ = terminate.recv() => return Ok(()),
+    };
+    let (udp, tcp) = (Rc::new(sockets.digests), sockets.states);
     spdlog::info!("front started", kv: {
         name = settings.name.as_str(),
         listen = settings.listen.to_string(),
@@ -176,8 +179,11 @@
         async move { pools.run().await }
     });
     let (shutdown_tx, shutdown) = watch::channel(false);
-    listen_for_callers(&front, &settings, shutdown)?;
-    listen_for_admin(&front, &settings, metrics)?;
+    serve_callers(&front, sockets.callers, shutdown);
+    serve_readiness(&front, &settings, sockets.ready);
+    if let Some(admin) = settings.admin {
+        actix_rt::spawn(serve_metrics(Rc::clone(&front.pools), admin, metrics));
+    }
     terminate.recv().await;
     drain(&front, shutdown_tx).await;
     gossip::announce_leave(&front, &udp);
@@ -255,12 +261,31 @@
     }
 }
 
-fn listen_for_callers<P: Protocol>(
+/// The sockets without which a front does not run.
+struct Sockets {
+    digests: UdpSocket,
+    states: TcpListener,
+    ready: TcpListener,
+    callers: TcpListener,
+}
+
+impl Sockets {
+    /// Binds the address for callers last, since their connections are accepted only when all are bound.
+    async fn bind(settings: &Settings) -> io::Result<Self> {
+        Ok(Sockets {
+            digests: listen::udp(settings.peers).await?,
+            states: listen::tcp(settings.peers).await?,
+            ready: listen::tcp(settings.ready).await?,
+            callers: listen::tcp(settings.listen).await?,
+        })
+    }
+}
+
+fn serve_callers<P: Protocol>(
     front: &Rc<Front<P>>,
-    settings: &Settings,
+    listener: TcpListener,
     shutdown: watch::Receiver<bool>,
-) -> io::Result<()> {
-    let listener = bind(settings.listen)?;
+) {
     let connections = Rc::clone(&front.caller_connections);
     let front = Rc::clone(front);
     let handler = move |req: Request| {
@@ -268,14 +293,10 @@
         async move { Ok::<_, Infallible>(serve(front, req).await) }
     };
     actix_rt::spawn(accept(listener, handler, shutdown, connections));
-    Ok(())
 }
 
-fn listen_for_admin<P: Protocol>(
-    front: &Rc<Front<P>>,
-    settings: &Settings,
-    metrics: PrometheusHandle,
-) -> io::Result<()> {
+/// Serves the health checks of the load balancer until the process exits.
+fn serve_readiness<P: Protocol>(front: &Rc<Front<P>>, settings: &Settings, listener: TcpListener) {
     let path = settings.ready_path.clone();
     let state = Rc::clone(front);
     let ready = move |req: Request| {
@@ -285,35 +306,26 @@
         };
         async move { Ok::<_, Infallible>(Response::with_body(status, Body::Full(Bytes::new()))) }
     };
-    // Health checks and metrics are served until the process exits.
     let (_, never) = watch::channel(false);
-    let connections = Rc::default();
-    let listener = bind(settings.ready)?;
-    actix_rt::spawn(accept(
-        listener,
-        ready,
-        never.clone(),
-        Rc::clone(&connections),
-    ));
-    let Some(admin) = settings.admin else {
-        return Ok(());
+    actix_rt::spawn(accept(listener, ready, never, Rc::default()));
+}
+
+/// Serves the metrics until the process exits. The front also runs without them.
+async fn serve_metrics(pools: Rc<Pools>, address: SocketAddr, metrics: PrometheusHandle) {
+    let listener = match listen::tcp(address).await {
+        Ok(listener) => listener,
+        Err(err) => {
+            spdlog::error!("failed to bind the metrics address", kv: { reason = err.to_string() });
+            return;
+        }
     };
-    let pools = Rc::clone(&front.pools);
     let page = move |_: Request| {
         pools.record_gauges();
         let text = Bytes::from(metrics.render());
         async move { Ok::<_, Infallible>(Response::with_body(StatusCode::OK, Body::Full(text))) }
     };
-    match bind(admin) {
-        Ok(listener) => {
-            actix_rt::spawn(accept(listener, page, never, connections));
-        }
-        // The front also serves requests without metrics.
-        Err(err) => {
-            spdlog::error!("failed to bind the metrics address", kv: { address = admin.to_string(), reason = err.to_string() });
-        }
-    }
-    Ok(())
+    let (_, never) = watch::channel(false);
+    accept(listener, page, never, Rc::default()).await;
 }
 
 /// Waits until a connection that has just been accepted is to be closed after its current request.
@@ -337,16 +349,6 @@
     }
 }
 
-fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(LISTEN_BACKLOG)
-}
-
 /// Accepts connections and serves the requests on them.
 ///
 /// A half-closed connection counts as disconnected: a caller that closes its side no longer needs
