Ask the other fronts and the saved usage before the first request

In its first milliseconds it refused requests within their limits, and after the loss of all fronts sound requests since four crashed endpoints had been tried.

Cause: a front served as soon as it had any configuration and any list, and nothing waited for what the other fronts and the saved usage would tell. An endpoint that refuses connections counted like one that is full.

One gate holds the first requests, and readiness, until the seeds have answered or 400 ms are over and the saved usage is restored or cannot be read, for a second at most. Endpoints that cannot be reached no longer use up the three attempts.

--- a/crates/sesamehaven-front/src/admission.rs
+++ b/crates/sesamehaven-front/src/admission.rs
@@ -55,6 +55,7 @@
             "a header field cannot be read; the log of the front names it",
         )
     })?;
+    front.start_gate.wait().await;
     let not_ready = |code, message| Failure::unavailable(code, message, NOT_READY_RETRY_AFTER);
     let table = front
         .config
--- a/crates/sesamehaven-front/src/front.rs
+++ b/crates/sesamehaven-front/src/front.rs
@@ -31,6 +31,7 @@
 use crate::rollouts::Rollouts;
 use crate::settings::Settings;
 use crate::shared_limits::SharedLimits;
+use crate::start_gate::StartGate;
 use crate::stop::Stop;
 
 /// Keys are rejected this long before the configuration reaches its maximum age.
@@ -80,6 +81,8 @@
     pub(crate) crash_probes: RefCell<SmallVec<[SmolStr; 4]>>,
     /// The requests in flight, by endpoint.
     pub in_flight: Rc<InFlight>,
+    /// Holds requests until the front knows what it needs to.
+    pub start_gate: StartGate,
     /// Tells when the front stops.
     pub stop: Stop,
     /// How long requests have run lately.
@@ -123,6 +126,7 @@
             stalls: StallDetector::default(),
             crash_probes: RefCell::default(),
             in_flight: Rc::default(),
+            start_gate: StartGate::new(clock::now()),
             stop: Stop::default(),
             run_times: RefCell::default(),
             active_requests: Cell::new(0),
@@ -172,6 +176,7 @@
     /// Returns whether the front is ready for callers.
     pub fn is_ready(&self) -> bool {
         !self.stop.has_begun()
+            && self.start_gate.is_open(clock::now())
             && self.endpoints.digest() != 0
             && self.config.table().is_some()
             && self.can_verify_keys(clock::now())
--- a/crates/sesamehaven-front/src/gossip.rs
+++ b/crates/sesamehaven-front/src/gossip.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use metrics::counter;
 use tokio::net::{TcpListener, UdpSocket};
 
@@ -37,6 +38,8 @@
 const DIGEST_INTERVAL_PER_PEER: Millis = Millis(2);
 /// How often a front checks whether a peer has newer state.
 const SYNC_CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// How long a front that starts waits for the state of another one.
+const SEED_TIMEOUT: Duration = Duration::from_millis(400);
 /// The maximum number of notices about requests in a digest that are news to its receivers.
 const DIGEST_MAX_NOTICES: usize = 16;
 /// The number of requests whose notices each full digest repeats in turn.
@@ -380,17 +383,32 @@
     }
 }
 
+/// Asks the fronts that are known at the start for their state, all at once.
+///
+/// They may know a newer configuration than the directory, which can be an older copy of itself.
+pub async fn ask_seeds<P: Protocol>(front: Rc<Front<P>>) {
+    let seeds = front.peers.borrow().seed_addresses();
+    join_all(seeds.into_iter().map(|seed| ask(&front, seed))).await;
+    front.start_gate.on_peers_asked();
+}
+
+async fn ask<P: Protocol>(front: &Front<P>, seed: SocketAddr) {
+    let sent = clock::now();
+    let local = front.directory_state(sent);
+    let asked = peers::fetch_state(seed, &local);
+    match tokio::time::timeout(SEED_TIMEOUT, asked).await {
+        Ok(Ok(state)) => apply_state(front, state, sent),
+        // It may have failed together with this one.
+        Ok(Err(_)) | Err(_) => counter!("front_questions_failed_total").increment(1),
+    }
+}
+
 /// Fetches state from a peer that has a newer or fresher configuration or endpoint list.
 pub async fn sync_from_peers<P: Protocol>(front: Rc<Front<P>>) {
     loop {
         tokio::time::sleep(SYNC_CHECK_INTERVAL).await;
         let sent = clock::now();
-        let local = DirectoryState {
-            config_version: front.config.version(),
-            config_age: front.config.age(sent),
-            listing_digest: front.endpoints.digest(),
-            listing_age: front.endpoints.age(sent),
-        };
+        let local = front.directory_state(sent);
         let fresher = front.peers.borrow().most_current_peer(&local, sent);
         let Some(peer) = fresher else { continue };
         match peers::fetch_state(peer, &local).await {
@@ -406,6 +424,17 @@
     }
 }
 
+impl<P: Protocol> Front<P> {
+    fn directory_state(&self, now: Instant) -> DirectoryState {
+        DirectoryState {
+            config_version: self.config.version(),
+            config_age: self.config.age(now),
+            listing_digest: self.endpoints.digest(),
+            listing_age: self.endpoints.age(now),
+        }
+    }
+}
+
 fn apply_state<P: Protocol>(front: &Front<P>, state: StateResponse, sent: Instant) {
     let confirmed_at = Instant(sent.0.saturating_sub(state.config_age));
     match state.config {
--- a/crates/sesamehaven-front/src/lib.rs
+++ b/crates/sesamehaven-front/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod shared_limits;
 mod snapshot;
 pub mod source;
+pub mod start_gate;
 pub mod stop;
 
 pub use crate::error::{Error, Result};
--- a/crates/sesamehaven-front/src/peers.rs
+++ b/crates/sesamehaven-front/src/peers.rs
@@ -13,6 +13,7 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 use smol_str::SmolStr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -170,6 +171,13 @@
         self.seeds = seeds;
     }
 
+    /// Returns the addresses of the seeds.
+    pub fn seed_addresses(&self) -> SmallVec<[SocketAddr; 3]> {
+        let port = self.own.port();
+        let seeds = self.seeds.iter();
+        seeds.map(|ip| SocketAddr::new(*ip, port)).collect()
+    }
+
     /// Creates the next digest, with the membership fields filled in.
     pub fn digest(&mut self, now: Instant) -> Digest {
         self.peers
@@ -203,8 +211,7 @@
             .map(|(address, _)| *address)
             .collect();
         if proximity == Proximity::Far {
-            let port = self.own.port();
-            let seeds = self.seeds.iter().map(|ip| SocketAddr::new(*ip, port));
+            let seeds = self.seed_addresses().into_iter();
             targets.extend(seeds.filter(|a| !self.peers.contains_key(a)));
         }
         targets
--- a/crates/sesamehaven-front/src/run.rs
+++ b/crates/sesamehaven-front/src/run.rs
@@ -160,6 +160,8 @@
         gossip::receive_digests(Rc::clone(&shared), Rc::clone(&socket))
     });
     let shared = Rc::clone(&front);
+    spawn_task("ask_seeds", move || gossip::ask_seeds(Rc::clone(&shared)));
+    let shared = Rc::clone(&front);
     spawn_task("sync_from_peers", move || {
         gossip::sync_from_peers(Rc::clone(&shared))
     });
--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -30,9 +30,10 @@
 use crate::routing_table::RetryPolicy;
 use crate::source::FirstEvents;
 
-/// The maximum number of attempts at endpoints that were unreachable or did not run the request;
-/// one more fails the request.
+/// The maximum number of attempts at endpoints that did not run the request; one more fails the request.
 const MAX_ATTEMPTS_WITHOUT_RUN: u32 = 3;
+/// The same for endpoints that could not be reached, which cost little and are known only once they were tried.
+const MAX_UNREACHABLE: u32 = 32;
 /// Retry-After for a request that no endpoint ran before its deadline, or before its attempts or the
 /// retry budget were used up.
 const REJECTED_RETRY_AFTER: Millis = Millis(300);
@@ -222,7 +223,7 @@
 
 /// Tries endpoints until one has responded or no further attempt is allowed.
 async fn dispatch<P: Protocol>(job: &Job<P>) -> ServeResult<Served> {
-    let mut attempts_without_run = 0;
+    let (mut attempts_without_run, mut unreachable) = (0, 0);
     // Whether an endpoint has had the request since the retry budget was last charged.
     let mut is_retry = false;
     loop {
@@ -252,10 +253,13 @@
         let response = match attempt {
             Attempt::Responded(response) => response,
             Attempt::NotSent | Attempt::NotRun => {
-                attempts_without_run += 1;
                 is_retry = matches!(attempt, Attempt::NotRun);
-                if attempts_without_run > MAX_ATTEMPTS_WITHOUT_RUN || (is_retry && !job.has_retry())
-                {
+                let (attempts, max) = match is_retry {
+                    true => (&mut attempts_without_run, MAX_ATTEMPTS_WITHOUT_RUN),
+                    false => (&mut unreachable, MAX_UNREACHABLE),
+                };
+                *attempts += 1;
+                if *attempts > max || (is_retry && !job.has_retry()) {
                     return Err(not_retried(job));
                 }
                 continue;
--- a/crates/sesamehaven-front/src/snapshot.rs
+++ b/crates/sesamehaven-front/src/snapshot.rs
@@ -175,6 +175,7 @@
     let mut shared_limits = front.shared_limits.borrow_mut();
     let usage: Vec<&UsageSnapshot> = snapshots.iter().map(|s| &s.usage).collect();
     shared_limits.restore(&usage, clock::now());
+    front.start_gate.on_usage_asked();
     spdlog::info!("usage snapshots restored", kv: { fronts = snapshots.len() });
 }
 
@@ -217,6 +218,7 @@
             }
             Err(err) => {
                 dependency.record(Err(&err));
+                front.start_gate.on_usage_asked();
                 tokio::time::sleep(SNAPSHOT_RETRY_INTERVAL).await;
             }
         }
