Compare an older copy of the directory with what is known

Cause: the report of an entry that was not believed replaced the one that the front knew, so that the second copy was compared with the first.

The newest report is kept beside the listed one, and entries that are not believed leave it as it is.

tests/restore.rs, a_drain_holds_over_two_copies_in_a_row: failed on after the second copy, holds now over three.

--- a/crates/sesamehaven-front/src/directory_cache.rs
+++ b/crates/sesamehaven-front/src/directory_cache.rs
@@ -31,6 +31,8 @@
     confirmed_listing: RefCell<Listing>,
     digest: Cell<u64>,
     reports: RefCell<HashMap<SmolStr, Report>>,
+    /// The newest reports, which may be newer than those of an older copy.
+    newest_reports: RefCell<HashMap<SmolStr, Report>>,
     confirmed: Cell<Instant>,
     outage: RefCell<OutageDetector>,
     era: Cell<Option<Era>>,
@@ -70,9 +72,25 @@
         self.reports.borrow().clone()
     }
 
-    /// Stores the last reports of the endpoints.
-    pub fn set_reports(&self, reports: HashMap<SmolStr, Report>) {
-        *self.reports.borrow_mut() = reports;
+    /// Returns the newest report of an endpoint that is believed, also if an older copy of the directory has
+    /// come back since.
+    pub fn newest_report(&self, endpoint: &str) -> Option<Report> {
+        self.newest_reports.borrow().get(endpoint).copied()
+    }
+
+    /// Stores the last reports of the endpoints; those for which `is_older` holds are not believed.
+    pub fn set_reports(
+        &self,
+        reports: HashMap<SmolStr, Report>,
+        is_older: impl Fn(&SmolStr) -> bool,
+    ) {
+        let newest = reports.iter().map(|(id, report)| {
+            let known = self.newest_report(id).filter(|_| is_older(id));
+            (id.clone(), known.unwrap_or(*report))
+        });
+        let newest = newest.collect();
+        self.newest_reports.replace(newest);
+        self.reports.replace(reports);
     }
 
     /// Records that the next list may be of an older copy of the directory.
--- a/crates/sesamehaven-front/src/refresh.rs
+++ b/crates/sesamehaven-front/src/refresh.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use metrics::{counter, gauge};
+use smallvec::SmallVec;
+use smol_str::SmolStr;
 
 use sesamehaven::restore::{Era, EraChange, Verdict};
 use sesamehaven::unit::{Instant, Millis};
@@ -267,13 +269,13 @@
     };
     let known_entry = |id: &str| known.entries.iter().find(|e| e.id == id);
     if is_unproven && !known.entries.is_empty() {
-        let known_reports = front.endpoints.reports();
         guard.suspect(&reports, |id| {
-            let report = known_reports.get(id).copied();
+            let report = front.endpoints.newest_report(id);
             known_entry(id).map(|_| report.unwrap_or_default())
         });
     }
     guard.retain(|id| reports.contains_key(id));
+    let mut as_known: SmallVec<[SmolStr; 4]> = SmallVec::new();
     listing.entries.retain_mut(|entry| {
         let report = reports.get(&entry.id);
         match report.map_or(Verdict::AsListed, |r| guard.judge(&entry.id, *r)) {
@@ -281,6 +283,7 @@
             Verdict::AsKnown => match known_entry(&entry.id) {
                 Some(known) => {
                     *entry = known.clone();
+                    as_known.push(entry.id.clone());
                     true
                 }
                 None => false,
@@ -290,7 +293,9 @@
     });
     gauge!("front_unproven_endpoints").set(guard.suspect_count() as f64);
     drop(guard);
-    front.endpoints.set_reports(reports);
+    // The next copy is compared with what is known, not with this one.
+    let is_older = |id: &SmolStr| as_known.contains(id);
+    front.endpoints.set_reports(reports, is_older);
     listing
 }
 
