Let limits that are added begin at their rate, and answer late bodies at once

A limit that a configuration adds while fronts run counted as used up for a whole window, as at a start; it counts as used evenly again. A request whose body took longer than its time limit was answered only when the body had ended; it is answered at once.

--- a/crates/sesamehaven-front/src/serve.rs
+++ b/crates/sesamehaven-front/src/serve.rs
@@ -52,8 +52,10 @@
             res
         }
         Err(failure) => {
-            // A caller that is still sending would find its connection reset, and no answer.
-            let is_read = discard_body(&mut payload, arrived, &front.stop).await;
+            // A caller that is still sending would find its connection reset, and no answer. One whose time is
+            // over gets it at once.
+            let is_read = failure.status != StatusCode::REQUEST_TIMEOUT
+                && discard_body(&mut payload, arrived, &front.stop).await;
             let res = failure.response();
             match is_read {
                 true => res,
--- a/crates/sesamehaven-front/src/shared_limits.rs
+++ b/crates/sesamehaven-front/src/shared_limits.rs
@@ -84,12 +84,19 @@
 pub struct SharedLimits {
     windows: HashMap<SmolStr, SharedWindow>,
     retry_budgets: HashMap<SmolStr, SharedRetryBudget>,
+    /// Whether there has been a configuration since the start.
+    has_table: bool,
 }
 
 impl SharedLimits {
     /// Applies the limits of a configuration, keeping the usage so far.
     pub fn set_table(&mut self, table: &RoutingTable, bounds: &Bounds, now: Instant) {
         let mut previous = std::mem::take(&mut self.windows);
+        // Only what was limited before the start may have been used up.
+        let create = match std::mem::replace(&mut self.has_table, true) {
+            true => SharedWindow::added,
+            false => SharedWindow::new,
+        };
         for organisation in table.organisations() {
             let Some(limit) = organisation.limit else {
                 continue;
@@ -98,9 +105,7 @@
             let window = self.windows.entry(organisation.name.clone());
             let mut carried = || previous.remove(&organisation.name);
             window
-                .or_insert_with(|| {
-                    carried().unwrap_or_else(|| SharedWindow::new(window_limit, now))
-                })
+                .or_insert_with(|| carried().unwrap_or_else(|| create(window_limit, now)))
                 .set_limit(window_limit);
         }
     }
@@ -191,11 +196,6 @@
         window.is_some_and(|w| w.usage(now).is_none())
     }
 
-    /// Returns whether the usage of any organisation before the start is not known yet.
-    pub fn has_unknown_usage(&self, now: Instant) -> bool {
-        self.windows.values().any(|w| w.usage(now).is_none())
-    }
-
     /// Returns the usage that must survive a restart, with the interval between saves if it is long.
     pub fn snapshot(&self, save_interval: Millis, now: Instant) -> UsageSnapshot {
         let windows = self.windows.iter();
--- a/crates/sesamehaven/src/shared_limit.rs
+++ b/crates/sesamehaven/src/shared_limit.rs
@@ -154,6 +154,16 @@
         }
     }
 
+    /// Creates the window of a limit that is added while the process runs.
+    ///
+    /// The limit counts as used evenly until now, so that the organisation continues at its rate.
+    pub fn added(limit: WindowLimit, now: Instant) -> Self {
+        let mut added = SharedWindow::new(limit, now);
+        added.window.clear();
+        added.window.spread(limit.amount as f64, now);
+        added
+    }
+
     /// Changes the amount of the limit and keeps the recorded usage.
     ///
     /// The length of the window does not change; `limit.window` is ignored.
@@ -176,7 +186,9 @@
         let excess = self.window.sum + amount as f64 - available;
         // A request larger than the whole limit is admitted when the window is empty.
         if excess > 0.0 && self.window.sum > 0.0 {
-            if self.source != UsageSource::Assumed {
+            // What was only assumed to be used says nothing of the demand.
+            let is_assumed = matches!(self.source, UsageSource::Assumed | UsageSource::Estimated);
+            if !(is_assumed && self.is_first_window(now)) {
                 self.refused_at = Some(now);
             }
             return Err(self.window.wait_for(excess, now));
