--- a/crates/sesamehaven-front/src/snapshot.rs
+++ b/crates/sesamehaven-front/src/snapshot.rs
@@ -205,19 +205,14 @@
 ) -> Option<Vec<Snapshot>> {
     let started = clock::now();
     let window = front.settings.borrow().bounds.limit_window;
-    let mut dependency = Dependency {
-        name: "usage_snapshots",
-        is_down: false,
-    };
     while clock::now().since(started) < window {
         match directory.load_snapshots().await {
             Ok(Reading { value, era }) => {
-                dependency.record(Ok(()));
                 observe_era(front, era);
                 return Some(value.iter().filter_map(parse_snapshot).collect());
             }
             Err(err) => {
-                dependency.record(Err(&err));
+                spdlog::warn!("failed to load snapshots", kv: { reason = err.to_string() });
                 front.start_gate.on_usage_asked();
                 tokio::time::sleep(SNAPSHOT_RETRY_INTERVAL).await;
             }
