--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -8,6 +8,7 @@
 import json
 import os
 import random
+import resource
 import signal
 import socket
 import subprocess
@@ -443,6 +444,9 @@
         env["SESAMEHAVEN_SETTINGS"] = self.path
         self.log = open(self.log_path, "ab")
         self.process = subprocess.Popen([FRONT], cwd=ROOT, env=env, stdout=self.log, stderr=self.log)
+        # What the platform grants, whatever the shell does.
+        limit = self.settings["limits"]["max_fds"]
+        resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (limit, limit))
 
     def signal(self, number):
         os.kill(self.process.pid, number)
@@ -538,7 +542,15 @@
     return answer
 
 
-def main(folder, case):
+def need_descriptors(count):
+    """Raises this process's soft limit on descriptors, as far as its hard limit allows."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if hard != resource.RLIM_INFINITY and hard < count:
+        raise CannotRun(f"this process may open {hard} descriptors, and needs {count}")
+    resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
+
+
+def main(folder, case, descriptors=4200):
     """Runs `case(record, directory, trouble, fronts)`, ends all processes, and exits with its result."""
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -548,6 +560,7 @@
         try:
             if not os.path.exists(FRONT):
                 raise CannotRun("target/release/sesame-front is not built")
+            need_descriptors(descriptors)
             result = asyncio.run(asyncio.wait_for(case(record, directory, trouble, fronts), 110))
         except (CannotRun, asyncio.TimeoutError, OSError) as err:
             record.both(f"the case could not run: {type(err).__name__} {err}")
