Add review case 9: fronts that start in a drill accept a key taken away

Cause: a front that starts asks its seeds only, and believes an older store when none of them has any state, though another front knows better.

Change: a script in which three of four fronts, those that the seeds name, are killed while the store comes back from an older copy. The stand-in of the store has copies and eras.

--- a/review/lib-2/setups.py
+++ b/review/lib-2/setups.py
@@ -34,8 +34,11 @@
         self.record, self.directory, self.fronts = record, directory, fronts
         self.replicas = []
 
-    async def start(self, spec, services, front_count, bounds=None, ready=True, seeds=None):
-        """`services` has (name, replicas, slots, handler) for each service."""
+    async def start(self, spec, services, front_count, bounds=None, seeds=None, seeds_from=0):
+        """`services` has (name, replicas, slots, handler) for each service.
+
+        The seeds are three fronts, from the one with the index `seeds_from` on, if none are given.
+        """
         total = front_count + sum(s[1] for s in services) + 1
         ips = loopback_ips(total)
         self.front_ips, rest = ips[:front_count], iter(ips[front_count:])
@@ -49,12 +52,11 @@
                 await replica.start(next(rest))
                 self.replicas.append(replica)
         port = free_peer_port(self.front_ips)
-        seeds = seeds or [f"{ip}:{port}" for ip in self.front_ips[:3]]
+        seeds = seeds or [f"{ip}:{port}" for ip in self.front_ips[seeds_from:][:3]]
         for n, ip in enumerate(self.front_ips):
             self.fronts.append(Front(ip, "abc"[n % 3], port, seeds, self.store, self.directory, bounds))
         for front in self.fronts:
             front.start()
-        if ready:
-            for front in self.fronts:
-                await front.wait_ready()
+        for front in self.fronts:
+            await front.wait_ready()
         self.record.both(f"{front_count} fronts and {len(self.replicas)} replicas run")
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import copy
 import itertools
 import json
 import os
@@ -143,7 +144,8 @@
         self.kinds = {}
         self.revision = 100
         self.raw_entries = {}
-        self.confirmed = {}
+        self.era = 1
+        self.is_down = False
 
     async def start(self, ip):
         self.server = await asyncio.start_server(self.serve, ip, 0, limit=1 << 22)
@@ -177,6 +179,14 @@
         self.revision += 1
         self.kinds.get(kind, {}).pop(name, None)
 
+    def copy(self):
+        return copy.deepcopy((self.kinds, self.revision))
+
+    def restore(self, older):
+        """Comes back from an older copy, as in a drill."""
+        self.kinds, self.revision = copy.deepcopy(older)
+        self.era += 1
+
     def listing(self, kind):
         items = {n: json.dumps(o).encode() for n, o in self.kinds.get(kind, {}).items()}
         items.update(self.raw_entries.get(kind, {}))
@@ -189,10 +199,12 @@
                 req = await read_message(reader)
                 if req is None:
                     break
+                if self.is_down:
+                    break
                 status, body = self.answer(req)
                 await asyncio.sleep(0.004)
                 head = (
-                    f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
+                    f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\nStore-Era: {self.era}\r\n"
                     f"Content-Length: {len(body)}\r\n\r\n"
                 )
                 writer.write(head.encode() + body)
