--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -562,10 +562,9 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
 
 
-def main(folder, case, descriptors=4200):
+def main(folder, case, trouble, descriptors=4200):
     """Runs `case(record, directory, trouble, fronts)`, ends all processes, and exits with its result."""
     record = Record(os.path.join(folder, "record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     fronts = []
     record.both(f"TROUBLE={int(trouble)}")
     with tempfile.TemporaryDirectory(prefix="review-") as directory:
--- a/review/trials-2/refunds.py
+++ b/review/trials-2/refunds.py
@@ -11,6 +11,8 @@
 from setups import *
 from standins import *
 
+# With TROUBLE=0 the script does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 PROMPT, OUTPUT = 2890, 52
 TOKENS = PROMPT + OUTPUT
 RATE, BURST, WINDOW_S = 29_000, 29_000, 8.0
@@ -85,4 +87,4 @@
     return BROKEN if most * TOKENS > ALLOWED else HELD
 
 
-main(os.path.dirname(os.path.abspath(__file__)), case)
+main(os.path.dirname(os.path.abspath(__file__)), case, TROUBLE)
