--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -551,9 +551,9 @@
         return sorted((run for replica in self.replicas for run in replica.ran), key=lambda r: r["at"])
 
 
-def play(folder, fronts, scenario):
+def play(folder, fronts, scenario, kind=Deployment):
     """Runs a scenario, which returns the list of breaks, and exits with its result."""
-    deployment = Deployment(folder, fronts)
+    deployment = kind(folder, fronts)
     code = NOT_RUN
     try:
         async def main():
