--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -276,17 +276,19 @@
         self.id = None
         self.sequence = 0
         self.ran = []
+        self.version = "v1"
 
-    async def start(self):
-        """Starts a new lifetime, with a new id."""
-        self.id = "i-%010x" % random.getrandbits(40)
+    async def start(self, keeps_id=False):
+        """Starts a new lifetime, with a new id or with the one that it had."""
+        if not keeps_id:
+            self.id = "i-%010x" % random.getrandbits(40)
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.running = self.waiting = 0
         self.room = asyncio.Semaphore(self.slots)
         self.server = await asyncio.start_server(self.serve, self.ip, self.port)
         self.beats = asyncio.create_task(self.beat())
-        self.record.add("server_started", server=self.id, service=self.service)
+        self.record.add("server_started", server=self.id, service=self.service, version=self.version)
 
     def crash(self):
         """Ends the process: its channels end and nothing listens at its address."""
@@ -304,7 +306,7 @@
             self.sequence += 1
             self.store.beat(self.id, {
                 "service": self.service, "address": f"{self.ip}:{self.port}", "zone": self.zone,
-                "version": "v1", "slots": self.slots, "state": "ready", "cold_remaining_ms": 0,
+                "version": self.version, "slots": self.slots, "state": "ready", "cold_remaining_ms": 0,
                 "sequence": self.sequence, "born": self.born,
             })
             await asyncio.sleep(BEAT_S)
@@ -359,12 +361,12 @@
             if self.on_run and self.on_run(self, run) == "crash":
                 self.crash()
                 raise ConnectionError
-            await self.work(writer, attempt)
+            await self.work(writer, attempt, fields)
         finally:
             self.running -= 1
             self.room.release()
 
-    async def work(self, writer, attempt):
+    async def work(self, writer, attempt, fields):
         seal = "X-Sesamehaven-Response-Seal: " + "%x.%s" % (random.getrandbits(32), attempt)
         if not self.is_streaming:
             await asyncio.sleep(self.work_s)
