Review 3: end the processes of a script that is stopped

Cause: a script that got SIGTERM left its fronts behind. Change: the stand-ins end them, and free_port loses a parameter without use.

--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -55,8 +55,8 @@
                 out.write(line + "\n")
 
 
-def free_port(ips, sort=socket.SOCK_STREAM):
-    """Returns a port that is free at all of the addresses."""
+def free_port(ips):
+    """Returns a port that is free at all of the addresses, for TCP and UDP."""
     for _ in range(200):
         port = random.randint(20000, 31000)
         held = []
@@ -557,6 +557,8 @@
     """Runs a scenario, which returns the list of breaks, and exits with its result."""
     deployment = kind(folder, fronts)
     code = NOT_RUN
+    # The processes that were started end also if the script is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         async def main():
             return await asyncio.wait_for(scenario(deployment), 115)
