--- a/review/12/case.py
+++ b/review/12/case.py
@@ -41,7 +41,7 @@
         back.append(asyncio.create_task(restart(replica)))
         return "crash"
 
-    replicas = [s.Replica(d.record, d.store, "core", work_s=0.06, on_run=on_run) for _ in range(6)]
+    replicas = [s.Replica(d.record, d.store, "core", work_s=0.06, on_run=on_run) for _ in range(3)]
     await d.start(CONFIG, replicas)
     client = s.Client(d.record, "a.example")
     others = {"sent": 0, "served": 0}
